--- /dev/null
+++ b/src/borders/member.rs
@@ -0,0 +1,85 @@
+//! Border to one member of a database group.
+//!
+//! What the users' own platform speaks is not known yet. Everything that
+//! depends on it stands behind [`Member`]; the decisions see only [`Status`].
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+
+use crate::decisions::position::Position;
+
+/// What a member does in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// How a replica finds its stream from the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stream {
+    /// Heard from it lately.
+    Live,
+    /// Refused or reset.
+    Broken,
+    /// Nothing heard for longer than the stream's heartbeat.
+    Silent,
+    /// A primary follows nobody.
+    None,
+}
+
+/// A member's report of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Highest term it took a fence for.
+    pub promised: u64,
+    pub role: Role,
+    /// Newest entry it holds durably.
+    pub log: Position,
+    /// Newest entry that reads on it can see.
+    pub applied: Position,
+    pub stream: Stream,
+}
+
+/// Why a member gave no answer, or a negative one.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum MemberError {
+    #[error("connection refused or reset")]
+    Broken,
+    #[error("no answer in time")]
+    Silent,
+    #[error("refused: its promised term is {promised}")]
+    Fenced { promised: u64 },
+    #[error("answered nonsense: {0}")]
+    Nonsense(String),
+}
+
+/// Where a member listens.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Address {
+    /// `IP:port` of the PostgreSQL protocol.
+    pub sql: Arc<str>,
+    /// `IP:port` of the control protocol.
+    pub control: Arc<str>,
+}
+
+/// Control half of a member: status, fence, promote, follow.
+#[async_trait(?Send)]
+pub trait Member {
+    async fn status(&self) -> Result<Status, MemberError>;
+    /// Takes `term` if it is strictly above the member's promised term.
+    async fn fence(&self, term: u64) -> Result<Status, MemberError>;
+    /// Makes the member primary of `term`, which it must have promised.
+    async fn promote(&self, term: u64) -> Result<Status, MemberError>;
+    async fn follow(&self, term: u64, primary: &Address) -> Result<Status, MemberError>;
+    /// Returns when the member's process is seen to be gone.
+    async fn gone(&self);
+}
+
+/// Makes the control half for an address.
+pub trait Members {
+    fn member(&self, address: &Address) -> Rc<dyn Member>;
+}
--- /dev/null
+++ b/src/borders/table.rs
@@ -0,0 +1,66 @@
+//! Border to the platform's transactional table service.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A row as committed. `value` is none when the row was deleted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub key: Arc<str>,
+    /// Table revision of the commit that wrote it.
+    pub revision: u64,
+    pub value: Option<Value>,
+}
+
+/// One row of a commit. `expect` is the revision the row must have, 0 for none.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Write {
+    pub key: Arc<str>,
+    pub expect: Option<u64>,
+    pub value: Option<Value>,
+}
+
+/// All rows or none. The nonce finds a commit whose answer was lost.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Commit {
+    pub nonce: String,
+    pub writes: Vec<Write>,
+}
+
+/// What the table answered to a commit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Taken at this revision.
+    Done(u64),
+    /// A row has another revision than expected.
+    Conflict { key: Arc<str>, found: u64 },
+}
+
+/// Rows newer than a revision, in revision order.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Scan {
+    pub head: u64,
+    pub rows: Vec<Row>,
+}
+
+/// Why the table gave no verdict. The commit may have taken effect.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TableError {
+    #[error("the table gives no answer: {0}")]
+    Down(String),
+    #[error("the table answered nonsense: {0}")]
+    Nonsense(String),
+}
+
+/// The platform's table.
+#[async_trait(?Send)]
+pub trait Table {
+    /// Newest revision: one small row.
+    async fn head(&self) -> Result<u64, TableError>;
+    /// All rows written after `since`.
+    async fn scan(&self, since: u64) -> Result<Scan, TableError>;
+    async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError>;
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,3 @@
+//! The command line, parsed by `xflags`.
+
+pub mod flags;
--- /dev/null
+++ b/src/decisions.rs
@@ -0,0 +1,12 @@
+//! The decisions. No I/O, no clock: events and a time come in, actions go out.
+
+pub mod budget;
+pub mod classify;
+pub mod confirm;
+pub mod detect;
+pub mod fair;
+pub mod group;
+pub mod owners;
+pub mod position;
+pub mod replace;
+pub mod route;
--- /dev/null
+++ b/src/decisions/confirm.rs
@@ -0,0 +1,142 @@
+//! Confirmation: a write is acknowledged when a majority is seen to hold it.
+//!
+//! The observation counts only when it began after the write's own answer and
+//! shows no term above the write's. The primary counts by its own answer. Every
+//! later majority then meets a member that holds the write, so no replacement
+//! loses it; and none was complete when the write was taken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::borders::member::Status;
+use crate::decisions::position::Position;
+
+/// How a wait ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Confirmed,
+    /// It may last or not: the deadline passed or a higher term came in sight.
+    Unknown,
+}
+
+/// What a waiter needs to see at other members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// The log reaches this position, at its term.
+    Holds(Position),
+    /// Only that no term above this one was promised.
+    Unfenced(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    need: Need,
+    /// Observations must have begun at or after this moment.
+    since: Duration,
+    deadline: Duration,
+    seen: BTreeSet<usize>,
+}
+
+/// All who wait in one group.
+#[derive(Clone, Debug, Default)]
+pub struct Confirm {
+    waiters: BTreeMap<u64, Waiter>,
+}
+
+impl Confirm {
+    /// Adds a waiter whose primary's own answer counts already.
+    pub fn add(
+        &mut self,
+        id: u64,
+        need: Need,
+        primary: usize,
+        since: Duration,
+        deadline: Duration,
+    ) {
+        let waiter = Waiter {
+            need,
+            since,
+            deadline,
+            seen: BTreeSet::from([primary]),
+        };
+        let before = self.waiters.insert(id, waiter);
+        assert!(before.is_none(), "waiter {id} waits twice");
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether an observation of `member` begun now would help somebody.
+    pub fn wants(&self, member: usize) -> bool {
+        let mut waiters = self.waiters.values();
+        waiters.any(|waiter| !waiter.seen.contains(&member))
+    }
+
+    /// Takes an observation begun at `began`; tells whose wait it ends.
+    pub fn observe(
+        &mut self,
+        member: usize,
+        status: &Status,
+        began: Duration,
+        majority: usize,
+    ) -> Vec<(u64, Outcome)> {
+        let mut ended = Vec::new();
+        for (id, waiter) in &mut self.waiters {
+            if began < waiter.since {
+                continue;
+            }
+            let term = match waiter.need {
+                Need::Holds(position) => position.term,
+                Need::Unfenced(term) => term,
+            };
+            if status.promised > term {
+                ended.push((*id, Outcome::Unknown));
+                continue;
+            }
+            let holds = match waiter.need {
+                Need::Holds(position) => {
+                    status.log.term == position.term && status.log.index >= position.index
+                }
+                Need::Unfenced(_) => true,
+            };
+            if holds {
+                waiter.seen.insert(member);
+            }
+            if waiter.seen.len() >= majority {
+                ended.push((*id, Outcome::Confirmed));
+            }
+        }
+        for (id, _) in &ended {
+            self.waiters.remove(id);
+        }
+        ended
+    }
+
+    /// Ends the waits whose deadline has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<(u64, Outcome)> {
+        let late = self.waiters.iter().filter(|(_, w)| w.deadline <= now);
+        let ids: Vec<u64> = late.map(|(id, _)| *id).collect();
+        self.end(ids)
+    }
+
+    /// Ends all waits for a term that has been left.
+    pub fn abandon(&mut self, term: u64) -> Vec<(u64, Outcome)> {
+        let older = |waiter: &Waiter| match waiter.need {
+            Need::Holds(position) => position.term < term,
+            Need::Unfenced(own) => own < term,
+        };
+        let old = self.waiters.iter().filter(|(_, waiter)| older(waiter));
+        let ids: Vec<u64> = old.map(|(id, _)| *id).collect();
+        self.end(ids)
+    }
+
+    fn end(&mut self, ids: Vec<u64>) -> Vec<(u64, Outcome)> {
+        let remove = |id| self.waiters.remove(&id).map(|_| (id, Outcome::Unknown));
+        ids.into_iter().filter_map(remove).collect()
+    }
+}
--- /dev/null
+++ b/src/decisions/detect/baseline.rs
@@ -0,0 +1,81 @@
+//! Probes once a period and again at short intervals while no answer comes.
+//!
+//! After "An Adaptive Failure Detector Based on Quality of Service in
+//! Peer-to-Peer Networks": at most `tries` probes, `interval` apart, in each
+//! `period`; suspicion when none of them was answered. Detection takes at most
+//! `period + tries * interval`.
+
+use std::time::Duration;
+
+use super::Detector;
+
+/// What the detector is set to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// tau.
+    pub period: Duration,
+    /// Delta.
+    pub interval: Duration,
+    /// r.
+    pub tries: u32,
+}
+
+pub struct Baseline {
+    settings: Settings,
+    /// Start of the present period, the sending of its first probe.
+    start: Duration,
+    sent: u32,
+    heard: bool,
+    suspected: bool,
+    last: Duration,
+}
+
+impl Baseline {
+    pub fn new(settings: Settings, now: Duration) -> Self {
+        Self {
+            settings,
+            start: now,
+            sent: 0,
+            heard: true,
+            suspected: false,
+            last: now,
+        }
+    }
+}
+
+impl Detector for Baseline {
+    fn due(&self) -> Duration {
+        if self.sent == 0 {
+            return self.start;
+        }
+        if !self.heard && self.sent < self.settings.tries {
+            return self.last + self.settings.interval;
+        }
+        self.start + self.settings.period
+    }
+
+    fn sent(&mut self, now: Duration) {
+        let fresh = self.sent == 0 || now >= self.start + self.settings.period;
+        if fresh {
+            self.suspected = self.sent > 0 && !self.heard;
+            self.start = now;
+            self.sent = 0;
+            self.heard = false;
+        }
+        self.sent += 1;
+        self.last = now;
+    }
+
+    fn heard(&mut self, sent: Duration, _now: Duration) {
+        if sent >= self.start {
+            self.heard = true;
+            self.suspected = false;
+        }
+    }
+
+    fn suspects(&self, now: Duration) -> bool {
+        let all_sent = self.sent >= self.settings.tries;
+        let late = all_sent && now >= self.last + self.settings.interval;
+        !self.heard && (self.suspected || late)
+    }
+}
--- /dev/null
+++ b/src/decisions/route.rs
@@ -0,0 +1,104 @@
+//! Which replica may serve a read, and which of those does.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::decisions::position::Position;
+
+const MOST_SAMPLES: usize = 4096;
+
+/// Where the primary was when: the measure of a replica's age.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// (moment, index): the primary was at or before the index at the moment.
+    samples: VecDeque<(Duration, u64)>,
+}
+
+impl History {
+    /// The primary answered with `index` to a question put at `began`.
+    pub fn observe(&mut self, began: Duration, index: u64) {
+        if let Some(last) = self.samples.back_mut() {
+            if began <= last.0 || index < last.1 {
+                return;
+            }
+            if index == last.1 {
+                last.0 = began;
+                return;
+            }
+        }
+        if self.samples.len() == MOST_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((began, index));
+    }
+
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    /// Newest moment at which the primary is known to be at or before `index`.
+    pub fn moment(&self, index: u64) -> Option<Duration> {
+        let newer = self.samples.partition_point(|sample| sample.1 <= index);
+        newer.checked_sub(1).map(|i| self.samples[i].0)
+    }
+}
+
+/// A replica as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub member: usize,
+    pub domain: Arc<str>,
+    pub applied: Position,
+    /// None where it can't be told.
+    pub age: Option<Duration>,
+    /// Statements it serves or that wait for it.
+    pub load: usize,
+}
+
+/// What a read demands of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    pub floor: Position,
+    pub max_age: Duration,
+}
+
+impl Demand {
+    pub fn met_by(&self, candidate: &Candidate) -> bool {
+        let fresh = candidate.age.is_some_and(|age| age <= self.max_age);
+        fresh && candidate.applied.covers(self.floor)
+    }
+}
+
+/// Picks among the replicas that meet the demand: those of `domain` first, of
+/// these the less loaded of two random ones.
+pub fn choose(
+    candidates: &[Candidate],
+    demand: Demand,
+    domain: &str,
+    dice: &mut SmallRng,
+) -> Option<usize> {
+    let fit: Vec<&Candidate> = candidates.iter().filter(|c| demand.met_by(c)).collect();
+    let near: Vec<&Candidate> = fit
+        .iter()
+        .copied()
+        .filter(|candidate| *candidate.domain == *domain)
+        .collect();
+    let pool = match near.is_empty() {
+        true => fit,
+        false => near,
+    };
+    if pool.is_empty() {
+        return None;
+    }
+    let first = pool[dice.random_range(0..pool.len())];
+    let second = pool[dice.random_range(0..pool.len())];
+    let less = match second.load < first.load {
+        true => second,
+        false => first,
+    };
+    Some(less.member)
+}
--- /dev/null
+++ b/src/declarations/check.rs
@@ -0,0 +1,279 @@
+//! Checks entries one by one and against each other; reports all findings together.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use super::entry::Entry;
+use super::finding::Finding;
+use super::resource::{Durability, Group, Key, Kind, Member, Once, Partner, Read, Spec};
+use crate::borders::member::Address;
+
+const DEFAULT_WEIGHT: u64 = 1;
+const DEFAULT_SLOTS: u64 = 3;
+const DEFAULT_CONNECTIONS: u64 = 24;
+const DEFAULT_OWNERS: u64 = 3;
+const DEFAULT_DEADLINE_MS: u64 = 5_000;
+const DEFAULT_MAX_AGE_MS: u64 = 1_000;
+const HASH_DIGITS: usize = 64;
+const MOST_NAME: usize = 63;
+
+/// Reads the fields of one entry and notes what is wrong with them.
+struct Reader<'a> {
+    entry: &'a Entry,
+    known: Vec<&'static str>,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Reader<'a> {
+    fn new(entry: &'a Entry) -> Self {
+        Self {
+            entry,
+            known: Vec::new(),
+            findings: Vec::new(),
+        }
+    }
+
+    fn value(&mut self, field: &'static str) -> Option<&'a Value> {
+        self.known.push(field);
+        self.entry.fields.get(field).map(|field| &field.value)
+    }
+
+    fn note(&mut self, field: &str, message: impl Into<String>) {
+        self.findings.push(self.entry.finding(field, message));
+    }
+
+    fn text(&mut self, field: &'static str) -> Arc<str> {
+        match self.value(field) {
+            Some(Value::String(text)) => text.as_str().into(),
+            Some(_) => {
+                self.note(field, "must be a text");
+                "".into()
+            }
+            None => {
+                self.note(field, "is missing");
+                "".into()
+            }
+        }
+    }
+
+    fn name(&mut self, field: &'static str) -> Arc<str> {
+        let text = self.text(field);
+        let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '_';
+        let present = self.entry.fields.get(field).is_some_and(|f| f.value.is_string());
+        if present && (text.is_empty() || text.len() > MOST_NAME || !text.chars().all(fits)) {
+            self.note(field, "must be 1 to 63 of a-z, 0-9, - and _");
+        }
+        text
+    }
+
+    fn hash(&mut self, field: &'static str) -> Arc<str> {
+        let text = self.text(field);
+        let present = self.entry.fields.get(field).is_some_and(|f| f.value.is_string());
+        let digits = text.len() == HASH_DIGITS && text.chars().all(|c| c.is_ascii_hexdigit());
+        if present && !digits {
+            self.note(field, "must be a SHA-256 in 64 hexadecimal digits");
+        }
+        text
+    }
+
+    fn number(&mut self, field: &'static str, default: u64, least: u64, most: u64) -> u64 {
+        let Some(value) = self.value(field) else {
+            return default;
+        };
+        match value.as_u64() {
+            Some(number) if (least..=most).contains(&number) => number,
+            _ => {
+                self.note(field, format!("must be a whole number from {least} to {most}"));
+                default
+            }
+        }
+    }
+
+    fn flag(&mut self, field: &'static str) -> bool {
+        match self.value(field) {
+            None => false,
+            Some(Value::Bool(flag)) => *flag,
+            Some(_) => {
+                self.note(field, "must be true or false");
+                false
+            }
+        }
+    }
+
+    fn address(&mut self, field: &'static str) -> Arc<str> {
+        let text = self.text(field);
+        if !text.is_empty() && text.parse::<SocketAddr>().is_err() {
+            self.note(field, "must be IP:port");
+        }
+        text
+    }
+
+    fn names(&mut self, field: &'static str) -> Vec<Arc<str>> {
+        let Some(value) = self.value(field) else {
+            return Vec::new();
+        };
+        let texts = value
+            .as_array()
+            .map(|items| items.iter().map(|item| item.as_str().map(Arc::from)));
+        let names: Option<Vec<Arc<str>>> = texts.and_then(Iterator::collect);
+        names.unwrap_or_else(|| {
+            self.note(field, "must be a list of texts");
+            Vec::new()
+        })
+    }
+
+    fn finish(mut self) -> Vec<Finding> {
+        for field in self.entry.fields.keys() {
+            if !self.known.contains(&field.as_str()) {
+                let known = self.known.join(", ");
+                self.findings
+                    .push(self.entry.finding(field, format!("is not known; known are {known}")));
+            }
+        }
+        self.findings
+    }
+}
+
+/// Checks one entry by itself.
+pub fn one(entry: &Entry) -> Result<Spec, Vec<Finding>> {
+    let Some(kind) = Kind::of(&entry.kind) else {
+        let known: Vec<_> = Kind::ALL.iter().map(|kind| kind.name()).collect();
+        let message = format!("is no kind of resource; known are {}", known.join(", "));
+        let mut finding = entry.finding("", message);
+        finding.field = entry.kind.clone();
+        return Err(vec![finding]);
+    };
+    let mut reader = Reader::new(entry);
+    let spec = match kind {
+        Kind::Partner => partner(&mut reader),
+        Kind::Group => group(&mut reader),
+        Kind::Member => member(&mut reader),
+        Kind::Read => read(&mut reader),
+        Kind::Once => once(&mut reader),
+    };
+    let findings = reader.finish();
+    if findings.is_empty() {
+        return Ok(spec);
+    }
+    Err(findings)
+}
+
+fn partner(reader: &mut Reader) -> Spec {
+    Spec::Partner(Partner {
+        name: reader.name("name"),
+        weight: reader.number("weight", DEFAULT_WEIGHT, 1, 1000) as u32,
+        operator: reader.hash("operator"),
+        caller: reader
+            .entry
+            .fields
+            .get("caller")
+            .is_some_and(|field| !field.value.is_null())
+            .then(|| reader.hash("caller"))
+            .or_else(|| reader.value("caller").and(None)),
+    })
+}
+
+fn group(reader: &mut Reader) -> Spec {
+    let durability = match reader.value("durability").map(|value| value.as_str()) {
+        None | Some(Some("majority")) => Durability::Majority,
+        Some(Some("primary")) => Durability::Primary,
+        Some(_) => {
+            reader.note("durability", "must be \"majority\" or \"primary\"");
+            Durability::Majority
+        }
+    };
+    Spec::Group(Group {
+        partner: reader.name("partner"),
+        name: reader.name("name"),
+        durability,
+        slots: reader.number("slots", DEFAULT_SLOTS, 1, 1000) as u32,
+        connections: reader.number("connections", DEFAULT_CONNECTIONS, 1, 10_000) as u32,
+        owners: reader.number("owners", DEFAULT_OWNERS, 1, 100) as u32,
+        deadline_ms: reader.number("deadline_ms", DEFAULT_DEADLINE_MS, 1, 600_000),
+        max_age_ms: reader.number("max_age_ms", DEFAULT_MAX_AGE_MS, 0, 86_400_000),
+    })
+}
+
+fn member(reader: &mut Reader) -> Spec {
+    Spec::Member(Member {
+        partner: reader.name("partner"),
+        group: reader.name("group"),
+        name: reader.name("name"),
+        address: Address {
+            sql: reader.address("sql"),
+            control: reader.address("control"),
+        },
+        domain: reader.name("domain"),
+        leaving: reader.flag("leaving"),
+    })
+}
+
+fn read(reader: &mut Reader) -> Spec {
+    Spec::Read(Read {
+        partner: reader.name("partner"),
+        group: reader.name("group"),
+        name: reader.name("name"),
+        max_age_ms: reader.number("max_age_ms", DEFAULT_MAX_AGE_MS, 0, 86_400_000),
+        tables: reader.names("tables"),
+    })
+}
+
+fn once(reader: &mut Reader) -> Spec {
+    Spec::Once(Once {
+        partner: reader.name("partner"),
+        group: reader.name("group"),
+        name: reader.name("name"),
+        table: reader.name("table"),
+    })
+}
+
+/// Checks entries that are declared together.
+pub fn all(entries: &[Entry]) -> Result<BTreeMap<Key, Spec>, Vec<Finding>> {
+    let mut specs = BTreeMap::new();
+    let mut places: BTreeMap<Key, &Entry> = BTreeMap::new();
+    let mut findings = Vec::new();
+    for entry in entries {
+        match one(entry) {
+            Err(more) => findings.extend(more),
+            Ok(spec) => {
+                let key = spec.key();
+                if let Some(first) = places.insert(key.clone(), entry) {
+                    let at = first.line.map_or(String::new(), |line| format!(":{line}"));
+                    let message = format!("{key} is declared already at {}{at}", first.file);
+                    findings.push(entry.finding("name", message));
+                }
+                specs.insert(key, spec);
+            }
+        }
+    }
+    for (key, entry) in &places {
+        if let Some((field, missing)) = dangling(&specs[key], &specs) {
+            findings.push(entry.finding(field, format!("{missing} is not declared")));
+        }
+    }
+    if findings.is_empty() {
+        return Ok(specs);
+    }
+    Err(findings)
+}
+
+/// The resource that `spec` names and that is not there.
+pub fn dangling(spec: &Spec, specs: &BTreeMap<Key, Spec>) -> Option<(&'static str, Key)> {
+    let own = spec.key();
+    let needed = |kind, name: &Arc<str>| Key {
+        kind,
+        partner: own.partner.clone(),
+        name: name.clone(),
+    };
+    let (field, key) = match spec {
+        Spec::Partner(_) => return None,
+        Spec::Group(_) => ("partner", needed(Kind::Partner, &"".into())),
+        Spec::Member(member) => ("group", needed(Kind::Group, &member.group)),
+        Spec::Read(read) => ("group", needed(Kind::Group, &read.group)),
+        Spec::Once(once) => ("group", needed(Kind::Group, &once.group)),
+    };
+    (!specs.contains_key(&key)).then_some((field, key))
+}
--- /dev/null
+++ b/src/declarations/resource.rs
@@ -0,0 +1,184 @@
+//! The declared resources: partner, group, member, read kind, once rule.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::borders::member::Address;
+
+/// Kinds of resource, by their names in files and paths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    Partner,
+    Group,
+    Member,
+    Read,
+    Once,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 5] = [
+        Kind::Partner,
+        Kind::Group,
+        Kind::Member,
+        Kind::Read,
+        Kind::Once,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Partner => "partner",
+            Kind::Group => "group",
+            Kind::Member => "member",
+            Kind::Read => "read",
+            Kind::Once => "once",
+        }
+    }
+
+    pub fn of(name: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+}
+
+/// A resource's name: its kind, its partner, and its name within the partner.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    pub kind: Kind,
+    pub partner: Arc<str>,
+    /// `GROUP` or `GROUP.NAME`; empty for the partner itself.
+    pub name: Arc<str>,
+}
+
+impl Key {
+    pub fn parse(text: &str) -> Option<Key> {
+        let mut parts = text.splitn(3, '/');
+        let kind = Kind::of(parts.next()?)?;
+        let partner = parts.next()?.into();
+        let name = parts.next().unwrap_or_default().into();
+        Some(Key {
+            kind,
+            partner,
+            name,
+        })
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.name(), self.partner)?;
+        if self.name.is_empty() {
+            return Ok(());
+        }
+        write!(f, "/{}", self.name)
+    }
+}
+
+/// A partner: who shares this system with others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partner {
+    pub name: Arc<str>,
+    /// Share of a box under contention, against the other partners' weights.
+    pub weight: u32,
+    /// SHA-256 of the operators' bearer token, in hexadecimal.
+    pub operator: Arc<str>,
+    /// SHA-256 of the callers' password, in hexadecimal; none takes any caller.
+    pub caller: Option<Arc<str>>,
+}
+
+/// What a group promises of an acknowledged write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Durability {
+    /// A majority of the members holds it.
+    Majority,
+    /// Only the primary is known to hold it: a replacement may lose it.
+    Primary,
+}
+
+/// A database group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    pub partner: Arc<str>,
+    pub name: Arc<str>,
+    pub durability: Durability,
+    /// Statements a member runs at once.
+    pub slots: u32,
+    /// Connections a member takes from all boxes together.
+    pub connections: u32,
+    /// Boxes that hold connections to the members.
+    pub owners: u32,
+    /// Milliseconds after which a statement that did not start is refused.
+    pub deadline_ms: u64,
+    /// Staleness that a read of no declared kind tolerates, in milliseconds.
+    pub max_age_ms: u64,
+}
+
+/// A member of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub partner: Arc<str>,
+    pub group: Arc<str>,
+    pub name: Arc<str>,
+    #[serde(flatten)]
+    pub address: Address,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Takes no new work.
+    pub leaving: bool,
+}
+
+/// A kind of read and the staleness it tolerates.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Read {
+    pub partner: Arc<str>,
+    pub group: Arc<str>,
+    pub name: Arc<str>,
+    /// 0 tolerates none: served by a primary that is seen not to be replaced.
+    pub max_age_ms: u64,
+    /// Reads of only these tables are of this kind, without a hint.
+    pub tables: Vec<Arc<str>>,
+}
+
+/// Requests that must never be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Once {
+    pub partner: Arc<str>,
+    pub group: Arc<str>,
+    pub name: Arc<str>,
+    /// Writes to this table must carry a key.
+    pub table: Arc<str>,
+}
+
+/// A checked resource.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Spec {
+    Partner(Partner),
+    Group(Group),
+    Member(Member),
+    Read(Read),
+    Once(Once),
+}
+
+impl Spec {
+    pub fn key(&self) -> Key {
+        let (kind, partner, name) = match self {
+            Spec::Partner(partner) => (Kind::Partner, &partner.name, "".into()),
+            Spec::Group(group) => (Kind::Group, &group.partner, group.name.clone()),
+            Spec::Member(m) => (Kind::Member, &m.partner, inner(&m.group, &m.name)),
+            Spec::Read(r) => (Kind::Read, &r.partner, inner(&r.group, &r.name)),
+            Spec::Once(o) => (Kind::Once, &o.partner, inner(&o.group, &o.name)),
+        };
+        Key {
+            kind,
+            partner: partner.clone(),
+            name,
+        }
+    }
+}
+
+fn inner(group: &str, name: &str) -> Arc<str> {
+    format!("{group}.{name}").into()
+}
--- /dev/null
+++ b/src/declarations/snapshot.rs
@@ -0,0 +1,112 @@
+//! All declarations at one revision, as the boxes use them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::resource::{Group, Key, Member, Once, Partner, Read, Spec};
+
+/// A resource with the revision that wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    pub revision: u64,
+    pub spec: Spec,
+}
+
+/// A group with all that is declared for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// `PARTNER/GROUP`.
+    pub id: Arc<str>,
+    pub group: Group,
+    pub members: Vec<Member>,
+    pub reads: Vec<Read>,
+    pub onces: Vec<Once>,
+}
+
+/// Who leads a group, as last recorded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Primary {
+    pub term: u64,
+    /// The member's name.
+    pub member: Arc<str>,
+}
+
+/// Every resource at one revision. Never changed, only replaced by a newer one.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    pub revision: u64,
+    pub resources: BTreeMap<Key, Stored>,
+    pub partners: BTreeMap<Arc<str>, Partner>,
+    /// By `PARTNER/GROUP`.
+    pub groups: BTreeMap<Arc<str>, Arc<Plan>>,
+    /// By `PARTNER/GROUP`.
+    pub primaries: BTreeMap<Arc<str>, Primary>,
+}
+
+impl Snapshot {
+    pub fn new(
+        revision: u64,
+        resources: BTreeMap<Key, Stored>,
+        primaries: BTreeMap<Arc<str>, Primary>,
+    ) -> Self {
+        let mut partners = BTreeMap::new();
+        let mut groups: BTreeMap<Arc<str>, Plan> = BTreeMap::new();
+        for stored in resources.values() {
+            match &stored.spec {
+                Spec::Partner(partner) => {
+                    partners.insert(partner.name.clone(), partner.clone());
+                }
+                Spec::Group(group) => {
+                    let plan = Plan {
+                        id: group_id(&group.partner, &group.name),
+                        group: group.clone(),
+                        members: Vec::new(),
+                        reads: Vec::new(),
+                        onces: Vec::new(),
+                    };
+                    groups.insert(plan.id.clone(), plan);
+                }
+                _ => {}
+            }
+        }
+        for stored in resources.values() {
+            attach(&stored.spec, &mut groups);
+        }
+        let shared = |(id, plan): (Arc<str>, Plan)| (id, Arc::new(plan));
+        Self {
+            revision,
+            resources,
+            partners,
+            groups: groups.into_iter().map(shared).collect(),
+            primaries,
+        }
+    }
+}
+
+fn attach(spec: &Spec, groups: &mut BTreeMap<Arc<str>, Plan>) {
+    match spec {
+        Spec::Partner(_) | Spec::Group(_) => {}
+        Spec::Member(member) => {
+            if let Some(plan) = groups.get_mut(&group_id(&member.partner, &member.group)) {
+                plan.members.push(member.clone());
+            }
+        }
+        Spec::Read(read) => {
+            if let Some(plan) = groups.get_mut(&group_id(&read.partner, &read.group)) {
+                plan.reads.push(read.clone());
+            }
+        }
+        Spec::Once(once) => {
+            if let Some(plan) = groups.get_mut(&group_id(&once.partner, &once.group)) {
+                plan.onces.push(once.clone());
+            }
+        }
+    }
+}
+
+/// `PARTNER/GROUP`, the name of a group across partners.
+pub fn group_id(partner: &str, group: &str) -> Arc<str> {
+    format!("{partner}/{group}").into()
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,94 @@
+//! Numbered log events. `docs/EVENTS.md` is their catalogue; a test compares both.
+
+use std::fmt::Display;
+
+use slog::{Drain, KV, Level, Logger, Record, Serializer, o};
+
+/// A kind of event. Numbers are never used again for something else.
+#[derive(Debug)]
+pub struct Kind {
+    pub number: u32,
+    pub level: Level,
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        $(pub const $name: Kind = Kind { number: $number, level: Level::$level, text: $text };)*
+        /// Every kind, in order of number.
+        pub const ALL: &[&Kind] = &[$(&$name),*];
+    };
+}
+
+events! {
+    STARTED = 100, Info, "box started";
+    READY = 101, Info, "taking callers";
+    DRAINING = 102, Info, "leaving: no new callers, requests in flight finish";
+    STOPPED = 103, Info, "stopped";
+    CONFIGURED = 200, Info, "configuration in force";
+    TABLE_DOWN = 201, Warning, "platform table gives no answer";
+    TABLE_BACK = 202, Info, "platform table answers again";
+    ROSTER_CHANGED = 203, Info, "list of boxes changed";
+    BAD_ROW = 204, Error, "a row of the table is no valid resource and is left out";
+    SUSPECTED = 300, Warning, "member suspected";
+    TRUSTED = 301, Info, "member trusted again";
+    FENCING = 302, Warning, "replacing the primary: fencing";
+    BALLOT_LOST = 303, Warning, "replacement did not get through, trying again if needed";
+    PROMOTED = 304, Warning, "new primary promoted";
+    ADOPTED = 305, Info, "primary of a newer term known";
+    NONSENSE = 306, Error, "member's report can't be true and is not taken";
+    CALLER_REFUSED = 400, Info, "caller refused at start-up";
+    CALLER_PROTOCOL = 401, Info, "caller broke the protocol";
+    UNKNOWN_OUTCOME = 402, Warning, "a write's outcome is unknown";
+    TOKEN_IGNORED = 403, Info, "a caller's token is not believed";
+    CHANGED = 500, Info, "resource changed by an operator";
+}
+
+struct Fields<'a>(&'a [(&'static str, &'a dyn Display)]);
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _: &Record, serializer: &mut dyn Serializer) -> slog::Result {
+        for (name, value) in self.0 {
+            serializer.emit_arguments(name, &format_args!("{value}"))?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes one event.
+pub fn emit(log: &Logger, kind: &Kind, fields: &[(&'static str, &dyn Display)]) {
+    let fields = Fields(fields);
+    let number = kind.number;
+    match kind.level {
+        Level::Critical | Level::Error => {
+            slog::error!(log, "{}", kind.text; "event" => number, fields);
+        }
+        Level::Warning => slog::warn!(log, "{}", kind.text; "event" => number, fields),
+        _ => slog::info!(log, "{}", kind.text; "event" => number, fields),
+    }
+}
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    Terminal,
+    Json,
+    None,
+}
+
+/// The process's logger, writing to standard error.
+pub fn logger(format: Format) -> Logger {
+    match format {
+        Format::None => Logger::root(slog::Discard, o!()),
+        Format::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            Logger::root(drain, o!())
+        }
+        Format::Json => {
+            let drain = slog_json::Json::default(std::io::stderr());
+            let drain = std::sync::Mutex::new(drain).fuse();
+            Logger::root(drain, o!())
+        }
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,123 @@
+//! A small HTTP client that calls from one address and waits no longer than told.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client as Legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Why a call has no body to show.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HttpError {
+    #[error("connection refused or reset: {0}")]
+    Broken(String),
+    #[error("no answer in time")]
+    Late,
+    #[error("status {code}: {body}")]
+    Status { code: u16, body: String },
+}
+
+/// Pooled connections to any number of servers.
+#[derive(Clone)]
+pub struct Client {
+    inner: Legacy<HttpConnector, Full<Bytes>>,
+}
+
+/// A call in parts.
+pub struct Call<'a> {
+    pub method: Method,
+    /// `IP:port`.
+    pub address: &'a str,
+    pub path: &'a str,
+    pub bearer: Option<&'a str>,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+    pub wait: Duration,
+}
+
+impl Client {
+    /// A client whose connections start at `from`.
+    pub fn new(from: IpAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_local_address(Some(from));
+        let inner = Legacy::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .build(connector);
+        Self { inner }
+    }
+
+    pub async fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> Result<Bytes, HttpError> {
+        let call = Call {
+            method: Method::POST,
+            address,
+            path,
+            bearer: None,
+            headers: Vec::new(),
+            body,
+            wait,
+        };
+        self.call(call).await
+    }
+
+    pub async fn get(&self, address: &str, path: &str, wait: Duration) -> Result<Bytes, HttpError> {
+        let call = Call {
+            method: Method::GET,
+            address,
+            path,
+            bearer: None,
+            headers: Vec::new(),
+            body: Vec::new(),
+            wait,
+        };
+        self.call(call).await
+    }
+
+    pub async fn call(&self, call: Call<'_>) -> Result<Bytes, HttpError> {
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{}{}", call.address, call.path));
+        if let Some(bearer) = call.bearer {
+            request = request.header(AUTHORIZATION, format!("Bearer {bearer}"));
+        }
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(call.body)))
+            .map_err(|error| HttpError::Broken(error.to_string()))?;
+        tokio::time::timeout(call.wait, self.exchange(request))
+            .await
+            .map_err(|_| HttpError::Late)?
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+        let broken = |error: &dyn std::fmt::Display| HttpError::Broken(error.to_string());
+        let response = self.inner.request(request).await;
+        let response = response.map_err(|error| broken(&error))?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| broken(&error))?.to_bytes();
+        if status == StatusCode::OK {
+            return Ok(body);
+        }
+        Err(HttpError::Status {
+            code: status.as_u16(),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Metrics by `opentelemetry`, read over HTTP in Prometheus' text format.
+
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The counters of a box.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    pub reads_by_replica: Counter<u64>,
+    pub reads_by_primary: Counter<u64>,
+    pub writes: Counter<u64>,
+    pub not_run: Counter<u64>,
+    pub unknown: Counter<u64>,
+    pub retries: Counter<u64>,
+    pub forwarded: Counter<u64>,
+    pub replacements: Counter<u64>,
+    pub probes: Counter<u64>,
+    pub probe_failures: Counter<u64>,
+    pub confirmation_ms: Histogram<f64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("larkfall");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        Self {
+            reads_by_replica: counter("larkfall_reads_by_replica"),
+            reads_by_primary: counter("larkfall_reads_by_primary"),
+            writes: counter("larkfall_writes"),
+            not_run: counter("larkfall_not_run"),
+            unknown: counter("larkfall_unknown"),
+            retries: counter("larkfall_retries"),
+            forwarded: counter("larkfall_forwarded"),
+            replacements: counter("larkfall_replacements"),
+            probes: counter("larkfall_probes"),
+            probe_failures: counter("larkfall_probe_failures"),
+            confirmation_ms: meter.f64_histogram("larkfall_confirmation_ms").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics in Prometheus' text format.
+    pub fn text(&self) -> String {
+        render(&self.registry)
+    }
+
+    pub fn registry(&self) -> Registry {
+        self.registry.clone()
+    }
+}
+
+/// A registry's metrics in Prometheus' text format.
+pub fn render(registry: &Registry) -> String {
+    let mut bytes = Vec::new();
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,16 @@
+//! A box: callers in front, owned groups behind, the resource API beside.
+
+pub mod api;
+pub mod configuration;
+pub mod context;
+pub mod driver;
+pub mod entry;
+pub mod exchange;
+pub mod message;
+pub mod once;
+pub mod owner;
+pub mod peers;
+pub mod pool;
+pub mod relay;
+pub mod run;
+pub mod session;
--- /dev/null
+++ b/src/node/configuration.rs
@@ -0,0 +1,304 @@
+//! Keeps the declarations in force: polls the table's head, fetches what is newer,
+//! and passes news between peers. A box never steps back in revision.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::context::Context;
+use super::message::Message;
+use super::peers;
+use crate::borders::roster::Listing;
+use crate::borders::table::{Row, Scan};
+use crate::declarations::check;
+use crate::declarations::entry::Entry;
+use crate::declarations::resource::Key;
+use crate::declarations::snapshot::{Primary, Snapshot, Stored};
+use crate::events;
+
+pub const RESOURCE: &str = "resource/";
+pub const PRIMARY: &str = "primary/";
+
+/// News that one peer tells another: the rows written after `since`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct News {
+    pub from: Arc<str>,
+    pub since: u64,
+    pub scan: Scan,
+}
+
+/// What is said to the keeper.
+#[derive(Debug)]
+pub enum Request {
+    /// Rows after a revision, for a peer or a watcher.
+    Scan {
+        since: u64,
+        reply: oneshot::Sender<Scan>,
+    },
+    News(News),
+    /// Look at the table now.
+    Poll,
+}
+
+pub type Sender = mpsc::UnboundedSender<Request>;
+
+/// All rows at one revision.
+#[derive(Default)]
+pub struct Store {
+    revision: u64,
+    rows: BTreeMap<Arc<str>, Row>,
+}
+
+impl Store {
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes rows written after `since`, none of them missing. False if they
+    /// are old or leave a gap.
+    pub fn take(&mut self, since: u64, scan: &Scan) -> bool {
+        if since > self.revision || scan.head <= self.revision {
+            return false;
+        }
+        for row in &scan.rows {
+            let known = self.rows.get(&row.key).map_or(0, |row| row.revision);
+            if row.revision > known {
+                self.rows.insert(row.key.clone(), row.clone());
+            }
+        }
+        self.revision = scan.head;
+        true
+    }
+
+    pub fn scan(&self, since: u64) -> Scan {
+        let newer = self.rows.values().filter(|row| row.revision > since);
+        Scan {
+            head: self.revision,
+            rows: newer.cloned().collect(),
+        }
+    }
+
+    /// The rows as resources; what is no valid resource is left out and logged.
+    pub fn snapshot(&self, log: &Logger) -> Snapshot {
+        let mut resources = BTreeMap::new();
+        let mut primaries = BTreeMap::new();
+        for row in self.rows.values() {
+            let Some(value) = &row.value else { continue };
+            if let Some(group) = row.key.strip_prefix(PRIMARY) {
+                let primary: Result<Primary, _> = serde_json::from_value(value.clone());
+                primary.map_or_else(
+                    |error| events::emit(log, &events::BAD_ROW, &[("row", &row.key), ("error", &error)]),
+                    |primary| {
+                        primaries.insert(group.into(), primary);
+                    },
+                );
+                continue;
+            }
+            match resource(row) {
+                Ok((key, stored)) => {
+                    resources.insert(key, stored);
+                }
+                Err(error) => {
+                    events::emit(log, &events::BAD_ROW, &[("row", &row.key), ("error", &error)]);
+                }
+            }
+        }
+        Snapshot::new(self.revision, resources, primaries)
+    }
+}
+
+fn resource(row: &Row) -> Result<(Key, Stored), String> {
+    let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
+    let key = key.ok_or("unknown kind of row")?;
+    let value = row.value.as_ref().ok_or("deleted")?;
+    let entry = Entry::from_json(key.kind.name(), &row.key, value).map_err(|f| f.to_string())?;
+    let spec = check::one(&entry).map_err(|findings| findings[0].to_string())?;
+    let revision = row.revision;
+    Ok((key, Stored { revision, spec }))
+}
+
+/// The keeper of the configuration on one box.
+pub struct Keeper {
+    context: Rc<Context>,
+    inbox: mpsc::UnboundedReceiver<Request>,
+    store: Store,
+    snapshot: watch::Sender<Arc<Snapshot>>,
+    boxes: watch::Sender<Arc<[Listing]>>,
+    table_up: bool,
+}
+
+impl Keeper {
+    pub fn new(
+        context: Rc<Context>,
+        inbox: mpsc::UnboundedReceiver<Request>,
+        snapshot: watch::Sender<Arc<Snapshot>>,
+        boxes: watch::Sender<Arc<[Listing]>>,
+    ) -> Self {
+        Self {
+            context,
+            inbox,
+            store: Store::default(),
+            snapshot,
+            boxes,
+            table_up: true,
+        }
+    }
+
+    pub async fn run(mut self) {
+        let mut next = self.context.now();
+        loop {
+            let now = self.context.now();
+            if now >= next {
+                self.poll().await;
+                next = self.context.now() + self.jittered();
+            }
+            let sleep = next.saturating_sub(self.context.now());
+            tokio::select! {
+                request = self.inbox.recv() => match request {
+                    Some(request) => self.take(request).await,
+                    None => return,
+                },
+                () = tokio::time::sleep(sleep) => {}
+            }
+        }
+    }
+
+    /// The poll interval, spread so that boxes do not ask in step.
+    fn jittered(&self) -> Duration {
+        let factor = rand::Rng::random_range(&mut rand::rng(), 0.8..1.2);
+        self.context.settings.poll.mul_f64(factor)
+    }
+
+    async fn take(&mut self, request: Request) {
+        match request {
+            Request::Scan { since, reply } => {
+                let _ = reply.send(self.store.scan(since));
+            }
+            Request::News(news) => self.news(news).await,
+            Request::Poll => self.poll().await,
+        }
+    }
+
+    async fn poll(&mut self) {
+        match self.context.table.head().await {
+            Ok(head) => {
+                self.note_table(true);
+                if head > self.store.revision() {
+                    self.fetch().await;
+                }
+                self.read_boxes().await;
+            }
+            Err(_) => {
+                self.note_table(false);
+                self.ask_a_peer().await;
+            }
+        }
+    }
+
+    fn note_table(&mut self, up: bool) {
+        if self.table_up != up {
+            let kind = match up {
+                true => &events::TABLE_BACK,
+                false => &events::TABLE_DOWN,
+            };
+            events::emit(&self.context.log, kind, &[]);
+        }
+        self.table_up = up;
+    }
+
+    async fn fetch(&mut self) {
+        let since = self.store.revision();
+        if let Ok(scan) = self.context.table.scan(since).await {
+            self.accept(since, scan);
+        }
+    }
+
+    async fn read_boxes(&mut self) {
+        let Ok(boxes) = self.context.roster.boxes().await else {
+            return;
+        };
+        self.set_boxes(boxes.into());
+    }
+
+    fn set_boxes(&mut self, boxes: Arc<[Listing]>) {
+        if *self.boxes.borrow() == boxes {
+            return;
+        }
+        let count = boxes.len();
+        events::emit(&self.context.log, &events::ROSTER_CHANGED, &[("boxes", &count)]);
+        self.boxes.send_replace(boxes.clone());
+        let _ = self.context.decisions.send(Message::Boxes(boxes));
+    }
+
+    /// Puts newer rows in force and tells some peers.
+    fn accept(&mut self, since: u64, scan: Scan) -> bool {
+        if !self.store.take(since, &scan) {
+            return false;
+        }
+        let snapshot = Arc::new(self.store.snapshot(&self.context.log));
+        let revision = snapshot.revision;
+        events::emit(&self.context.log, &events::CONFIGURED, &[("revision", &revision)]);
+        self.snapshot.send_replace(snapshot.clone());
+        let _ = self.context.decisions.send(Message::Snapshot(snapshot));
+        self.tell_peers(since, scan);
+        true
+    }
+
+    fn tell_peers(&self, since: u64, scan: Scan) {
+        let news = News {
+            from: self.context.own_api_address().into(),
+            since,
+            scan,
+        };
+        for listing in self.some_peers(self.context.settings.fanout) {
+            let told = peers::tell(self.context.clone(), listing.address, news.clone());
+            tokio::task::spawn_local(told);
+        }
+    }
+
+    fn some_peers(&self, count: usize) -> Vec<Listing> {
+        let own = &self.context.settings.name;
+        let boxes = self.boxes.borrow().clone();
+        let others: Vec<Listing> = boxes.iter().filter(|l| l.name != *own).cloned().collect();
+        let chosen = others.choose_multiple(&mut rand::rng(), count);
+        chosen.cloned().collect()
+    }
+
+    async fn news(&mut self, news: News) {
+        if news.scan.head <= self.store.revision() {
+            return;
+        }
+        if self.accept(news.since, news.scan) {
+            return;
+        }
+        self.fetch_from(&news.from).await;
+    }
+
+    async fn fetch_from(&mut self, peer: &str) {
+        let since = self.store.revision();
+        if let Some(scan) = peers::scan(&self.context, peer, since).await {
+            self.accept(since, scan);
+        }
+    }
+
+    /// While the table is down, a peer may know more.
+    async fn ask_a_peer(&mut self) {
+        if self.boxes.borrow().is_empty()
+            && let Some(seed) = self.context.settings.peer.clone()
+        {
+            if let Some(boxes) = peers::boxes(&self.context, &seed).await {
+                self.set_boxes(boxes.into());
+            }
+            self.fetch_from(&seed).await;
+        }
+        for listing in self.some_peers(1) {
+            self.fetch_from(&listing.address).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/node/driver.rs
@@ -0,0 +1,458 @@
+//! The loop that owns the decisions, and the tasks that carry out their actions.
+//!
+//! One `select!` takes messages and the time; each group's decisions answer with
+//! actions. What needs I/O is spawned and comes back as a message.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+
+use super::context::Context;
+use super::message::{Ask, Denial, Grant, Health, Message, Settle, SettleNeed};
+use super::peers;
+use crate::borders::member::Member;
+use crate::borders::roster::Listing;
+use crate::declarations::snapshot::{Plan, Snapshot};
+use crate::decisions::confirm::Outcome;
+use crate::decisions::group::{Action, Event, Group, Note, Request, Settings};
+use crate::decisions::owners::owners;
+use crate::events;
+
+const GONE_RETRY: Duration = Duration::from_millis(200);
+const LEAST_SLEEP: Duration = Duration::from_millis(1);
+const MOST_SLEEP: Duration = Duration::from_secs(1);
+
+/// A group this box owns, with its members' borders.
+struct Owned {
+    group: Group,
+    members: Vec<Rc<dyn Member>>,
+    watches: Vec<AbortHandle>,
+    health: watch::Sender<Health>,
+    wake: Duration,
+}
+
+impl Drop for Owned {
+    fn drop(&mut self) {
+        for watch in &self.watches {
+            watch.abort();
+        }
+    }
+}
+
+/// The loop's state.
+pub struct Driver {
+    context: Rc<Context>,
+    settings: Settings,
+    inbox: mpsc::UnboundedReceiver<Message>,
+    groups: HashMap<Arc<str>, Owned>,
+    grants: HashMap<u64, oneshot::Sender<Result<Grant, Denial>>>,
+    settles: HashMap<u64, oneshot::Sender<Outcome>>,
+    snapshot: Arc<Snapshot>,
+    boxes: Arc<[Listing]>,
+    next: u64,
+}
+
+impl Driver {
+    pub fn new(
+        context: Rc<Context>,
+        settings: Settings,
+        inbox: mpsc::UnboundedReceiver<Message>,
+    ) -> Self {
+        Self {
+            context,
+            settings,
+            inbox,
+            groups: HashMap::new(),
+            grants: HashMap::new(),
+            settles: HashMap::new(),
+            snapshot: Arc::default(),
+            boxes: Arc::from([]),
+            next: 1,
+        }
+    }
+
+    /// Runs until nobody can send any more.
+    pub async fn run(mut self) {
+        loop {
+            let now = self.context.now();
+            let wake = self.groups.values().map(|owned| owned.wake).min();
+            let sleep = wake.map_or(MOST_SLEEP, |wake| wake.saturating_sub(now));
+            tokio::select! {
+                biased;
+                message = self.inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = tokio::time::sleep(sleep.clamp(LEAST_SLEEP, MOST_SLEEP)) => {}
+            }
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.context.now();
+        let due = self.groups.iter().filter(|(_, owned)| owned.wake <= now);
+        let due: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.handle(&id, Event::Tick);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Ask(ask) => self.ask(ask),
+            Message::Settle(settle) => self.settle(settle),
+            Message::Group { group, event } => self.handle(&group, event),
+            Message::Snapshot(snapshot) => {
+                self.snapshot = snapshot;
+                self.own();
+                self.tell_primaries();
+            }
+            Message::Boxes(boxes) => {
+                self.boxes = boxes;
+                self.own();
+            }
+            Message::Opinion { group, term, reply } => {
+                let owned = self.groups.get(&group);
+                let _ = reply.send(owned.map(|owned| owned.group.suspects(term)));
+            }
+            Message::Dump(reply) => {
+                let now = self.context.now();
+                let dumps = self.groups.values().map(|owned| owned.group.dump(now));
+                let _ = reply.send(dumps.collect());
+            }
+        }
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        let Some(owned) = self.groups.get(&ask.group) else {
+            let _ = ask.reply.send(Err(Denial::NotOwner));
+            return;
+        };
+        let partner = owned.group.plan.group.partner.clone();
+        let weight = self.snapshot.partners.get(&partner).map_or(1, |p| p.weight);
+        let id = self.next;
+        self.next += 1;
+        self.grants.insert(id, ask.reply);
+        let request = Request {
+            id,
+            partner,
+            weight,
+            target: ask.target,
+            floor: ask.floor,
+            arrived: self.context.now(),
+            deadline: ask.deadline,
+        };
+        self.handle(&ask.group, Event::Arrive(request));
+    }
+
+    fn settle(&mut self, settle: Settle) {
+        if !self.groups.contains_key(&settle.group) {
+            let _ = settle.reply.send(Outcome::Unknown);
+            return;
+        }
+        let id = self.next;
+        self.next += 1;
+        self.settles.insert(id, settle.reply);
+        let member = settle.member;
+        let deadline = settle.deadline;
+        let event = match settle.need {
+            SettleNeed::Wrote(position) => Event::Wrote {
+                id,
+                member,
+                position,
+                deadline,
+            },
+            SettleNeed::Unfenced { term, since } => Event::Verify {
+                id,
+                member,
+                term,
+                since,
+                deadline,
+            },
+        };
+        self.handle(&settle.group, event);
+    }
+
+    fn handle(&mut self, id: &Arc<str>, event: Event) {
+        let now = self.context.now();
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let Some(owned) = self.groups.get_mut(id) else {
+                return;
+            };
+            let actions = owned.group.handle(event, now);
+            owned.wake = owned.group.wake();
+            let health = Health {
+                term: owned.group.term(),
+                suspected: owned.group.suspicions(),
+            };
+            owned.health.send_if_modified(|old| {
+                let changed = *old != health;
+                *old = health;
+                changed
+            });
+            for action in actions {
+                events.extend(self.act(id, action));
+            }
+        }
+    }
+
+    /// Carries out one action. What it brings about at once is returned.
+    fn act(&mut self, id: &Arc<str>, action: Action) -> Option<Event> {
+        let owned = self.groups.get(id)?;
+        match action {
+            Action::Assign {
+                id: request,
+                member,
+                term,
+            } => {
+                let grant = Grant {
+                    member,
+                    spec: owned.group.plan.members[member].clone(),
+                    term,
+                    primary: owned.group.primary() == Some(member),
+                    health: owned.health.subscribe(),
+                };
+                let reply = self.grants.remove(&request);
+                let gone = reply.is_none_or(|reply| reply.send(Ok(grant)).is_err());
+                let now = self.context.now();
+                return gone.then_some(Event::Release {
+                    member,
+                    began: now,
+                    took: self.settings.service,
+                    position: None,
+                });
+            }
+            Action::Refuse {
+                id: request,
+                refusal,
+            } => {
+                if let Some(reply) = self.grants.remove(&request) {
+                    let _ = reply.send(Err(Denial::NotRun(refusal)));
+                }
+            }
+            Action::Settle {
+                id: request,
+                outcome,
+            } => {
+                if let Some(reply) = self.settles.remove(&request) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            Action::Probe { member } => self.probe(id, owned, member),
+            Action::Fence { member, term } => {
+                let border = owned.members[member].clone();
+                self.spawn(id, async move {
+                    let answer = border.fence(term).await;
+                    Event::Fenced {
+                        member,
+                        term,
+                        answer,
+                    }
+                });
+            }
+            Action::Promote { member, term } => {
+                let border = owned.members[member].clone();
+                self.spawn(id, async move {
+                    let answer = border.promote(term).await;
+                    Event::Promoted { term, answer }
+                });
+            }
+            Action::Follow {
+                member,
+                term,
+                primary,
+            } => {
+                let border = owned.members[member].clone();
+                let address = owned.group.plan.members[primary].address.clone();
+                self.spawn(id, async move {
+                    let _ = border.follow(term, &address).await;
+                    Event::Look
+                });
+            }
+            Action::Ask => self.ask_peers(id, owned),
+            Action::Record { term, primary } => {
+                let name = owned.group.plan.members[primary].name.clone();
+                self.context.metrics.replacements.add(1, &[]);
+                let record = peers::record(self.context.clone(), id.clone(), term, name);
+                tokio::task::spawn_local(record);
+            }
+            Action::Note(note) => self.note(id, &owned.group, &note),
+        }
+        None
+    }
+
+    /// Does something elsewhere and brings its event back.
+    fn spawn(&self, id: &Arc<str>, work: impl Future<Output = Event> + 'static) {
+        let context = self.context.clone();
+        let group = id.clone();
+        tokio::task::spawn_local(async move {
+            let event = work.await;
+            context.tell(&group, event);
+        });
+    }
+
+    fn probe(&self, id: &Arc<str>, owned: &Owned, member: usize) {
+        self.context.metrics.probes.add(1, &[]);
+        let border = owned.members[member].clone();
+        let began = self.context.now();
+        self.spawn(id, async move {
+            let answer = border.status().await;
+            Event::Status {
+                member,
+                began,
+                answer,
+            }
+        });
+    }
+
+    fn ask_peers(&self, id: &Arc<str>, owned: &Owned) {
+        let plan = &owned.group.plan;
+        let term = owned.group.term();
+        for listing in group_owners(plan, &self.boxes) {
+            if listing.name == self.context.settings.name {
+                continue;
+            }
+            let near = listing.domain == self.context.settings.domain;
+            let asked = peers::opinion(self.context.clone(), listing.clone(), id.clone(), term);
+            let from = listing.name.clone();
+            let context = self.context.clone();
+            let group = id.clone();
+            tokio::task::spawn_local(async move {
+                if let Some(suspects) = asked.await {
+                    let event = Event::Opinion {
+                        from,
+                        near,
+                        suspects,
+                    };
+                    context.tell(&group, event);
+                }
+            });
+        }
+    }
+
+    fn note(&self, id: &Arc<str>, group: &Group, note: &Note) {
+        let name = |member: usize| group.plan.members[member].name.clone();
+        let log = &self.context.log;
+        match note {
+            Note::Suspected { member } => events::emit(
+                log,
+                &events::SUSPECTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Trusted { member } => events::emit(
+                log,
+                &events::TRUSTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Nonsense { member } => events::emit(
+                log,
+                &events::NONSENSE,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Fencing { term } => {
+                events::emit(log, &events::FENCING, &[("group", id), ("term", term)]);
+            }
+            Note::Lost { term } => {
+                events::emit(log, &events::BALLOT_LOST, &[("group", id), ("term", term)]);
+            }
+            Note::Won { term, member } => events::emit(
+                log,
+                &events::PROMOTED,
+                &[("group", id), ("term", term), ("member", &name(*member))],
+            ),
+            Note::Adopted { term, member } => events::emit(
+                log,
+                &events::ADOPTED,
+                &[("group", id), ("term", term), ("member", &name(*member))],
+            ),
+        }
+    }
+
+    // Which groups this box owns.
+
+    fn own(&mut self) {
+        let name = self.context.settings.name.clone();
+        let mut mine: BTreeMap<Arc<str>, (Arc<Plan>, u32)> = BTreeMap::new();
+        for (id, plan) in &self.snapshot.groups {
+            let chosen = group_owners(plan, &self.boxes);
+            let rank = chosen.iter().position(|listing| listing.name == name);
+            if let Some(rank) = rank
+                && !plan.members.is_empty()
+            {
+                mine.insert(id.clone(), (plan.clone(), rank as u32));
+            }
+        }
+        self.groups.retain(|id, _| mine.contains_key(id));
+        for (id, (plan, rank)) in mine {
+            match self.groups.get_mut(&id) {
+                Some(owned) if Group::same_members(&owned.group.plan, &plan) => {
+                    owned.group.set_rank(rank);
+                    owned.group.set_plan(plan);
+                }
+                _ => self.start(id, plan, rank),
+            }
+        }
+    }
+
+    fn start(&mut self, id: Arc<str>, plan: Arc<Plan>, rank: u32) {
+        let now = self.context.now();
+        let border = |member: &crate::declarations::resource::Member| {
+            self.context.members.member(&member.address)
+        };
+        let members: Vec<Rc<dyn Member>> = plan.members.iter().map(border).collect();
+        let watch = |(i, member): (usize, &Rc<dyn Member>)| {
+            let watching = watch_member(self.context.clone(), id.clone(), i, member.clone());
+            tokio::task::spawn_local(watching).abort_handle()
+        };
+        let watches = members.iter().enumerate().map(watch).collect();
+        let seed = rand::rng().random();
+        let domain = self.context.settings.domain.clone();
+        let group = Group::new(plan, domain, rank, self.settings, seed, now);
+        let owned = Owned {
+            group,
+            members,
+            watches,
+            health: watch::channel(Health::default()).0,
+            wake: now,
+        };
+        self.groups.insert(id, owned);
+    }
+
+    fn tell_primaries(&mut self) {
+        let primaries = self.snapshot.primaries.clone();
+        for (id, record) in primaries.iter() {
+            let event = Event::News {
+                term: record.term,
+                primary: record.member.clone(),
+            };
+            self.handle(id, event);
+        }
+    }
+}
+
+/// Boxes that own a group, best first.
+pub fn group_owners<'a>(plan: &Plan, boxes: &'a [Listing]) -> Vec<&'a Listing> {
+    let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
+    owners(&plan.id, plan.group.owners as usize, &domains, boxes)
+}
+
+/// Tells the group whenever a member's process is seen to be gone.
+async fn watch_member(
+    context: Rc<Context>,
+    group: Arc<str>,
+    member: usize,
+    border: Rc<dyn Member>,
+) {
+    loop {
+        border.gone().await;
+        context.tell(&group, Event::Broken { member });
+        tokio::time::sleep(GONE_RETRY).await;
+    }
+}
--- /dev/null
+++ b/src/node/message.rs
@@ -0,0 +1,84 @@
+//! What is said to the loop that owns the decisions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::borders::roster::Listing;
+use crate::declarations::resource::Member;
+use crate::declarations::snapshot::Snapshot;
+use crate::decisions::confirm::Outcome;
+use crate::decisions::group::{Event, GroupDump, Refusal, Target};
+use crate::decisions::position::Position;
+
+/// What a group's members look like to those who have statements running on them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Health {
+    pub term: u64,
+    pub suspected: Vec<bool>,
+}
+
+/// Leave to run a statement on a member.
+#[derive(Debug)]
+pub struct Grant {
+    pub member: usize,
+    pub spec: Member,
+    pub term: u64,
+    /// The member leads the term.
+    pub primary: bool,
+    pub health: watch::Receiver<Health>,
+}
+
+/// Why there is no grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    NotRun(Refusal),
+    /// This box does not own the group.
+    NotOwner,
+}
+
+/// A request for a member, with the way back.
+#[derive(Debug)]
+pub struct Ask {
+    pub group: Arc<str>,
+    pub target: Target,
+    pub floor: Option<Position>,
+    pub deadline: Duration,
+    pub reply: oneshot::Sender<Result<Grant, Denial>>,
+}
+
+/// A wait for confirmation, with the way back.
+#[derive(Debug)]
+pub struct Settle {
+    pub group: Arc<str>,
+    pub member: usize,
+    pub need: SettleNeed,
+    pub deadline: Duration,
+    pub reply: oneshot::Sender<Outcome>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum SettleNeed {
+    Wrote(Position),
+    Unfenced { term: u64, since: Duration },
+}
+
+/// A message to the loop.
+#[derive(Debug)]
+pub enum Message {
+    Ask(Ask),
+    Settle(Settle),
+    Group { group: Arc<str>, event: Event },
+    Snapshot(Arc<Snapshot>),
+    Boxes(Arc<[Listing]>),
+    Opinion {
+        group: Arc<str>,
+        term: u64,
+        reply: oneshot::Sender<Option<bool>>,
+    },
+    Dump(oneshot::Sender<Vec<GroupDump>>),
+}
+
+/// The way to the loop.
+pub type Sender = mpsc::UnboundedSender<Message>;
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,126 @@
+//! What boxes say to each other: HTTP with `rmp-serde`.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::configuration::{News, PRIMARY};
+use super::context::Context;
+use super::exchange::{Exchange, Failure, Reply};
+use crate::borders::roster::Listing;
+use crate::borders::table::{Commit, Scan, Verdict, Write};
+use crate::declarations::snapshot::Primary;
+use crate::http::HttpError;
+
+pub const EXCHANGE: &str = "/peer/exchange";
+pub const ABANDON: &str = "/peer/abandon";
+pub const OPINION: &str = "/peer/opinion";
+pub const NEWS: &str = "/peer/news";
+pub const SCAN: &str = "/peer/scan";
+pub const BOXES: &str = "/peer/boxes";
+
+const SMALL_WAIT: Duration = Duration::from_millis(500);
+const EXCHANGE_WAIT: Duration = Duration::from_secs(600);
+const RECORD_PAUSE: Duration = Duration::from_millis(500);
+const RECORD_TRIES: u32 = 120;
+
+/// Why a forwarded exchange brought nothing back.
+#[derive(Debug)]
+pub enum ForwardError {
+    /// The owner answered, and this is why there is no reply.
+    Failure(Failure),
+    /// The owner could not be reached: nothing was sent.
+    Unsent,
+    /// The owner was lost after the exchange was sent.
+    Lost,
+}
+
+async fn call<Q: Serialize, A: DeserializeOwned>(
+    context: &Context,
+    address: &str,
+    path: &str,
+    request: &Q,
+    wait: Duration,
+) -> Result<A, HttpError> {
+    let body = rmp_serde::to_vec(request).expect("messages are plain data");
+    let bytes = context.client.post(address, path, body, wait).await?;
+    rmp_serde::from_slice(&bytes).map_err(|error| HttpError::Broken(error.to_string()))
+}
+
+/// Has an owner serve an exchange.
+pub async fn forward(
+    context: &Context,
+    owner: &str,
+    exchange: &Exchange,
+) -> Result<Reply, ForwardError> {
+    context.metrics.forwarded.add(1, &[]);
+    let answer: Result<Result<Reply, Failure>, HttpError> =
+        call(context, owner, EXCHANGE, exchange, EXCHANGE_WAIT).await;
+    match answer {
+        Ok(served) => served.map_err(ForwardError::Failure),
+        Err(HttpError::Broken(why)) if why.contains("Connect") => Err(ForwardError::Unsent),
+        Err(_) => Err(ForwardError::Lost),
+    }
+}
+
+/// Tells an owner that a held connection is no longer wanted.
+pub async fn abandon(context: Rc<Context>, owner: Arc<str>, lease: u64) {
+    let _: Result<(), _> = call(&context, &owner, ABANDON, &lease, SMALL_WAIT).await;
+}
+
+/// Whether another owner suspects the primary of a group, none if it can't tell.
+pub async fn opinion(
+    context: Rc<Context>,
+    owner: Listing,
+    group: Arc<str>,
+    term: u64,
+) -> Option<bool> {
+    let question = (group, term);
+    let answer: Result<Option<bool>, _> =
+        call(&context, &owner.address, OPINION, &question, SMALL_WAIT).await;
+    answer.ok().flatten()
+}
+
+pub async fn tell(context: Rc<Context>, peer: Arc<str>, news: News) {
+    let _: Result<(), _> = call(&context, &peer, NEWS, &news, SMALL_WAIT).await;
+}
+
+pub async fn scan(context: &Context, peer: &str, since: u64) -> Option<Scan> {
+    call(context, peer, SCAN, &since, SMALL_WAIT).await.ok()
+}
+
+pub async fn boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
+    call(context, peer, BOXES, &(), SMALL_WAIT).await.ok()
+}
+
+/// Records a group's new primary in the table, until the table answers.
+pub async fn record(context: Rc<Context>, group: Arc<str>, term: u64, member: Arc<str>) {
+    let key: Arc<str> = format!("{PRIMARY}{group}").into();
+    let nonce = format!("{group}/{term}");
+    for _ in 0..RECORD_TRIES {
+        let known = context.snapshot.borrow().primaries.get(&group).cloned();
+        if known.is_some_and(|primary| primary.term >= term) {
+            return;
+        }
+        let primary = Primary {
+            term,
+            member: member.clone(),
+        };
+        let write = Write {
+            key: key.clone(),
+            expect: None,
+            value: serde_json::to_value(&primary).ok(),
+        };
+        let commit = Commit {
+            nonce: nonce.clone(),
+            writes: vec![write],
+        };
+        if let Ok(Verdict::Done(_)) = context.table.commit(&commit).await {
+            return;
+        }
+        tokio::time::sleep(RECORD_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/node/relay.rs
@@ -0,0 +1,187 @@
+//! Carries one exchange over a member's connection and collects the whole answer.
+
+use std::collections::VecDeque;
+
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::PgWireBackendMessage as Back;
+use pgwire::messages::PgWireFrontendMessage as Front;
+use pgwire::messages::extendedquery::{Flush, Parse, ParseComplete, Sync};
+use pgwire::messages::response::TransactionStatus;
+
+use super::exchange::{Close, Expect, Statement, Status, Step};
+use super::pool::Connection;
+use crate::decisions::position::Position;
+use crate::wire::channel::ChannelError;
+use crate::wire::report;
+
+/// Largest answer that is carried, in bytes.
+const MOST_ANSWER: usize = 256 * 1024 * 1024;
+
+/// A whole answer of a member.
+#[derive(Debug)]
+pub struct Answer {
+    pub messages: BytesMut,
+    /// None after a Flush, which leaves the exchange open.
+    pub status: Option<Status>,
+    pub position: Option<Position>,
+    /// SQLSTATE of the first error.
+    pub error: Option<String>,
+}
+
+enum Pending {
+    Message(Expect),
+    /// A statement's preparation; shown to the caller or not.
+    Prepared { statement: Statement, shown: bool },
+    /// Put in when its turn comes.
+    Ready(Bytes),
+}
+
+/// Sends the steps. Nothing has been sent when this fails before the flush.
+pub async fn run(
+    connection: &mut Connection,
+    steps: &[Step],
+    close: Close,
+) -> Result<Answer, ChannelError> {
+    let pending = send(connection, steps, close).await?;
+    collect(connection, pending, close).await
+}
+
+async fn send(
+    connection: &mut Connection,
+    steps: &[Step],
+    close: Close,
+) -> Result<VecDeque<Pending>, ChannelError> {
+    let mut pending = VecDeque::new();
+    for step in steps {
+        match step {
+            Step::Ensure(statement) => {
+                if !connection.prepared.contains(&statement.name) {
+                    prepare(connection, statement, false, &mut pending)?;
+                }
+            }
+            Step::Parse(statement) if connection.prepared.contains(&statement.name) => {
+                pending.push_back(Pending::Ready(encoded(&Back::ParseComplete(ParseComplete::new()))?));
+            }
+            Step::Parse(statement) => prepare(connection, statement, true, &mut pending)?,
+            Step::Send { bytes, expect } => {
+                connection.channel.queue_bytes(bytes);
+                pending.push_back(Pending::Message(*expect));
+            }
+            Step::Answer(bytes) => pending.push_back(Pending::Ready(bytes.clone())),
+        }
+    }
+    match close {
+        Close::Query => {}
+        Close::Sync => connection.channel.queue_front(&Front::Sync(Sync::new()))?,
+        Close::Flush => connection.channel.queue_front(&Front::Flush(Flush::new()))?,
+    }
+    connection.channel.flush().await?;
+    Ok(pending)
+}
+
+fn prepare(
+    connection: &mut Connection,
+    statement: &Statement,
+    shown: bool,
+    pending: &mut VecDeque<Pending>,
+) -> Result<(), ChannelError> {
+    let parse = Parse::new(
+        Some(statement.name.to_string()),
+        statement.sql.to_string(),
+        statement.types.clone(),
+    );
+    connection.channel.queue_front(&Front::Parse(parse))?;
+    let statement = statement.clone();
+    pending.push_back(Pending::Prepared { statement, shown });
+    Ok(())
+}
+
+async fn collect(
+    connection: &mut Connection,
+    mut pending: VecDeque<Pending>,
+    close: Close,
+) -> Result<Answer, ChannelError> {
+    let mut answer = Answer {
+        messages: BytesMut::new(),
+        status: None,
+        position: None,
+        error: None,
+    };
+    loop {
+        emit_ready(&mut pending, &mut answer);
+        if close == Close::Flush && (pending.is_empty() || answer.error.is_some()) {
+            return Ok(answer);
+        }
+        let message = connection.channel.read_back().await?;
+        match &message {
+            Back::ReadyForQuery(ready) => {
+                answer.status = Some(match ready.status {
+                    TransactionStatus::Idle => Status::Idle,
+                    TransactionStatus::Transaction => Status::Transaction,
+                    TransactionStatus::Error => Status::Failed,
+                });
+                return Ok(answer);
+            }
+            Back::ParameterStatus(parameter) => {
+                if parameter.name == report::POSITION {
+                    answer.position = parameter.value.parse().ok();
+                }
+                continue;
+            }
+            Back::ErrorResponse(error) => {
+                let code = report::code_of(error).to_owned();
+                answer.error.get_or_insert(code);
+                pending.clear();
+            }
+            Back::ParseComplete(_) => {
+                if let Some(Pending::Prepared { statement, shown }) = pending.pop_front() {
+                    connection.prepared.insert(statement.name);
+                    if !shown {
+                        continue;
+                    }
+                }
+            }
+            Back::CopyInResponse(_) | Back::CopyOutResponse(_) | Back::CopyBothResponse(_) => {
+                return Err(ChannelError::Unexpected("COPY".to_owned()));
+            }
+            other if completes(other, pending.front()) => {
+                pending.pop_front();
+            }
+            _ => {}
+        }
+        message.encode(&mut answer.messages)?;
+        if answer.messages.len() > MOST_ANSWER {
+            return Err(ChannelError::Unexpected("answer over 256 MiB".to_owned()));
+        }
+    }
+}
+
+fn emit_ready(pending: &mut VecDeque<Pending>, answer: &mut Answer) {
+    while let Some(Pending::Ready(bytes)) = pending.front() {
+        answer.messages.extend_from_slice(bytes);
+        pending.pop_front();
+    }
+}
+
+fn completes(message: &Back, front: Option<&Pending>) -> bool {
+    let Some(Pending::Message(expect)) = front else {
+        return false;
+    };
+    match expect {
+        Expect::Bind => matches!(message, Back::BindComplete(_)),
+        Expect::Describe => matches!(message, Back::RowDescription(_) | Back::NoData(_)),
+        Expect::Execute => matches!(
+            message,
+            Back::CommandComplete(_) | Back::EmptyQueryResponse(_) | Back::PortalSuspended(_)
+        ),
+        Expect::Close => matches!(message, Back::CloseComplete(_)),
+        Expect::Parse | Expect::Whole => false,
+    }
+}
+
+/// A member's message as bytes.
+pub fn encoded(message: &Back) -> Result<Bytes, ChannelError> {
+    let mut bytes = BytesMut::new();
+    message.encode(&mut bytes)?;
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,71 @@
+//! The platform's table and list of boxes, over HTTP with JSON.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde::de::DeserializeOwned;
+
+use crate::borders::roster::{Listing, Roster};
+use crate::borders::table::{Commit, Scan, Table, TableError, Verdict};
+use crate::http::{Client, HttpError};
+
+const WAIT: Duration = Duration::from_secs(2);
+
+/// The platform at one address.
+pub struct Platform {
+    client: Client,
+    address: Arc<str>,
+}
+
+impl Platform {
+    pub fn new(client: Client, address: Arc<str>) -> Self {
+        Self { client, address }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, TableError> {
+        let body = self.client.get(&self.address, path, WAIT).await;
+        decode(&body.map_err(down)?)
+    }
+}
+
+fn down(error: HttpError) -> TableError {
+    TableError::Down(error.to_string())
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, TableError> {
+    serde_json::from_slice(body).map_err(|error| TableError::Nonsense(error.to_string()))
+}
+
+#[async_trait(?Send)]
+impl Table for Platform {
+    async fn head(&self) -> Result<u64, TableError> {
+        self.get("/head").await
+    }
+
+    async fn scan(&self, since: u64) -> Result<Scan, TableError> {
+        self.get(&format!("/scan?since={since}")).await
+    }
+
+    async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError> {
+        let body = serde_json::to_vec(commit).expect("a commit is plain data");
+        let json = ("content-type", "application/json".to_owned());
+        let call = crate::http::Call {
+            method: hyper::Method::POST,
+            address: &self.address,
+            path: "/commit",
+            bearer: None,
+            headers: vec![json],
+            body,
+            wait: WAIT,
+        };
+        decode(&self.client.call(call).await.map_err(down)?)
+    }
+}
+
+#[async_trait(?Send)]
+impl Roster for Platform {
+    async fn boxes(&self) -> Result<Vec<Listing>, TableError> {
+        self.get("/boxes").await
+    }
+}
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins for the outside systems, for tests and trial.
+
+pub mod control;
+pub mod engine;
+pub mod faults;
+pub mod member;
+pub mod platform;
+pub mod session;
+pub mod value;
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,180 @@
+//! The stand-in for the platform: a transactional table and a lagging list of boxes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use axum::extract::{Query, State};
+use axum::middleware::from_fn_with_state;
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+use super::control::{faults_router, through_gate};
+use super::faults::Gate;
+use crate::borders::roster::Listing;
+use crate::borders::table::{Commit, Row, Scan, Verdict};
+
+/// Settings of the stand-in platform.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub ip: IpAddr,
+    pub port: u16,
+    /// How far the list of boxes lags, in milliseconds.
+    pub roster_lag_ms: u64,
+}
+
+#[derive(Default)]
+struct Table {
+    revision: u64,
+    rows: BTreeMap<Arc<str>, (u64, Option<Value>)>,
+    /// Verdicts by nonce, so that a lost answer can be asked for again.
+    nonces: HashMap<String, Verdict>,
+    reads: u64,
+    writes: u64,
+}
+
+impl Table {
+    fn commit(&mut self, commit: Commit) -> Verdict {
+        self.writes += 1;
+        if let Some(verdict) = self.nonces.get(&commit.nonce) {
+            return verdict.clone();
+        }
+        for write in &commit.writes {
+            let row = self.rows.get(&write.key);
+            let found = row.map_or(0, |(revision, value)| match value {
+                Some(_) => *revision,
+                None => 0,
+            });
+            if write.expect.is_some_and(|expect| expect != found) {
+                let key = write.key.clone();
+                return Verdict::Conflict { key, found };
+            }
+        }
+        self.revision += 1;
+        for write in commit.writes {
+            self.rows.insert(write.key, (self.revision, write.value));
+        }
+        let verdict = Verdict::Done(self.revision);
+        self.nonces.insert(commit.nonce, verdict.clone());
+        verdict
+    }
+
+    fn scan(&mut self, since: u64) -> Scan {
+        self.reads += 1;
+        let newer = self.rows.iter().filter(|(_, row)| row.0 > since);
+        let row = |(key, row): (&Arc<str>, &(u64, Option<Value>))| Row {
+            key: key.clone(),
+            revision: row.0,
+            value: row.1.clone(),
+        };
+        let mut rows: Vec<Row> = newer.map(row).collect();
+        rows.sort_by_key(|row| row.revision);
+        Scan {
+            head: self.revision,
+            rows,
+        }
+    }
+}
+
+#[derive(Default)]
+struct List {
+    /// Each state of the list with the moment it became real.
+    states: Vec<(Option<Instant>, Vec<Listing>)>,
+}
+
+/// The stand-in platform's state.
+#[derive(Clone)]
+pub struct Platform {
+    table: Arc<Mutex<Table>>,
+    list: Arc<Mutex<List>>,
+    lag: Duration,
+    pub gate: Gate,
+}
+
+impl Platform {
+    pub fn new(roster_lag_ms: u64) -> Self {
+        Self {
+            table: Arc::default(),
+            list: Arc::default(),
+            lag: Duration::from_millis(roster_lag_ms),
+            gate: Gate::default(),
+        }
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no panic under the lock")
+    }
+
+    fn list(&self) -> MutexGuard<'_, List> {
+        self.list.lock().expect("no panic under the lock")
+    }
+
+    /// Sets the real list; readers see it after the lag.
+    pub fn set_boxes(&self, boxes: Vec<Listing>) {
+        let mut list = self.list();
+        let at = (!list.states.is_empty()).then(Instant::now);
+        list.states.push((at, boxes));
+    }
+
+    fn boxes(&self) -> Vec<Listing> {
+        let list = self.list();
+        let due = |at: &Option<Instant>| at.is_none_or(|at| at.elapsed() >= self.lag);
+        let seen = list.states.iter().rev().find(|(at, _)| due(at));
+        seen.map(|(_, boxes)| boxes.clone()).unwrap_or_default()
+    }
+}
+
+/// Serves the platform until the listener fails.
+pub async fn serve(platform: Platform, listener: TcpListener) -> std::io::Result<()> {
+    let gate = platform.gate.clone();
+    let gated = Router::new()
+        .route("/head", get(head))
+        .route("/scan", get(scan))
+        .route("/commit", post(commit))
+        .route("/boxes", get(boxes))
+        .layer(from_fn_with_state(gate.clone(), through_gate));
+    let open = Router::new()
+        .route("/boxes", post(set_boxes))
+        .route("/counts", get(counts));
+    let router = gated.merge(open).with_state(platform);
+    let router = router.merge(faults_router(gate));
+    let service = router.into_make_service_with_connect_info::<SocketAddr>();
+    axum::serve(listener, service).await
+}
+
+#[derive(Deserialize)]
+struct Since {
+    since: u64,
+}
+
+async fn head(State(platform): State<Platform>) -> Json<u64> {
+    let mut table = platform.table();
+    table.reads += 1;
+    Json(table.revision)
+}
+
+async fn scan(State(platform): State<Platform>, Query(query): Query<Since>) -> Json<Scan> {
+    Json(platform.table().scan(query.since))
+}
+
+async fn commit(State(platform): State<Platform>, Json(commit): Json<Commit>) -> Json<Verdict> {
+    Json(platform.table().commit(commit))
+}
+
+async fn boxes(State(platform): State<Platform>) -> Json<Vec<Listing>> {
+    Json(platform.boxes())
+}
+
+async fn set_boxes(State(platform): State<Platform>, Json(boxes): Json<Vec<Listing>>) {
+    platform.set_boxes(boxes);
+}
+
+/// Reads and writes served, for measurements.
+async fn counts(State(platform): State<Platform>) -> Json<(u64, u64)> {
+    let table = platform.table();
+    Json((table.reads, table.writes))
+}
--- /dev/null
+++ b/src/trial.rs
@@ -0,0 +1,7 @@
+//! Trials on loopback: whole systems of stand-ins and boxes, a workload and a checker.
+
+pub mod client;
+pub mod cluster;
+pub mod host;
+pub mod journal;
+pub mod workload;
--- /dev/null
+++ b/src/trial/cluster.rs
@@ -0,0 +1,431 @@
+//! A whole system on loopback. Each failure domain has IP numbers of its own, so
+//! that a cut between domains is a cut between prefixes.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use anyhow::{Context, anyhow};
+use hyper::Method;
+use serde_json::{Value, json};
+
+use super::client::{Client, ClientError};
+use super::host::{Host, Running};
+use crate::configs::run::Run;
+use crate::events::Format;
+use crate::http::{Call, Client as Http};
+use crate::secret;
+use crate::standin::faults::Faults;
+use crate::standin::{member, platform};
+
+const SQL_PORT: u16 = 5432;
+const CONTROL_PORT: u16 = 7432;
+const API_PORT: u16 = 8432;
+const PLATFORM_PORT: u16 = 9432;
+const WAIT: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(10);
+const START: Duration = Duration::from_secs(20);
+const FIRST_MEMBER: u8 = 10;
+const FIRST_BOX: u8 = 100;
+const DOMAINS_A_NET: u8 = 8;
+
+static NEXT: AtomicU8 = AtomicU8::new(0);
+
+/// What is to be built.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub partner: String,
+    pub groups: Vec<String>,
+    pub domains: u8,
+    pub boxes: u8,
+    pub members: u8,
+    pub lag_ms: u64,
+    pub service_ms: u64,
+    pub slots: usize,
+    pub connections: usize,
+    pub connect_ms: u64,
+    pub log: Format,
+    pub poll: Duration,
+    /// Fields added to every group's declaration.
+    pub group_fields: Value,
+    /// Read kinds and once rules of every group: (kind, fields).
+    pub rules: Vec<(String, Value)>,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            partner: "huerto".to_owned(),
+            groups: vec!["market".to_owned()],
+            domains: 3,
+            boxes: 2,
+            members: 3,
+            lag_ms: 5,
+            service_ms: 0,
+            slots: 3,
+            connections: 24,
+            connect_ms: 10,
+            log: Format::None,
+            poll: Duration::from_millis(200),
+            group_fields: json!({}),
+            rules: Vec::new(),
+        }
+    }
+}
+
+/// A box or a member at its place.
+pub struct Part {
+    pub name: String,
+    pub ip: IpAddr,
+    pub domain: u8,
+    pub running: Box<dyn Running>,
+}
+
+/// A running system.
+pub struct Cluster {
+    pub shape: Shape,
+    pub net: (u8, u8),
+    pub http: Http,
+    pub boxes: Vec<Part>,
+    /// By group, then by member.
+    pub members: Vec<Vec<Part>>,
+    pub platform: Part,
+}
+
+/// A pair of bytes below which this process's systems put their addresses.
+fn fresh_net() -> (u8, u8) {
+    let process = std::process::id() % 200;
+    let trial = NEXT.fetch_add(1, Ordering::Relaxed);
+    (20 + process as u8, (trial % 30) * DOMAINS_A_NET)
+}
+
+pub fn domain_name(domain: u8) -> String {
+    format!("d{domain}")
+}
+
+impl Cluster {
+    pub fn ip_in(net: (u8, u8), domain: u8, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, net.0, net.1 + domain, host))
+    }
+
+    /// Prefix of a domain's IP numbers, for cuts.
+    pub fn prefix(&self, domain: u8) -> String {
+        format!("127.{}.{}.", self.net.0, self.net.1 + domain)
+    }
+
+    /// Starts everything, declares it, and waits until every box serves.
+    pub async fn start(shape: Shape, host: &dyn Host) -> anyhow::Result<Self> {
+        let net = fresh_net();
+        let platform_ip = Self::ip_in(net, 0, 1);
+        let platform = Part {
+            name: "platform".to_owned(),
+            ip: platform_ip,
+            domain: 0,
+            running: host.platform(&platform::Settings {
+                ip: platform_ip,
+                port: PLATFORM_PORT,
+                roster_lag_ms: 0,
+            }),
+        };
+        let mut cluster = Self {
+            net,
+            http: Http::new(IpAddr::V4(Ipv4Addr::LOCALHOST)),
+            boxes: Vec::new(),
+            members: Vec::new(),
+            platform,
+            shape,
+        };
+        for group in 0..cluster.shape.groups.len() {
+            let members = (0..cluster.shape.members)
+                .map(|member| cluster.start_member(host, group, member))
+                .collect();
+            cluster.members.push(members);
+        }
+        cluster.wait_for_platform().await?;
+        cluster.list_boxes().await?;
+        for i in 0..cluster.shape.boxes {
+            let part = cluster.start_box(host, i);
+            cluster.boxes.push(part);
+        }
+        cluster.declare().await?;
+        cluster.wait_until_serving().await?;
+        Ok(cluster)
+    }
+
+    pub fn member_settings(&self, group: usize, member: u8) -> member::Settings {
+        let domain = member % self.shape.domains;
+        member::Settings {
+            ip: Self::ip_in(self.net, domain, FIRST_MEMBER + group as u8 * 4 + member),
+            sql_port: SQL_PORT,
+            control_port: CONTROL_PORT,
+            slots: self.shape.slots,
+            connections: self.shape.connections,
+            connect_ms: self.shape.connect_ms,
+            service_ms: self.shape.service_ms,
+            lag_ms: self.shape.lag_ms,
+            primary: member == 0,
+        }
+    }
+
+    fn start_member(&self, host: &dyn Host, group: usize, member: u8) -> Part {
+        let settings = self.member_settings(group, member);
+        Part {
+            name: format!("m{member}"),
+            ip: settings.ip,
+            domain: member % self.shape.domains,
+            running: host.member(&settings),
+        }
+    }
+
+    pub fn box_settings(&self, i: u8) -> Run {
+        let domain = i % self.shape.domains;
+        Run {
+            name: format!("b{i}").into(),
+            domain: domain_name(domain).into(),
+            ip: Self::ip_in(self.net, domain, FIRST_BOX + i),
+            port: SQL_PORT,
+            api_port: API_PORT,
+            platform: format!("{}:{PLATFORM_PORT}", self.platform.ip).into(),
+            peer: Some(format!("{}:{API_PORT}", Self::ip_in(self.net, 0, FIRST_BOX)).into()),
+            log: self.shape.log,
+            poll: self.shape.poll,
+            admin: Some(secret::hash("admin").into()),
+            ..Run::default()
+        }
+    }
+
+    pub fn start_box(&self, host: &dyn Host, i: u8) -> Part {
+        let settings = self.box_settings(i);
+        Part {
+            name: settings.name.to_string(),
+            ip: settings.ip,
+            domain: i % self.shape.domains,
+            running: host.node(&settings),
+        }
+    }
+
+    async fn wait_for_platform(&self) -> anyhow::Result<()> {
+        let address = format!("{}:{PLATFORM_PORT}", self.platform.ip);
+        until("the platform answers", async || {
+            self.http.get(&address, "/head", WAIT).await.is_ok()
+        })
+        .await
+    }
+
+    /// Tells the platform which boxes there are.
+    pub async fn list_boxes(&self) -> anyhow::Result<()> {
+        let listing = |i: u8| {
+            let settings = self.box_settings(i);
+            json!({
+                "name": settings.name,
+                "address": format!("{}:{API_PORT}", settings.ip),
+                "domain": settings.domain,
+            })
+        };
+        let boxes: Vec<Value> = (0..self.shape.boxes).map(listing).collect();
+        self.post(&self.platform, PLATFORM_PORT, "/boxes", &json!(boxes))
+            .await
+    }
+
+    async fn post(&self, part: &Part, port: u16, path: &str, body: &Value) -> anyhow::Result<()> {
+        let address = format!("{}:{port}", part.ip);
+        let call = Call {
+            method: Method::POST,
+            address: &address,
+            path,
+            bearer: None,
+            headers: vec![("content-type", "application/json".to_owned())],
+            body: body.to_string().into_bytes(),
+            wait: WAIT,
+        };
+        self.http.call(call).await.map_err(|error| anyhow!(error))?;
+        Ok(())
+    }
+
+    /// Declarations of the whole shape, as the apply endpoint takes them.
+    pub fn declarations(&self) -> Vec<Value> {
+        let partner = &self.shape.partner;
+        let mut resources = Vec::new();
+        for (g, group) in self.shape.groups.iter().enumerate() {
+            let mut spec = json!({
+                "partner": partner,
+                "name": group,
+                "slots": self.shape.slots,
+                "connections": self.shape.connections,
+            });
+            merge(&mut spec, &self.shape.group_fields);
+            resources.push(json!({ "kind": "group", "spec": spec }));
+            for (m, member) in self.members[g].iter().enumerate() {
+                let spec = json!({
+                    "partner": partner,
+                    "group": group,
+                    "name": format!("m{m}"),
+                    "sql": format!("{}:{SQL_PORT}", member.ip),
+                    "control": format!("{}:{CONTROL_PORT}", member.ip),
+                    "domain": domain_name(member.domain),
+                });
+                resources.push(json!({ "kind": "member", "spec": spec }));
+            }
+            for (kind, fields) in &self.shape.rules {
+                let mut spec = json!({ "partner": partner, "group": group });
+                merge(&mut spec, fields);
+                resources.push(json!({ "kind": kind, "spec": spec }));
+            }
+        }
+        resources
+    }
+
+    async fn declare(&self) -> anyhow::Result<()> {
+        let partner = json!({
+            "name": self.shape.partner,
+            "operator": secret::hash("operator"),
+        });
+        let partner = vec![json!({ "kind": "partner", "spec": partner })];
+        self.apply_until("admin", &partner).await?;
+        self.apply_until("operator", &self.declarations()).await
+    }
+
+    /// Applies as soon as the first box takes it.
+    async fn apply_until(&self, token: &str, resources: &[Value]) -> anyhow::Result<()> {
+        until("the first box takes declarations", async || {
+            self.apply(0, token, resources).await.is_ok()
+        })
+        .await
+    }
+
+    /// Sends declarations to one box.
+    pub async fn apply(
+        &self,
+        i: usize,
+        token: &str,
+        resources: &[Value],
+    ) -> Result<Value, crate::http::HttpError> {
+        let address = self.api_address(i);
+        let body = json!({ "resources": resources });
+        let call = Call {
+            method: Method::POST,
+            address: &address,
+            path: "/v1/resources",
+            bearer: Some(token),
+            headers: vec![("content-type", "application/json".to_owned())],
+            body: body.to_string().into_bytes(),
+            wait: Duration::from_secs(10),
+        };
+        let bytes = self.http.call(call).await?;
+        Ok(serde_json::from_slice(&bytes).unwrap_or_default())
+    }
+
+    pub fn api_address(&self, i: usize) -> String {
+        format!("{}:{API_PORT}", self.boxes[i].ip)
+    }
+
+    async fn wait_until_serving(&self) -> anyhow::Result<()> {
+        for i in 0..self.boxes.len() {
+            for group in &self.shape.groups {
+                until("a box serves", async || {
+                    let Ok(mut client) = self.connect(i, group, None).await else {
+                        return false;
+                    };
+                    client.query("SELECT 1").await.is_ok()
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
+    pub fn sql_address(&self, i: usize) -> SocketAddr {
+        SocketAddr::new(self.boxes[i].ip, SQL_PORT)
+    }
+
+    /// Connects to a box.
+    pub async fn connect(
+        &self,
+        i: usize,
+        group: &str,
+        token: Option<&str>,
+    ) -> Result<Client, ClientError> {
+        Client::connect(self.sql_address(i), &self.shape.partner, group, token).await
+    }
+
+    /// Switches a member's faults.
+    pub async fn set_faults(
+        &self,
+        group: usize,
+        member: usize,
+        faults: &Faults,
+    ) -> anyhow::Result<()> {
+        let part = &self.members[group][member];
+        self.post(part, CONTROL_PORT, "/faults", &json!(faults)).await
+    }
+
+    /// Switches the platform's faults.
+    pub async fn set_platform_faults(&self, faults: &Faults) -> anyhow::Result<()> {
+        self.post(&self.platform, PLATFORM_PORT, "/faults", &json!(faults))
+            .await
+    }
+
+    pub async fn set_lag(&self, group: usize, member: usize, ms: u64) -> anyhow::Result<()> {
+        let part = &self.members[group][member];
+        self.post(part, CONTROL_PORT, "/lag", &json!(ms)).await
+    }
+
+    /// A box's state.
+    pub async fn dump(&self, i: usize) -> anyhow::Result<Value> {
+        let body = self.http.get(&self.api_address(i), "/dump", WAIT).await;
+        let body = body.map_err(|error| anyhow!(error))?;
+        serde_json::from_slice(&body).context("the dump is JSON")
+    }
+
+    /// A counter summed over the boxes that answer.
+    pub async fn counter(&self, name: &str) -> f64 {
+        let mut sum = 0.0;
+        for i in 0..self.boxes.len() {
+            let Ok(body) = self.http.get(&self.api_address(i), "/metrics", WAIT).await else {
+                continue;
+            };
+            let text = String::from_utf8_lossy(&body).into_owned();
+            let values = text.lines().filter_map(|line| {
+                let rest = line.strip_prefix(name)?;
+                rest.rsplit(' ').next()?.parse::<f64>().ok()
+            });
+            sum += values.sum::<f64>();
+        }
+        sum
+    }
+
+    /// Which member leads the group, by what an owner knows.
+    pub async fn primary(&self, group: usize) -> Option<usize> {
+        let id = format!("{}/{}", self.shape.partner, self.shape.groups[group]);
+        let mut best: (u64, Option<usize>) = (0, None);
+        for i in 0..self.boxes.len() {
+            let Ok(dump) = self.dump(i).await else { continue };
+            for found in dump["groups"].as_array().into_iter().flatten() {
+                let term = found["term"].as_u64().unwrap_or_default();
+                if found["id"] == id.as_str() && term > best.0 {
+                    let name = found["primary"].as_str().unwrap_or_default();
+                    best = (term, name.strip_prefix('m').and_then(|n| n.parse().ok()));
+                }
+            }
+        }
+        best.1
+    }
+}
+
+fn merge(into: &mut Value, fields: &Value) {
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        into[name] = value.clone();
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl AsyncFn() -> bool) -> anyhow::Result<()> {
+    let end = tokio::time::Instant::now() + START;
+    while tokio::time::Instant::now() < end {
+        if holds().await {
+            return Ok(());
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    Err(anyhow!("waited in vain until {what}"))
+}
--- /dev/null
+++ b/src/trial/host.rs
@@ -0,0 +1,121 @@
+//! Starts stand-ins and boxes on threads of this process, each with its own loop.
+//!
+//! Stopping one drops its loop with all its sockets, which callers see as they
+//! would see a killed process.
+
+use std::thread::JoinHandle;
+
+use tokio::sync::{oneshot, watch};
+use tokio::task::LocalSet;
+
+use crate::commands::standin::{serve_member, serve_platform};
+use crate::configs::run::Run;
+use crate::decisions::group::Settings;
+use crate::events;
+use crate::node;
+use crate::standin::{member, platform};
+
+/// Something that runs and can be ended.
+pub trait Running {
+    /// Ends it at once, as a kill would.
+    fn kill(&mut self);
+    /// Asks it to stop in good order and waits until it has.
+    fn stop(&mut self);
+}
+
+/// Starts things. Tests start processes, the demo starts threads.
+pub trait Host {
+    fn member(&self, settings: &member::Settings) -> Box<dyn Running>;
+    fn platform(&self, settings: &platform::Settings) -> Box<dyn Running>;
+    fn node(&self, settings: &Run) -> Box<dyn Running>;
+}
+
+/// Starts threads.
+#[derive(Default)]
+pub struct Threads {
+    pub decisions: Settings,
+}
+
+struct Thread {
+    kill: Option<oneshot::Sender<()>>,
+    stop: Option<watch::Sender<bool>>,
+    handle: Option<JoinHandle<()>>,
+}
+
+impl Thread {
+    fn start<F>(run: impl FnOnce(watch::Receiver<bool>) -> F + Send + 'static) -> Box<dyn Running>
+    where
+        F: Future<Output = anyhow::Result<()>> + 'static,
+    {
+        let (kill, killed) = oneshot::channel::<()>();
+        let (stop, stopped) = watch::channel(false);
+        let handle = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime can be built");
+            let local = LocalSet::new();
+            local.block_on(&runtime, async move {
+                let work = run(stopped);
+                tokio::select! {
+                    ended = work => if let Err(error) = ended { eprintln!("{error:#}") },
+                    _ = killed => {}
+                }
+            });
+        });
+        Box::new(Self {
+            kill: Some(kill),
+            stop: Some(stop),
+            handle: Some(handle),
+        })
+    }
+
+    fn join(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            let _ = handle.join();
+        }
+    }
+}
+
+impl Running for Thread {
+    fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            let _ = kill.send(());
+        }
+        self.join();
+    }
+
+    fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(true);
+        }
+        self.join();
+    }
+}
+
+impl Drop for Thread {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Host for Threads {
+    fn member(&self, settings: &member::Settings) -> Box<dyn Running> {
+        let settings = settings.clone();
+        Thread::start(move |_| serve_member(settings))
+    }
+
+    fn platform(&self, settings: &platform::Settings) -> Box<dyn Running> {
+        let settings = settings.clone();
+        Thread::start(move |_| serve_platform(settings))
+    }
+
+    fn node(&self, settings: &Run) -> Box<dyn Running> {
+        let settings = settings.clone();
+        let decisions = self.decisions;
+        Thread::start(move |stop| {
+            let log = events::logger(settings.log);
+            node::run::run(settings, decisions, log, stop)
+        })
+    }
+}
