--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -391,10 +391,12 @@
         params: &[Value],
     ) -> Result<Answer, Fault> {
         let member = self.member.clone();
-        let _slot = member.slots.acquire().await.expect("never closed");
+        // The slot is given back before the lock: its holder may need a slot itself.
+        let slot = member.slots.acquire().await.expect("never closed");
         if member.settings.service_ms > 0 {
             tokio::time::sleep(Duration::from_millis(member.settings.service_ms)).await;
         }
+        drop(slot);
         if self.transaction.is_none() {
             self.transaction = Some(Transaction::begin(&member).await?);
         }
