--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -16,7 +16,8 @@
     for path in paths {
         for file in files(path)? {
             let name = file.display().to_string();
-            let text = std::fs::read_to_string(&file).with_context(|| format!("can't read {name}"))?;
+            let text =
+                std::fs::read_to_string(&file).with_context(|| format!("can't read {name}"))?;
             let (more, wrong) = entry::read(&name, &text);
             entries.extend(more);
             findings.extend(wrong);
@@ -34,7 +35,10 @@
         let path = item?.path();
         if path.is_dir() {
             found.extend(files(&path)?);
-        } else if path.extension().is_some_and(|extension| extension == "toml") {
+        } else if path
+            .extension()
+            .is_some_and(|extension| extension == "toml")
+        {
             found.push(path);
         }
     }
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -33,7 +33,9 @@
             .build()?;
         LocalSet::new().block_on(&runtime, measure(seconds))
     });
-    let measures = demo.join().map_err(|_| anyhow::anyhow!("the demo panicked"))??;
+    let measures = demo
+        .join()
+        .map_err(|_| anyhow::anyhow!("the demo panicked"))??;
     match json {
         true => println!("{}", serde_json::to_string(&measures)?),
         false => print(&measures),
@@ -45,7 +47,14 @@
 }
 
 async fn measure(length: Duration) -> anyhow::Result<Measures> {
-    let shape = Shape { log: if std::env::var("DEMO_LOG").is_ok() { crate::events::Format::Terminal } else { crate::events::Format::None }, ..Shape::default() };
+    let shape = Shape {
+        log: if std::env::var("DEMO_LOG").is_ok() {
+            crate::events::Format::Terminal
+        } else {
+            crate::events::Format::None
+        },
+        ..Shape::default()
+    };
     let mut cluster = Cluster::start(shape, &Threads::default()).await?;
     let mut client = cluster.connect(0, "market", None).await?;
     create_tables(&mut client).await?;
@@ -82,12 +91,24 @@
     } = measures;
     println!("one group of three members, two boxes, the primary killed half-way");
     println!("reads {reads}, writes {writes}");
-    println!("share of reads served by replicas: {:.1}%", replica_read_share * 100.0);
+    println!(
+        "share of reads served by replicas: {:.1}%",
+        replica_read_share * 100.0
+    );
     println!("failover gap: {failover_gap_ms:.0} ms");
-    println!("lost acknowledged writes: {}", verdict.lost_acknowledged_writes);
+    println!(
+        "lost acknowledged writes: {}",
+        verdict.lost_acknowledged_writes
+    );
     println!("double runs: {}", verdict.double_runs);
     println!("stale own reads: {}", verdict.stale_own_reads);
     println!("reads that went back in time: {}", verdict.backward_reads);
-    println!("ran though refused as not run: {}", verdict.ran_though_refused);
-    println!("answers to somebody else's request: {}", verdict.foreign_answers);
+    println!(
+        "ran though refused as not run: {}",
+        verdict.ran_though_refused
+    );
+    println!(
+        "answers to somebody else's request: {}",
+        verdict.foreign_answers
+    );
 }
--- a/src/commands/operate.rs
+++ b/src/commands/operate.rs
@@ -76,7 +76,12 @@
     }
 }
 
-pub async fn apply(remote: &Remote, path: &Path, dry_run: bool, wait: bool) -> anyhow::Result<Exit> {
+pub async fn apply(
+    remote: &Remote,
+    path: &Path,
+    dry_run: bool,
+    wait: bool,
+) -> anyhow::Result<Exit> {
     let (entries, mut findings) = load(&[path.to_owned()])?;
     let specs = match check::all(&entries) {
         Ok(specs) => specs,
@@ -89,15 +94,15 @@
         print_findings(&findings);
         return Ok(Exit::BadInput);
     }
-    let resource = |spec: &crate::declarations::resource::Spec| {
-        json!({ "kind": spec.key().kind.name(), "spec": spec })
-    };
+    let resource = |spec: &crate::declarations::resource::Spec| json!({ "kind": spec.key().kind.name(), "spec": spec });
     let resources: Vec<Value> = specs.values().map(resource).collect();
     let body = json!({ "dry_run": dry_run, "resources": resources });
     let answer = remote
         .call(Method::POST, "/v1/resources", None, Some(&body))
         .await;
-    let Ok(done) = &answer else { return show(answer) };
+    let Ok(done) = &answer else {
+        return show(answer);
+    };
     for step in done["plan"].as_array().into_iter().flatten() {
         let action = step["action"].as_str().unwrap_or_default();
         println!("{action:8}{}", step["key"].as_str().unwrap_or_default());
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -176,10 +176,15 @@
             api_port: reader.number("api-port", defaults.api_port),
             platform: reader.required("platform", defaults.platform, "IP:port", address),
             peer: reader.optional("peer", defaults.peer, "IP:port", |t| address(t).map(Some)),
-            admin: reader.optional("admin", defaults.admin, "a SHA-256 in 64 hexadecimal digits", |t| {
-                let digits = t.len() == 64 && t.chars().all(|c| c.is_ascii_hexdigit());
-                digits.then(|| Some(t.into()))
-            }),
+            admin: reader.optional(
+                "admin",
+                defaults.admin,
+                "a SHA-256 in 64 hexadecimal digits",
+                |t| {
+                    let digits = t.len() == 64 && t.chars().all(|c| c.is_ascii_hexdigit());
+                    digits.then(|| Some(t.into()))
+                },
+            ),
             log: reader.optional("log", defaults.log, "terminal, json or none", log_format),
             poll: reader.milliseconds("poll-ms", defaults.poll),
             fanout: reader.number("fanout", defaults.fanout),
--- a/src/decisions/classify.rs
+++ b/src/decisions/classify.rs
@@ -62,9 +62,18 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
     None,
-    Set { name: Arc<str>, value: Arc<str> },
-    Show { name: Arc<str> },
+    Set {
+        name: Arc<str>,
+        value: Arc<str>,
+    },
+    Show {
+        name: Arc<str>,
+    },
     Reset,
+    /// Can't be had on pooled connections.
+    Refuse {
+        what: &'static str,
+    },
 }
 
 impl Class {
@@ -85,12 +94,37 @@
         self.read = self.read.filter(|_| same);
         self.once = self.once.or(other.once);
         self.tables.extend(other.tables);
+        if let Command::Refuse { .. } = other.command {
+            self.command = other.command;
+        }
         self
     }
 }
 
+/// What pools send to clean a connection. A session has nothing of it to clean.
+const RESETS: [&str; 6] = [
+    "select pg_advisory_unlock_all()",
+    "close all",
+    "unlisten *",
+    "reset all",
+    "discard all",
+    "deallocate all",
+];
+
+fn is_reset(sql: &str) -> bool {
+    let mut parts = sql.split(';').map(|part| part.trim().to_lowercase());
+    let known = |part: &String| part.is_empty() || RESETS.contains(&part.as_str());
+    !sql.trim().is_empty() && parts.all(|part| known(&part))
+}
+
 /// Classifies one query text, which may hold several statements.
 pub fn classify(sql: &str) -> Class {
+    if is_reset(sql) {
+        return Class {
+            command: Command::Reset,
+            ..Class::of(Kind::Session)
+        };
+    }
     let mut class = match Parser::parse_sql(&PostgreSqlDialect {}, sql) {
         Ok(statements) => statements
             .iter()
@@ -129,10 +163,9 @@
                 ..Class::of(Kind::Session)
             }
         }
-        Statement::Discard { .. } => Class {
-            command: Command::Reset,
-            ..Class::of(Kind::Session)
-        },
+        Statement::Copy { .. } => refused("COPY"),
+        Statement::LISTEN { .. } => refused("LISTEN"),
+        Statement::Prepare { .. } => refused("PREPARE as a statement"),
         _ => Class {
             tables: tables(statement),
             ..Class::of(Kind::Write)
@@ -140,6 +173,13 @@
     }
 }
 
+fn refused(what: &'static str) -> Class {
+    Class {
+        command: Command::Refuse { what },
+        ..Class::of(Kind::Session)
+    }
+}
+
 fn of_query(statement: &Statement, query: &Query) -> Class {
     let writes = !query.locks.is_empty() || !reads_only(&query.body) || calls_writer(statement);
     let with_writes = query.with.as_ref().is_some_and(|with| {
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -108,7 +108,9 @@
     Tick,
     Arrive(Request),
     /// The caller of a waiting request went away.
-    Withdraw { id: u64 },
+    Withdraw {
+        id: u64,
+    },
     /// A statement left its member. `position` is what its answer reported.
     Release {
         member: usize,
@@ -117,7 +119,9 @@
         position: Option<Position>,
     },
     /// A connection could not be made or was lost.
-    Broken { member: usize },
+    Broken {
+        member: usize,
+    },
     /// A member answered as if it were not what we take it for.
     Look,
     /// A write's answer came; it waits for confirmation.
@@ -156,23 +160,51 @@
         suspects: bool,
     },
     /// A peer or the table names the primary of a term.
-    News { term: u64, primary: Arc<str> },
+    News {
+        term: u64,
+        primary: Arc<str>,
+    },
 }
 
 /// What a group asks to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Run the request on this member, which leads or follows `term`.
-    Assign { id: u64, member: usize, term: u64 },
-    Refuse { id: u64, refusal: Refusal },
-    Settle { id: u64, outcome: Outcome },
-    Probe { member: usize },
-    Fence { member: usize, term: u64 },
-    Promote { member: usize, term: u64 },
-    Follow { member: usize, term: u64, primary: usize },
+    Assign {
+        id: u64,
+        member: usize,
+        term: u64,
+    },
+    Refuse {
+        id: u64,
+        refusal: Refusal,
+    },
+    Settle {
+        id: u64,
+        outcome: Outcome,
+    },
+    Probe {
+        member: usize,
+    },
+    Fence {
+        member: usize,
+        term: u64,
+    },
+    Promote {
+        member: usize,
+        term: u64,
+    },
+    Follow {
+        member: usize,
+        term: u64,
+        primary: usize,
+    },
     Ask,
     /// Record the primary in the table and tell the peers.
-    Record { term: u64, primary: usize },
+    Record {
+        term: u64,
+        primary: usize,
+    },
     /// Something an operator may want to know.
     Note(Note),
 }
@@ -180,14 +212,30 @@
 /// What is worth a log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
-    Suspected { member: usize },
-    Trusted { member: usize },
-    Fencing { term: u64 },
-    Lost { term: u64 },
-    Won { term: u64, member: usize },
-    Adopted { term: u64, member: usize },
+    Suspected {
+        member: usize,
+    },
+    Trusted {
+        member: usize,
+    },
+    Fencing {
+        term: u64,
+    },
+    Lost {
+        term: u64,
+    },
+    Won {
+        term: u64,
+        member: usize,
+    },
+    Adopted {
+        term: u64,
+        member: usize,
+    },
     /// A member's report can't be true and was not taken.
-    Nonsense { member: usize },
+    Nonsense {
+        member: usize,
+    },
 }
 
 struct Member {
@@ -329,7 +377,10 @@
 
     /// Takes a plan that differs in anything but the list of members.
     pub fn set_plan(&mut self, plan: Arc<Plan>) {
-        assert!(Self::same_members(&self.plan, &plan), "members keep their places");
+        assert!(
+            Self::same_members(&self.plan, &plan),
+            "members keep their places"
+        );
         let capacity = share(plan.group.connections, plan.group.owners);
         for (member, spec) in self.members.iter_mut().zip(&plan.members) {
             member.spec = spec.clone();
@@ -341,8 +392,7 @@
     /// Whether two plans name the same members at the same addresses.
     pub fn same_members(one: &Plan, other: &Plan) -> bool {
         let same = |(a, b): (&MemberSpec, &MemberSpec)| a.name == b.name && a.address == b.address;
-        one.members.len() == other.members.len()
-            && one.members.iter().zip(&other.members).all(same)
+        one.members.len() == other.members.len() && one.members.iter().zip(&other.members).all(same)
     }
 
     /// Whether this owner finds the primary suspect, for a peer who asks.
@@ -418,7 +468,10 @@
             assert!(self.replace.term > 0, "a primary has a term");
         }
         for id in self.waiting.parked.keys() {
-            assert!(!self.waiting.queued.contains_key(id), "a request waits in one place");
+            assert!(
+                !self.waiting.queued.contains_key(id),
+                "a request waits in one place"
+            );
         }
     }
 
@@ -502,7 +555,9 @@
 
     /// A session without a token first learns where the primary is.
     fn place_floorless(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
-        if let Some(refusal) = self.writable().map_or_else(|| self.hopeless(&request, now), |_| None)
+        if let Some(refusal) = self
+            .writable()
+            .map_or_else(|| self.hopeless(&request, now), |_| None)
         {
             let id = request.id;
             out.push(Action::Refuse { id, refusal });
@@ -571,7 +626,9 @@
         let verified = self.verified();
         let mut candidates = Vec::new();
         for (i, member) in self.members.iter().enumerate() {
-            let Some(status) = member.status() else { continue };
+            let Some(status) = member.status() else {
+                continue;
+            };
             let follows = status.log.term == self.replace.term && status.role == Role::Replica;
             if member.suspected || member.spec.leaving || !follows {
                 continue;
@@ -769,7 +826,11 @@
         if known.broken.is_some_and(|since| began >= since) {
             known.broken = None;
         }
-        if known.view.as_ref().is_some_and(|(_, newest)| *newest > began) {
+        if known
+            .view
+            .as_ref()
+            .is_some_and(|(_, newest)| *newest > began)
+        {
             return;
         }
         known.view = Some((status, began));
@@ -812,7 +873,9 @@
         if self.waiting.floorless.is_empty() {
             return;
         }
-        let Some(verified) = self.verified() else { return };
+        let Some(verified) = self.verified() else {
+            return;
+        };
         let Some((status, seen)) = self.replace.primary.and_then(|p| self.members[p].view) else {
             return;
         };
@@ -839,7 +902,9 @@
         let ids: Vec<u64> = self.waiting.lagging.keys().copied().collect();
         for id in ids {
             let (request, until) = &self.waiting.lagging[&id];
-            let Some(demand) = demand_of(request) else { continue };
+            let Some(demand) = demand_of(request) else {
+                continue;
+            };
             let met = candidates.iter().any(|c| demand.met_by(c));
             if met || now >= *until {
                 let (request, _) = self.waiting.lagging.remove(&id).expect("just seen");
@@ -1060,7 +1125,11 @@
             promised: member.status().map(|status| status.promised),
             log: member.status().map(|status| status.log),
             applied: member.applied,
-            age_ms: ages.get(&i).copied().flatten().map(|age| age.as_millis() as u64),
+            age_ms: ages
+                .get(&i)
+                .copied()
+                .flatten()
+                .map(|age| age.as_millis() as u64),
             suspected: member.suspected,
             running: member.fair.running(),
             waiting: member.fair.waiting(),
--- a/src/decisions/position.rs
+++ b/src/decisions/position.rs
@@ -13,7 +13,9 @@
 const TOKEN_VERSION: &str = "v1";
 
 /// Newest log entry: its term, then its index.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Position {
     pub term: u64,
     pub index: u64,
@@ -73,7 +75,10 @@
         if version != TOKEN_VERSION {
             return Err(TokenError::Version(version.to_owned()));
         }
-        let number = |part: &str| part.parse().map_err(|_| TokenError::Number(part.to_owned()));
+        let number = |part: &str| {
+            part.parse()
+                .map_err(|_| TokenError::Number(part.to_owned()))
+        };
         Ok(Position {
             term: number(term)?,
             index: number(index)?,
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -62,7 +62,11 @@
     fn name(&mut self, field: &'static str) -> Arc<str> {
         let text = self.text(field);
         let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '_';
-        let present = self.entry.fields.get(field).is_some_and(|f| f.value.is_string());
+        let present = self
+            .entry
+            .fields
+            .get(field)
+            .is_some_and(|f| f.value.is_string());
         if present && (text.is_empty() || text.len() > MOST_NAME || !text.chars().all(fits)) {
             self.note(field, "must be 1 to 63 of a-z, 0-9, - and _");
         }
@@ -71,7 +75,11 @@
 
     fn hash(&mut self, field: &'static str) -> Arc<str> {
         let text = self.text(field);
-        let present = self.entry.fields.get(field).is_some_and(|f| f.value.is_string());
+        let present = self
+            .entry
+            .fields
+            .get(field)
+            .is_some_and(|f| f.value.is_string());
         let digits = text.len() == HASH_DIGITS && text.chars().all(|c| c.is_ascii_hexdigit());
         if present && !digits {
             self.note(field, "must be a SHA-256 in 64 hexadecimal digits");
@@ -86,7 +94,10 @@
         match value.as_u64() {
             Some(number) if (least..=most).contains(&number) => number,
             _ => {
-                self.note(field, format!("must be a whole number from {least} to {most}"));
+                self.note(
+                    field,
+                    format!("must be a whole number from {least} to {most}"),
+                );
                 default
             }
         }
@@ -129,8 +140,10 @@
         for field in self.entry.fields.keys() {
             if !self.known.contains(&field.as_str()) {
                 let known = self.known.join(", ");
-                self.findings
-                    .push(self.entry.finding(field, format!("is not known; known are {known}")));
+                self.findings.push(
+                    self.entry
+                        .finding(field, format!("is not known; known are {known}")),
+                );
             }
         }
         self.findings
--- a/src/declarations/entry.rs
+++ b/src/declarations/entry.rs
@@ -143,9 +143,10 @@
         DeValue::Datetime(time) => Value::from(time.to_string()),
         DeValue::Array(items) => items.iter().map(|item| json(item.get_ref())).collect(),
         DeValue::Table(table) => {
-            let pair = |(name, value): (&Spanned<std::borrow::Cow<'_, str>>, &Spanned<DeValue<'_>>)| {
-                (name.get_ref().to_string(), json(value.get_ref()))
-            };
+            let pair =
+                |(name, value): (&Spanned<std::borrow::Cow<'_, str>>, &Spanned<DeValue<'_>>)| {
+                    (name.get_ref().to_string(), json(value.get_ref()))
+                };
             Value::Object(table.iter().map(pair).collect())
         }
     }
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -31,6 +31,9 @@
     pub term: u64,
     /// The member's name.
     pub member: Arc<str>,
+    /// Revision of the row, which a newer record must name.
+    #[serde(skip)]
+    pub revision: u64,
 }
 
 /// Every resource at one revision. Never changed, only replaced by a newer one.
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -117,7 +117,9 @@
 async fn scan(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let since = unpacked(&body)?;
     let (reply, answer) = oneshot::channel();
-    let _ = api.keeper.send(configuration::Request::Scan { since, reply });
+    let _ = api
+        .keeper
+        .send(configuration::Request::Scan { since, reply });
     let scan = answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(packed(&scan))
 }
@@ -185,7 +187,13 @@
 
 fn findings(findings: Vec<Finding>) -> Refused {
     let (status, Json(problem)) = problem(StatusCode::UNPROCESSABLE_ENTITY, "invalid resource");
-    (status, Json(Problem { findings, ..problem }))
+    (
+        status,
+        Json(Problem {
+            findings,
+            ..problem
+        }),
+    )
 }
 
 fn race(key: &Key, expected: u64, found: u64) -> Refused {
@@ -225,11 +233,23 @@
         let error = format!("{key} is not this token's to see or change");
         Err(problem(StatusCode::FORBIDDEN, error))
     }
+
+    /// A partner's weight is against the others': its own operator can't raise it.
+    fn check_change(&self, key: &Key) -> Result<(), Refused> {
+        let own_partner = matches!(self, Caller::Operator(_)) && key.kind == Kind::Partner;
+        if !own_partner {
+            return self.check(key);
+        }
+        let error = format!("{key} is changed with the administrator's token only");
+        Err(problem(StatusCode::FORBIDDEN, error))
+    }
 }
 
 fn caller(api: &Api, headers: &HeaderMap) -> Result<Caller, Refused> {
     let bearer = headers.get(header::AUTHORIZATION);
-    let text = bearer.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let text = bearer
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
     let token = text.strip_prefix("Bearer ").unwrap_or_default();
     let snapshot = api.snapshot.borrow().clone();
     // Every hash is compared, so that the time tells nothing.
@@ -275,12 +295,17 @@
     let caller = caller(&api, &headers)?;
     let snapshot = api.snapshot.borrow().clone();
     let wanted = |key: &Key| {
-        let kind = filter.kind.as_deref().is_none_or(|kind| kind == key.kind.name());
+        let kind = filter
+            .kind
+            .as_deref()
+            .is_none_or(|kind| kind == key.kind.name());
         caller.may(key) && kind
     };
     let found = snapshot.resources.iter().filter(|(key, _)| wanted(key));
     let resources: Vec<Shown> = found.map(|(key, stored)| shown(key, stored)).collect();
-    Ok(Json(json!({ "revision": snapshot.revision, "resources": resources })))
+    Ok(Json(
+        json!({ "revision": snapshot.revision, "resources": resources }),
+    ))
 }
 
 fn parsed_key(text: &str) -> Result<Key, Refused> {
@@ -316,7 +341,9 @@
     };
     let text = value.to_str().unwrap_or_default().trim_matches('"');
     let message = "If-Match must be a version number";
-    let number = text.parse().map_err(|_| problem(StatusCode::BAD_REQUEST, message))?;
+    let number = text
+        .parse()
+        .map_err(|_| problem(StatusCode::BAD_REQUEST, message))?;
     Ok(Some(number))
 }
 
@@ -328,7 +355,7 @@
 ) -> Result<Json<Value>, Refused> {
     let caller = caller(&api, &headers)?;
     let key = parsed_key(&key)?;
-    caller.check(&key)?;
+    caller.check_change(&key)?;
     let entry = Entry::from_json(key.kind.name(), &key.to_string(), &body);
     let entry = entry.map_err(|finding| findings(vec![finding]))?;
     let spec = check::one(&entry).map_err(findings)?;
@@ -352,7 +379,7 @@
 ) -> Result<Json<Value>, Refused> {
     let caller = caller(&api, &headers)?;
     let key = parsed_key(&key)?;
-    caller.check(&key)?;
+    caller.check_change(&key)?;
     let version = if_match(&headers)?;
     let change = Change {
         key,
@@ -393,7 +420,10 @@
     let mut specs = Vec::new();
     for declared in &apply.resources {
         let entry = Entry::from_json(&declared.kind, "request", &declared.spec);
-        match entry.map_err(|f| vec![f]).and_then(|entry| check::one(&entry)) {
+        match entry
+            .map_err(|f| vec![f])
+            .and_then(|entry| check::one(&entry))
+        {
             Ok(spec) => specs.push(spec),
             Err(more) => found.extend(more),
         }
@@ -402,7 +432,7 @@
         return Err(findings(found));
     }
     for spec in &specs {
-        caller.check(&spec.key())?;
+        caller.check_change(&spec.key())?;
     }
     let snapshot = api.snapshot.borrow().clone();
     let mut plan = Vec::new();
@@ -445,7 +475,10 @@
         after.insert(key.clone(), stored.spec.clone());
     }
     for change in &changes {
-        let found = snapshot.resources.get(&change.key).map_or(0, |s| s.revision);
+        let found = snapshot
+            .resources
+            .get(&change.key)
+            .map_or(0, |s| s.revision);
         if let Some(expected) = change.version
             && expected < found
         {
@@ -461,7 +494,9 @@
         };
     }
     let partners: HashSet<&Arc<str>> = changes.iter().map(|change| &change.key.partner).collect();
-    let touched = after.iter().filter(|(key, _)| partners.contains(&key.partner));
+    let touched = after
+        .iter()
+        .filter(|(key, _)| partners.contains(&key.partner));
     let dangling = touched.filter_map(|(key, spec)| {
         let (field, missing) = check::dangling(spec, &after)?;
         Some(Finding {
@@ -478,13 +513,12 @@
     send(api, &changes, &snapshot).await
 }
 
-async fn send(
-    api: &Api,
-    changes: &[Change],
-    snapshot: &Snapshot,
-) -> Result<Json<Value>, Refused> {
+async fn send(api: &Api, changes: &[Change], snapshot: &Snapshot) -> Result<Json<Value>, Refused> {
     let write = |change: &Change| {
-        let known = snapshot.resources.get(&change.key).map_or(0, |s| s.revision);
+        let known = snapshot
+            .resources
+            .get(&change.key)
+            .map_or(0, |s| s.revision);
         Write {
             key: format!("{RESOURCE}{}", change.key).into(),
             expect: Some(change.version.unwrap_or(known)),
@@ -498,7 +532,9 @@
     };
     let (reply, answer) = oneshot::channel();
     let _ = api.work.send(Work::Commit(commit, reply));
-    let verdict = answer.await.unwrap_or(Err(TableError::Down("stopping".to_owned())));
+    let verdict = answer
+        .await
+        .unwrap_or(Err(TableError::Down("stopping".to_owned())));
     match verdict {
         Ok(Verdict::Done(revision)) => {
             let _ = api.keeper.send(configuration::Request::Poll);
@@ -506,9 +542,14 @@
         }
         Ok(Verdict::Conflict { key, found }) => {
             let key = key.strip_prefix(RESOURCE).and_then(Key::parse);
-            let change = changes.iter().find(|change| Some(&change.key) == key.as_ref());
+            let change = changes
+                .iter()
+                .find(|change| Some(&change.key) == key.as_ref());
             let change = change.unwrap_or(&changes[0]);
-            let known = snapshot.resources.get(&change.key).map_or(0, |s| s.revision);
+            let known = snapshot
+                .resources
+                .get(&change.key)
+                .map_or(0, |s| s.revision);
             Err(race(&change.key, change.version.unwrap_or(known), found))
         }
         Err(error) => {
@@ -535,7 +576,9 @@
     let _ = tokio::time::timeout(WATCH_HOLD, newer).await;
     let (reply, answer) = oneshot::channel();
     let since = query.since;
-    let _ = api.keeper.send(configuration::Request::Scan { since, reply });
+    let _ = api
+        .keeper
+        .send(configuration::Request::Scan { since, reply });
     let scan = answer
         .await
         .map_err(|_| problem(StatusCode::SERVICE_UNAVAILABLE, "stopping"))?;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -93,9 +93,22 @@
             if let Some(group) = row.key.strip_prefix(PRIMARY) {
                 let primary: Result<Primary, _> = serde_json::from_value(value.clone());
                 primary.map_or_else(
-                    |error| events::emit(log, &events::BAD_ROW, &[("row", &row.key), ("error", &error)]),
+                    |error| {
+                        events::emit(
+                            log,
+                            &events::BAD_ROW,
+                            &[("row", &row.key), ("error", &error)],
+                        )
+                    },
                     |primary| {
-                        primaries.insert(group.into(), primary);
+                        let revision = row.revision;
+                        primaries.insert(
+                            group.into(),
+                            Primary {
+                                revision,
+                                ..primary
+                            },
+                        );
                     },
                 );
                 continue;
@@ -105,7 +118,11 @@
                     resources.insert(key, stored);
                 }
                 Err(error) => {
-                    events::emit(log, &events::BAD_ROW, &[("row", &row.key), ("error", &error)]);
+                    events::emit(
+                        log,
+                        &events::BAD_ROW,
+                        &[("row", &row.key), ("error", &error)],
+                    );
                 }
             }
         }
@@ -231,7 +248,11 @@
             return;
         }
         let count = boxes.len();
-        events::emit(&self.context.log, &events::ROSTER_CHANGED, &[("boxes", &count)]);
+        events::emit(
+            &self.context.log,
+            &events::ROSTER_CHANGED,
+            &[("boxes", &count)],
+        );
         self.boxes.send_replace(boxes.clone());
         let _ = self.context.decisions.send(Message::Boxes(boxes));
     }
@@ -243,7 +264,11 @@
         }
         let snapshot = Arc::new(self.store.snapshot(&self.context.log));
         let revision = snapshot.revision;
-        events::emit(&self.context.log, &events::CONFIGURED, &[("revision", &revision)]);
+        events::emit(
+            &self.context.log,
+            &events::CONFIGURED,
+            &[("revision", &revision)],
+        );
         self.snapshot.send_replace(snapshot.clone());
         let _ = self.context.decisions.send(Message::Snapshot(snapshot));
         self.tell_peers(since, scan);
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -17,10 +17,10 @@
 use super::peers;
 use crate::borders::member::Member;
 use crate::borders::roster::Listing;
-use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::decisions::confirm::Outcome;
 use crate::decisions::group::{Action, Event, Group, Note, Request, Settings};
 use crate::decisions::owners::owners;
+use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
 
 const GONE_RETRY: Duration = Duration::from_millis(200);
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -6,11 +6,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::borders::roster::Listing;
-use crate::declarations::resource::Member;
-use crate::declarations::snapshot::Snapshot;
 use crate::decisions::confirm::Outcome;
 use crate::decisions::group::{Event, GroupDump, Refusal, Target};
 use crate::decisions::position::Position;
+use crate::declarations::resource::Member;
+use crate::declarations::snapshot::Snapshot;
 
 /// What a group's members look like to those who have statements running on them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -69,7 +69,10 @@
 pub enum Message {
     Ask(Ask),
     Settle(Settle),
-    Group { group: Arc<str>, event: Event },
+    Group {
+        group: Arc<str>,
+        event: Event,
+    },
     Snapshot(Arc<Snapshot>),
     Boxes(Arc<[Listing]>),
     Opinion {
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -132,7 +132,11 @@
                     drop(lease);
                     self.again(deadline, PAUSE).await?;
                 }
-                Ok(answer) => return self.finish(lease, answer, exchange, arrived, deadline).await,
+                Ok(answer) => {
+                    return self
+                        .finish(lease, answer, exchange, arrived, deadline)
+                        .await;
+                }
                 Err(_) if exchange.effect == Effect::Writes => {
                     return Err(self.unknown(&exchange.group));
                 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -99,23 +99,24 @@
 /// Records a group's new primary in the table, until the table answers.
 pub async fn record(context: Rc<Context>, group: Arc<str>, term: u64, member: Arc<str>) {
     let key: Arc<str> = format!("{PRIMARY}{group}").into();
-    let nonce = format!("{group}/{term}");
     for _ in 0..RECORD_TRIES {
         let known = context.snapshot.borrow().primaries.get(&group).cloned();
-        if known.is_some_and(|primary| primary.term >= term) {
+        if known.as_ref().is_some_and(|primary| primary.term >= term) {
             return;
         }
+        let expect = known.map_or(0, |primary| primary.revision);
         let primary = Primary {
             term,
             member: member.clone(),
+            revision: 0,
         };
         let write = Write {
             key: key.clone(),
-            expect: None,
+            expect: Some(expect),
             value: serde_json::to_value(&primary).ok(),
         };
         let commit = Commit {
-            nonce: nonce.clone(),
+            nonce: format!("{group}/{term}/{expect}"),
             writes: vec![write],
         };
         if let Ok(Verdict::Done(_)) = context.table.commit(&commit).await {
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -135,6 +135,8 @@
     /// Idle connections by address.
     pub fn counts(&self) -> Vec<(Arc<str>, usize)> {
         let idle = self.idle.borrow();
-        idle.iter().map(|(a, list)| (a.clone(), list.len())).collect()
+        idle.iter()
+            .map(|(a, list)| (a.clone(), list.len()))
+            .collect()
     }
 }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -31,7 +31,10 @@
 enum Pending {
     Message(Expect),
     /// A statement's preparation; shown to the caller or not.
-    Prepared { statement: Statement, shown: bool },
+    Prepared {
+        statement: Statement,
+        shown: bool,
+    },
     /// Put in when its turn comes.
     Ready(Bytes),
 }
@@ -60,7 +63,9 @@
                 }
             }
             Step::Parse(statement) if connection.prepared.contains(&statement.name) => {
-                pending.push_back(Pending::Ready(encoded(&Back::ParseComplete(ParseComplete::new()))?));
+                pending.push_back(Pending::Ready(encoded(&Back::ParseComplete(
+                    ParseComplete::new(),
+                ))?));
             }
             Step::Parse(statement) => prepare(connection, statement, true, &mut pending)?,
             Step::Send { bytes, expect } => {
@@ -73,7 +78,9 @@
     match close {
         Close::Query => {}
         Close::Sync => connection.channel.queue_front(&Front::Sync(Sync::new()))?,
-        Close::Flush => connection.channel.queue_front(&Front::Flush(Flush::new()))?,
+        Close::Flush => connection
+            .channel
+            .queue_front(&Front::Flush(Flush::new()))?,
     }
     connection.channel.flush().await?;
     Ok(pending)
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -137,11 +137,7 @@
 }
 
 /// Does what the HTTP side can't do from where it runs.
-async fn work(
-    context: Rc<Context>,
-    owner: Rc<Owner>,
-    mut inbox: mpsc::UnboundedReceiver<Work>,
-) {
+async fn work(context: Rc<Context>, owner: Rc<Owner>, mut inbox: mpsc::UnboundedReceiver<Work>) {
     while let Some(work) = inbox.recv().await {
         match work {
             Work::Serve(exchange, reply) => {
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -23,10 +23,10 @@
 use super::peers::{self, ForwardError};
 use super::relay::encoded;
 use crate::borders::roster::Listing;
-use crate::declarations::snapshot::Plan;
 use crate::decisions::classify::{Class, Command, Kind, classify};
 use crate::decisions::group::{Reason, Refusal, Target};
 use crate::decisions::position::Position;
+use crate::declarations::snapshot::Plan;
 use crate::wire::channel::{Channel, ChannelError};
 use crate::wire::report::{self, Report};
 
@@ -318,7 +318,8 @@
                     return self.fail(&Report::error("42704", message), query).await;
                 }
             },
-            Command::Reset => "DISCARD ALL",
+            Command::Reset => "RESET",
+            Command::Refuse { what } => return self.fail(&unsupported(what), query).await,
             Command::None => {
                 let message = "this setting is not supported on pooled connections";
                 let report = Report::error(state::UNSUPPORTED, message);
@@ -405,6 +406,9 @@
             .get(&self.group)
             .ok_or_else(|| Report::fatal("3D000", "this database group is no longer declared"))?;
         let class = batch.class.unwrap_or_else(|| classify(""));
+        if let Command::Refuse { what } = class.command {
+            return Err(unsupported(what));
+        }
         let effect = match batch.writes && batch.executes {
             true => Effect::Writes,
             false => Effect::Reads,
@@ -456,11 +460,15 @@
             return Ok(None);
         }
         let key = class.once.clone().or_else(|| self.once.take());
-        let ruled = plan.onces.iter().find(|once| class.tables.contains(&once.table));
+        let ruled = plan
+            .onces
+            .iter()
+            .find(|once| class.tables.contains(&once.table));
         match (key, ruled) {
             (None, Some(once)) => {
                 let table = &once.table;
-                let message = format!("writes to {table} need a key, so that they run at most once");
+                let message =
+                    format!("writes to {table} need a key, so that they run at most once");
                 let hint = "send /* larkfall: once=KEY */ or SET larkfall.once = 'KEY' before it";
                 Err(Report::error(state::KEY_MISSING, message).hint(hint))
             }
@@ -488,7 +496,11 @@
         for owner in self.owners() {
             let own = owner.name == self.context.settings.name;
             let served = match own {
-                true => self.owner.serve(exchange).await.map_err(ForwardError::Failure),
+                true => self
+                    .owner
+                    .serve(exchange)
+                    .await
+                    .map_err(ForwardError::Failure),
                 false => peers::forward(&self.context, &owner.address, exchange).await,
             };
             match served {
@@ -598,7 +610,9 @@
         let ends = batch.class.as_ref().is_some_and(|c| c.kind == Kind::End);
         if !ends {
             let message = "the transaction is gone; end it and begin anew";
-            return self.fail(&Report::error("25P02", message), Some(close)).await;
+            return self
+                .fail(&Report::error("25P02", message), Some(close))
+                .await;
         }
         self.lost = false;
         self.status = Status::Idle;
@@ -664,6 +678,11 @@
     }
 }
 
+fn unsupported(what: &str) -> Report {
+    let message = format!("{what} is not supported on pooled connections");
+    Report::error(state::UNSUPPORTED, message)
+}
+
 /// Whether another owner may do better.
 fn elsewhere(failure: &Failure) -> bool {
     match failure {
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -51,7 +51,9 @@
         .layer(from_fn_with_state(member.gate.clone(), through_gate))
         .with_state(member.clone());
     let faults = faults_router(member.gate.clone());
-    let lag = Router::new().route("/lag", post(set_lag)).with_state(member);
+    let lag = Router::new()
+        .route("/lag", post(set_lag))
+        .with_state(member);
     let router = gated.merge(faults).merge(lag);
     let service = router.into_make_service_with_connect_info::<SocketAddr>();
     axum::serve(listener, service).await
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -239,7 +239,10 @@
         if let Statement::Update { assignments, .. } = statement {
             for assignment in assignments {
                 if let AssignmentTarget::ColumnName(name) = &assignment.target {
-                    note(&assignment.value, self.columns.get(&last_name(name)).copied());
+                    note(
+                        &assignment.value,
+                        self.columns.get(&last_name(name)).copied(),
+                    );
                 }
             }
         }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -59,6 +59,7 @@
             self.rows.insert(write.key, (self.revision, write.value));
         }
         let verdict = Verdict::Done(self.revision);
+        // A refused commit is not remembered: it may be sent again with the same nonce.
         self.nonces.insert(commit.nonce, verdict.clone());
         verdict
     }
--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -101,11 +101,7 @@
 }
 
 impl Session {
-    async fn run(
-        member: Arc<Member>,
-        socket: TcpStream,
-        peer: IpAddr,
-    ) -> Result<(), ChannelError> {
+    async fn run(member: Arc<Member>, socket: TcpStream, peer: IpAddr) -> Result<(), ChannelError> {
         let mut session = Session {
             channel: Channel::new(Box::new(socket)),
             member,
@@ -268,10 +264,9 @@
             }
             Front::Execute(execute) => {
                 let name = execute.name.unwrap_or_default();
-                let portal = self
-                    .portals
-                    .remove(&name)
-                    .ok_or_else(|| Fault::new("34000", format!("portal {name:?} does not exist")))?;
+                let portal = self.portals.remove(&name).ok_or_else(|| {
+                    Fault::new("34000", format!("portal {name:?} does not exist"))
+                })?;
                 let done = self
                     .execute(&portal.prepared, &portal.params, &portal.formats)
                     .await;
@@ -293,7 +288,10 @@
 
     fn statement(&self, name: &str) -> Result<&Prepared, Fault> {
         self.statements.get(name).ok_or_else(|| {
-            Fault::new("26000", format!("prepared statement {name:?} does not exist"))
+            Fault::new(
+                "26000",
+                format!("prepared statement {name:?} does not exist"),
+            )
         })
     }
 
--- a/src/trial/cluster.rs
+++ b/src/trial/cluster.rs
@@ -356,7 +356,8 @@
         faults: &Faults,
     ) -> anyhow::Result<()> {
         let part = &self.members[group][member];
-        self.post(part, CONTROL_PORT, "/faults", &json!(faults)).await
+        self.post(part, CONTROL_PORT, "/faults", &json!(faults))
+            .await
     }
 
     /// Switches the platform's faults.
@@ -399,7 +400,9 @@
         let id = format!("{}/{}", self.shape.partner, self.shape.groups[group]);
         let mut best: (u64, Option<usize>) = (0, None);
         for i in 0..self.boxes.len() {
-            let Ok(dump) = self.dump(i).await else { continue };
+            let Ok(dump) = self.dump(i).await else {
+                continue;
+            };
             for found in dump["groups"].as_array().into_iter().flatten() {
                 let term = found["term"].as_u64().unwrap_or_default();
                 if found["id"] == id.as_str() && term > best.0 {
--- a/src/trial/host.rs
+++ b/src/trial/host.rs
@@ -21,6 +21,8 @@
     fn kill(&mut self);
     /// Asks it to stop in good order and waits until it has.
     fn stop(&mut self);
+    /// Has it do nothing at all, or go on. Threads of this process can't be frozen.
+    fn freeze(&mut self, _frozen: bool) {}
 }
 
 /// Starts things. Tests start processes, the demo starts threads.
--- a/src/trial/workload.rs
+++ b/src/trial/workload.rs
@@ -247,7 +247,9 @@
         if cell(0) != Some(student.to_string()) {
             journal.foreign_answers += 1;
         }
-        let found: i64 = cell(1).and_then(|text| text.parse().ok()).unwrap_or_default();
+        let found: i64 = cell(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default();
         if found < self.acknowledged {
             journal.stale_own_reads += 1;
         }
@@ -265,7 +267,8 @@
         let mut next = Ok(());
         for press in 0..PRESSES {
             let id = format!("{key}-{press}");
-            let sql = format!("/* larkfall: once={key} */ INSERT INTO sale VALUES ('{id}', '{key}')");
+            let sql =
+                format!("/* larkfall: once={key} */ INSERT INTO sale VALUES ('{id}', '{key}')");
             let answer = match press {
                 0 => client.query(&sql).await,
                 _ => self.press_elsewhere(&sql, press).await,
--- /dev/null
+++ b/tests/system/failover.rs
@@ -0,0 +1,122 @@
+//! Two boxes, one group of three members: sessions, and a primary that dies.
+
+use googletest::prelude::*;
+use larkfall::trial::cluster::{Cluster, Shape, until};
+use larkfall::trial::journal::Verdict;
+use larkfall::trial::workload::{Mix, Workload, create_tables};
+
+use super::processes::with_cluster;
+
+async fn start_load(cluster: &Cluster) -> Workload {
+    let mut client = cluster.connect(0, "market", None).await.expect("connects");
+    create_tables(&mut client).await.expect("creates");
+    let boxes = (0..cluster.boxes.len()).map(|i| cluster.sql_address(i));
+    Workload::start(boxes.collect(), "huerto", "market", &Mix::default())
+}
+
+/// Waits until `count` more writes were acknowledged.
+async fn acknowledged(workload: &Workload, count: usize) {
+    let goal = workload.journal.borrow().acks.len() + count;
+    until("writes are acknowledged", async || {
+        workload.journal.borrow().acks.len() >= goal
+    })
+    .await
+    .expect("writes go on");
+}
+
+#[gtest]
+fn a_write_by_one_box_is_read_by_the_other_in_the_same_session() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut first = cluster.connect(0, "market", None).await.expect("connects");
+        first
+            .query("CREATE TABLE seed (id bigint)")
+            .await
+            .expect("creates");
+        for id in 0..20 {
+            let insert = format!("INSERT INTO seed VALUES ({id})");
+            first.query(&insert).await.expect("writes");
+            let token = first.token.clone();
+            let mut second = cluster
+                .connect(1, "market", token.as_deref())
+                .await
+                .expect("roams");
+            let answer = second
+                .query("SELECT count(*) FROM seed")
+                .await
+                .expect("reads");
+            expect_that!(answer.number(), some(eq(id + 1)));
+            let mut bare = cluster
+                .connect(1, "market", None)
+                .await
+                .expect("roams without token");
+            let answer = bare
+                .query("SELECT count(*) FROM seed")
+                .await
+                .expect("reads");
+            expect_that!(answer.number(), some(eq(id + 1)));
+        }
+        expect_that!(
+            cluster.counter("larkfall_reads_by_replica_total").await,
+            gt(0.0)
+        );
+    });
+}
+
+#[gtest]
+fn a_killed_primary_is_replaced_and_nothing_is_lost_or_doubled() {
+    with_cluster(Shape::default(), async |cluster| {
+        let workload = start_load(cluster).await;
+        acknowledged(&workload, 50).await;
+        cluster.members[0][0].running.kill();
+        acknowledged(&workload, 50).await;
+        let (verdict, _) = workload.finish().await.expect("the rows can be read");
+        expect_that!(verdict, eq(Verdict::default()));
+        expect_that!(cluster.primary(0).await, some(not(eq(0))));
+    });
+}
+
+#[gtest]
+fn a_frozen_primary_is_replaced_and_comes_back_as_a_replica() {
+    with_cluster(Shape::default(), async |cluster| {
+        let workload = start_load(cluster).await;
+        acknowledged(&workload, 50).await;
+        cluster.members[0][0].running.freeze(true);
+        acknowledged(&workload, 50).await;
+        cluster.members[0][0].running.freeze(false);
+        acknowledged(&workload, 50).await;
+        let (verdict, _) = workload.finish().await.expect("the rows can be read");
+        expect_that!(verdict, eq(Verdict::default()));
+        until("the old primary follows", async || {
+            let dump = cluster.dump(0).await.unwrap_or_default();
+            dump["groups"][0]["members"][0]["role"] == "Replica"
+        })
+        .await
+        .expect("the old primary follows");
+    });
+}
+
+#[gtest]
+fn a_box_that_dies_in_a_transaction_leaves_nothing_of_it() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut client = cluster.connect(1, "market", None).await.expect("connects");
+        client
+            .query("CREATE TABLE coin (id bigint)")
+            .await
+            .expect("creates");
+        client.query("BEGIN").await.expect("begins");
+        client
+            .query("INSERT INTO coin VALUES (1)")
+            .await
+            .expect("writes");
+        cluster.boxes[1].running.kill();
+        let mut other = cluster.connect(0, "market", None).await.expect("connects");
+        until("the transaction's lock is free", async || {
+            let mut probe = cluster.connect(0, "market", None).await.expect("connects");
+            probe.query("INSERT INTO coin VALUES (2)").await.is_ok()
+        })
+        .await
+        .expect("the lock is freed");
+        let answer = other.query("SELECT count(*) FROM coin WHERE id = 1").await;
+        expect_that!(answer.expect("reads").number(), some(eq(0)));
+    });
+}
--- /dev/null
+++ b/tests/system/main.rs
@@ -0,0 +1,6 @@
+//! Tests over real processes on loopback.
+
+mod cli;
+mod clients;
+mod failover;
+mod processes;
--- /dev/null
+++ b/tests/system/processes.rs
@@ -0,0 +1,125 @@
+//! Starts the program as processes of their own, and ends them by pid.
+
+use std::process::{Child, Command, Stdio};
+
+use larkfall::configs::run::Run;
+use larkfall::standin::{member, platform};
+use larkfall::trial::cluster::{Cluster, Shape};
+use larkfall::trial::host::{Host, Running};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::task::LocalSet;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_larkfall");
+
+/// Starts processes.
+pub struct Processes;
+
+pub struct Process(Child);
+
+impl Process {
+    fn start(arguments: Vec<(&str, String)>, command: &[&str]) -> Box<dyn Running> {
+        let mut program = Command::new(PROGRAM);
+        program.args(command);
+        for (flag, value) in arguments {
+            program.arg(format!("--{flag}")).arg(value);
+        }
+        let child = program.stdout(Stdio::null()).spawn();
+        Box::new(Self(child.expect("the program starts")))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.0.id() as i32), signal);
+    }
+}
+
+impl Running for Process {
+    fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        let _ = self.0.wait();
+    }
+
+    fn stop(&mut self) {
+        self.signal(Signal::SIGTERM);
+        let _ = self.0.wait();
+    }
+
+    fn freeze(&mut self, frozen: bool) {
+        self.signal(match frozen {
+            true => Signal::SIGSTOP,
+            false => Signal::SIGCONT,
+        });
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Host for Processes {
+    fn member(&self, settings: &member::Settings) -> Box<dyn Running> {
+        let role = match settings.primary {
+            true => "primary",
+            false => "replica",
+        };
+        let arguments = vec![
+            ("ip", settings.ip.to_string()),
+            ("sql-port", settings.sql_port.to_string()),
+            ("control-port", settings.control_port.to_string()),
+            ("slots", settings.slots.to_string()),
+            ("connections", settings.connections.to_string()),
+            ("connect-ms", settings.connect_ms.to_string()),
+            ("service-ms", settings.service_ms.to_string()),
+            ("lag-ms", settings.lag_ms.to_string()),
+            ("role", role.to_owned()),
+        ];
+        Process::start(arguments, &["stand-in", "member"])
+    }
+
+    fn platform(&self, settings: &platform::Settings) -> Box<dyn Running> {
+        let arguments = vec![
+            ("ip", settings.ip.to_string()),
+            ("port", settings.port.to_string()),
+            ("roster-lag-ms", settings.roster_lag_ms.to_string()),
+        ];
+        Process::start(arguments, &["stand-in", "platform"])
+    }
+
+    fn node(&self, settings: &Run) -> Box<dyn Running> {
+        let arguments = vec![
+            ("name", settings.name.to_string()),
+            ("domain", settings.domain.to_string()),
+            ("ip", settings.ip.to_string()),
+            ("port", settings.port.to_string()),
+            ("api-port", settings.api_port.to_string()),
+            ("platform", settings.platform.to_string()),
+            (
+                "peer",
+                settings.peer.clone().unwrap_or_default().to_string(),
+            ),
+            (
+                "admin",
+                settings.admin.clone().unwrap_or_default().to_string(),
+            ),
+            ("poll-ms", settings.poll.as_millis().to_string()),
+            ("log", "none".to_owned()),
+        ];
+        Process::start(arguments, &["run"])
+    }
+}
+
+/// Runs a test against a started system.
+pub fn with_cluster<F: AsyncFnOnce(&mut Cluster)>(shape: Shape, test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    LocalSet::new().block_on(&runtime, async {
+        let mut cluster = Cluster::start(shape, &Processes)
+            .await
+            .expect("the system starts");
+        test(&mut cluster).await;
+    });
+}
--- /dev/null
+++ b/tests/unit/declarations.rs
@@ -0,0 +1,61 @@
+use googletest::prelude::*;
+use larkfall::declarations::check;
+use larkfall::declarations::entry::read;
+
+const GOOD: &str = r#"
+[[partner]]
+name = "huerto"
+operator = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+[[group]]
+partner = "huerto"
+name = "market"
+"#;
+
+fn findings(text: &str) -> Vec<String> {
+    let (entries, mut findings) = read("a.toml", text);
+    findings.extend(check::all(&entries).err().unwrap_or_default());
+    findings.iter().map(ToString::to_string).collect()
+}
+
+#[gtest]
+fn good_declarations_have_no_findings() {
+    expect_that!(findings(GOOD), is_empty());
+}
+
+#[gtest]
+fn three_mistakes_are_three_findings_with_their_lines() {
+    let text = format!(
+        "{GOOD}slots = 0\ncolour = \"red\"\n\n[[member]]\npartner = \"huerto\"\n\
+        group = \"field\"\nname = \"m0\"\nsql = \"nowhere\"\ncontrol = \"127.0.0.1:1\"\ndomain = \"d0\"\n"
+    );
+    expect_that!(
+        findings(&text),
+        unordered_elements_are![
+            contains_substring("a.toml:9: group.slots: must be a whole number from 1"),
+            contains_substring("a.toml:10: group.colour: is not known"),
+            contains_substring("a.toml:16: member.sql: must be IP:port"),
+        ]
+    );
+}
+
+#[gtest]
+fn a_missing_group_is_found_at_the_field_that_names_it() {
+    let text =
+        format!("{GOOD}[[read]]\npartner = \"huerto\"\ngroup = \"field\"\nname = \"panel\"\n");
+    let found = findings(&text);
+    expect_that!(
+        found,
+        elements_are![eq(
+            "a.toml:11: read.group: group/huerto/field is not declared"
+        )]
+    );
+}
+
+#[gtest]
+fn a_syntax_error_has_its_line() {
+    expect_that!(
+        findings("[[partner]]\nname = \n"),
+        elements_are![contains_substring("a.toml:2: syntax:")]
+    );
+}
--- /dev/null
+++ b/tests/unit/fake.rs
@@ -0,0 +1,887 @@
+//! A small fake of members and the network around the decisions, in virtual time.
+//!
+//! Members keep a log of values; owners are the real decisions. Messages are
+//! delayed, lost and cut; members are killed and frozen, owners paused.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use larkfall::borders::member::{Address, MemberError, Role, Status, Stream};
+use larkfall::decisions::confirm::Outcome;
+use larkfall::decisions::group::{Action, Event, Group, Request, Settings, Target};
+use larkfall::decisions::position::Position;
+use larkfall::declarations::resource::{Durability, Group as GroupSpec, Member as MemberSpec};
+use larkfall::declarations::snapshot::Plan;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub const MEMBERS: usize = 3;
+pub const OWNERS: usize = 3;
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+const STREAM_SILENT: Duration = Duration::from_millis(400);
+
+pub const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// What is taken out, to see that the checker notices.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Without {
+    /// Writes are acknowledged without a majority.
+    pub confirmation: bool,
+    /// Members grant a term without keeping to it.
+    pub fences: bool,
+    /// Reads are routed without the session's floor.
+    pub floors: bool,
+    /// Strict reads are answered without looking at a majority.
+    pub verification: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    term: u64,
+    value: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    promised: u64,
+    term: u64,
+    role: Role,
+    log: Vec<Entry>,
+    applied: usize,
+    primary: Option<usize>,
+    up: bool,
+    frozen: bool,
+    heard: Duration,
+    broken: bool,
+    lag: Duration,
+    /// When each entry was received.
+    received: Vec<Duration>,
+}
+
+impl Member {
+    fn position(&self, length: usize) -> Position {
+        let term = length.checked_sub(1).map_or(0, |i| self.log[i].term);
+        Position::new(term, length as u64)
+    }
+
+    fn status(&self, now: Duration) -> Status {
+        let stream = match self.role {
+            Role::Primary => Stream::None,
+            Role::Replica if self.broken => Stream::Broken,
+            Role::Replica if now > self.heard + STREAM_SILENT => Stream::Silent,
+            Role::Replica => Stream::Live,
+        };
+        Status {
+            promised: self.promised,
+            role: self.role,
+            log: self.position(self.log.len()),
+            applied: self.position(self.applied),
+            stream,
+        }
+    }
+
+    fn append(&mut self, value: Option<u64>, now: Duration) {
+        let term = self.term;
+        self.log.push(Entry { term, value });
+        self.received.push(now);
+        self.applied = self.log.len();
+    }
+
+    fn values(&self) -> BTreeSet<u64> {
+        self.log[..self.applied]
+            .iter()
+            .filter_map(|entry| entry.value)
+            .collect()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Call {
+    Status,
+    Fence(u64),
+    Promote(u64),
+    Follow(u64, usize),
+    Run(u64),
+}
+
+#[derive(Clone, Debug)]
+enum Delivery {
+    ToMember {
+        owner: usize,
+        member: usize,
+        began: Duration,
+        call: Call,
+    },
+    ToOwner {
+        owner: usize,
+        event: Event,
+    },
+    /// The answer to a run.
+    Answer {
+        owner: usize,
+        id: u64,
+        began: Duration,
+        answer: Option<Ran>,
+    },
+    Replicate(usize),
+    Apply(usize),
+    Wake(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Ran {
+    position: Position,
+    values: BTreeSet<u64>,
+}
+
+/// A statement under way, with what it must see.
+#[derive(Clone, Debug)]
+struct Statement {
+    session: usize,
+    target: Target,
+    value: Option<u64>,
+    arrived: Duration,
+    assigned: Duration,
+    member: usize,
+    term: u64,
+    owner: usize,
+    must_see: BTreeSet<u64>,
+    ran: Option<Ran>,
+    running: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Session {
+    floor: Option<Position>,
+    own: BTreeSet<u64>,
+}
+
+/// What went wrong, by the checker.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    pub lost: usize,
+    pub stale_own: usize,
+    pub stale_strict: usize,
+    pub too_old: usize,
+    pub twice: usize,
+    pub without_primary: usize,
+}
+
+/// How much happened.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub acknowledged: usize,
+    pub unknown: usize,
+    pub refused: usize,
+    pub replica_reads: usize,
+    pub primary_reads: usize,
+    pub replacements: usize,
+    /// Moments of acknowledgement.
+    pub acks: Vec<Duration>,
+}
+
+pub struct World {
+    pub now: Duration,
+    dice: SmallRng,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    deliveries: BTreeMap<u64, Delivery>,
+    sequence: u64,
+    members: Vec<Member>,
+    owners: Vec<Group>,
+    paused: Vec<Option<Duration>>,
+    /// Pairs of domains that do not hear each other; owners and members share domains.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Members that owners of other domains, or all, do not reach.
+    pub hidden: BTreeSet<(usize, usize)>,
+    pub loss: f64,
+    without: Without,
+    statements: BTreeMap<u64, Statement>,
+    pub sessions: Vec<Session>,
+    acknowledged: BTreeMap<u64, Duration>,
+    next: u64,
+    pub faults: Faults,
+    pub counts: Counts,
+}
+
+fn plan(durability: Durability) -> Arc<Plan> {
+    let member = |i: usize| MemberSpec {
+        partner: "p".into(),
+        group: "g".into(),
+        name: format!("m{i}").into(),
+        address: Address {
+            sql: format!("127.0.0.1:{i}").into(),
+            control: format!("127.0.0.1:1{i}").into(),
+        },
+        domain: format!("d{i}").into(),
+        leaving: false,
+    };
+    Arc::new(Plan {
+        id: "p/g".into(),
+        group: GroupSpec {
+            partner: "p".into(),
+            name: "g".into(),
+            durability,
+            slots: 3,
+            connections: 24,
+            owners: OWNERS as u32,
+            deadline_ms: 5_000,
+            max_age_ms: 500,
+        },
+        members: (0..MEMBERS).map(member).collect(),
+        reads: Vec::new(),
+        onces: Vec::new(),
+    })
+}
+
+impl World {
+    pub fn new(seed: u64, without: Without) -> Self {
+        let durability = match without.confirmation {
+            true => Durability::Primary,
+            false => Durability::Majority,
+        };
+        let plan = plan(durability);
+        let owner = |i: usize| {
+            let domain = format!("d{i}").into();
+            Group::new(
+                plan.clone(),
+                domain,
+                i as u32,
+                Settings::default(),
+                seed + i as u64,
+                ms(0),
+            )
+        };
+        let mut member = Member {
+            promised: 1,
+            term: 1,
+            role: Role::Replica,
+            log: Vec::new(),
+            applied: 0,
+            primary: Some(0),
+            up: true,
+            frozen: false,
+            heard: ms(0),
+            broken: false,
+            lag: ms(10),
+            received: Vec::new(),
+        };
+        let mut members = vec![member.clone(); MEMBERS];
+        member.role = Role::Primary;
+        member.append(None, ms(0));
+        members[0] = member;
+        let mut world = Self {
+            now: ms(0),
+            dice: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            deliveries: BTreeMap::new(),
+            sequence: 0,
+            members,
+            owners: (0..OWNERS).map(owner).collect(),
+            paused: vec![None; OWNERS],
+            cuts: BTreeSet::new(),
+            hidden: BTreeSet::new(),
+            loss: 0.0,
+            without,
+            statements: BTreeMap::new(),
+            sessions: vec![Session::default(); 6],
+            acknowledged: BTreeMap::new(),
+            next: 1,
+            faults: Faults::default(),
+            counts: Counts::default(),
+        };
+        for i in 0..OWNERS {
+            world.at(ms(0), Delivery::Wake(i));
+        }
+        for i in 0..MEMBERS {
+            world.at(ms(1), Delivery::Replicate(i));
+            world.at(ms(1), Delivery::Apply(i));
+        }
+        world
+    }
+
+    pub fn roll(&mut self, range: std::ops::Range<u64>) -> u64 {
+        self.dice.random_range(range)
+    }
+
+    fn at(&mut self, time: Duration, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.push(Reverse((time, self.sequence)));
+        self.deliveries.insert(self.sequence, delivery);
+    }
+
+    /// One way through the network: 1.5 ms and some, more between domains.
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.dice.random_range(1_000..3_000))
+    }
+
+    fn is_cut(&self, owner: usize, member: usize) -> bool {
+        self.hidden.contains(&(owner, member)) || self.domains_cut(owner, member)
+    }
+
+    fn domains_cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    fn lost(&mut self) -> bool {
+        let loss = self.loss;
+        self.dice.random_bool(loss)
+    }
+
+    // Faults.
+
+    pub fn kill(&mut self, member: usize) {
+        self.members[member].up = false;
+        for owner in 0..OWNERS {
+            if !self.is_cut(owner, member) {
+                let at = self.now + self.delay();
+                let event = Event::Broken { member };
+                self.at(at, Delivery::ToOwner { owner, event });
+            }
+        }
+        for i in 0..MEMBERS {
+            if self.members[i].primary == Some(member) {
+                self.members[i].broken = true;
+            }
+        }
+    }
+
+    pub fn revive(&mut self, member: usize) {
+        self.members[member].up = true;
+    }
+
+    pub fn freeze(&mut self, member: usize, frozen: bool) {
+        self.members[member].frozen = frozen;
+    }
+
+    pub fn set_lag(&mut self, member: usize, lag: Duration) {
+        self.members[member].lag = lag;
+    }
+
+    pub fn pause(&mut self, owner: usize, length: Duration) {
+        self.paused[owner] = Some(self.now + length);
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.hidden.clear();
+        self.loss = 0.0;
+        for member in &mut self.members {
+            member.up = true;
+            member.frozen = false;
+            member.lag = ms(10);
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |member: &Member| {
+            member.up && member.role == Role::Primary && member.promised == member.term
+        };
+        (0..MEMBERS)
+            .filter(|i| leads(&self.members[*i]))
+            .max_by_key(|i| self.members[*i].term)
+    }
+
+    // Statements.
+
+    pub fn write(&mut self, session: usize, owner: usize) {
+        let value = self.next;
+        self.submit(session, owner, Target::Primary, Some(value));
+    }
+
+    pub fn read(&mut self, session: usize, owner: usize, target: Target) {
+        self.submit(session, owner, target, None);
+    }
+
+    fn submit(&mut self, session: usize, owner: usize, target: Target, value: Option<u64>) {
+        let id = self.next;
+        self.next += 1;
+        let floor = match self.without.floors {
+            true => Some(Position::ZERO),
+            false => self.sessions[session].floor,
+        };
+        let must_see = match target {
+            Target::Strict => self.acknowledged.keys().copied().collect(),
+            _ => self.sessions[session].own.clone(),
+        };
+        let statement = Statement {
+            session,
+            target,
+            value,
+            arrived: self.now,
+            assigned: self.now,
+            member: 0,
+            term: 0,
+            owner,
+            must_see,
+            ran: None,
+            running: false,
+        };
+        self.statements.insert(id, statement);
+        let request = Request {
+            id,
+            partner: "p".into(),
+            weight: 1,
+            target,
+            floor,
+            arrived: self.now,
+            deadline: self.now + ms(3_000),
+        };
+        self.at(
+            self.now,
+            Delivery::ToOwner {
+                owner,
+                event: Event::Arrive(request),
+            },
+        );
+    }
+
+    // The world's course.
+
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some(Reverse((time, sequence))) = self.queue.peek().copied() {
+            if time > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(time);
+            let delivery = self.deliveries.remove(&sequence).expect("queued");
+            self.deliver(delivery);
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::ToMember {
+                owner,
+                member,
+                began,
+                call,
+            } => {
+                self.serve(owner, member, began, call);
+            }
+            Delivery::ToOwner { owner, event } => self.tell(owner, event),
+            Delivery::Answer {
+                owner,
+                id,
+                began,
+                answer,
+            } => self.answered(owner, id, began, answer),
+            Delivery::Wake(owner) => {
+                self.tell(owner, Event::Tick);
+                let next = self.owners[owner].wake().max(self.now + ms(1));
+                self.at(next.min(self.now + ms(20)), Delivery::Wake(owner));
+            }
+            Delivery::Replicate(member) => {
+                self.replicate(member);
+                self.at(self.now + ms(3), Delivery::Replicate(member));
+            }
+            Delivery::Apply(member) => {
+                self.apply(member);
+                self.at(self.now + ms(1), Delivery::Apply(member));
+            }
+        }
+    }
+
+    fn tell(&mut self, owner: usize, event: Event) {
+        if let Some(until) = self.paused[owner] {
+            if self.now < until {
+                let delivery = Delivery::ToOwner { owner, event };
+                self.at(until, delivery);
+                return;
+            }
+            self.paused[owner] = None;
+        }
+        let actions = self.owners[owner].handle(event, self.now);
+        for action in actions {
+            self.act(owner, action);
+        }
+    }
+
+    fn act(&mut self, owner: usize, action: Action) {
+        match action {
+            Action::Assign { id, member, term } => self.assign(owner, id, member, term),
+            Action::Refuse { id, .. } => {
+                self.statements.remove(&id);
+                self.counts.refused += 1;
+            }
+            Action::Settle { id, outcome } => self.settled(id, outcome),
+            Action::Probe { member } => self.call(owner, member, Call::Status),
+            Action::Fence { member, term } => self.call(owner, member, Call::Fence(term)),
+            Action::Promote { member, term } => self.call(owner, member, Call::Promote(term)),
+            Action::Follow {
+                member,
+                term,
+                primary,
+            } => {
+                self.call(owner, member, Call::Follow(term, primary));
+            }
+            Action::Ask => self.ask(owner),
+            Action::Record { .. } => self.counts.replacements += 1,
+            Action::Note(_) => {}
+        }
+    }
+
+    fn ask(&mut self, owner: usize) {
+        let term = self.owners[owner].term();
+        for other in (0..OWNERS).filter(|other| *other != owner) {
+            let paused = self.paused[other].is_some_and(|until| self.now < until);
+            if self.domains_cut(owner, other) || paused || self.lost() {
+                continue;
+            }
+            let event = Event::Opinion {
+                from: format!("b{other}").into(),
+                near: false,
+                suspects: self.owners[other].suspects(term),
+            };
+            let at = self.now + self.delay() + self.delay();
+            self.at(at, Delivery::ToOwner { owner, event });
+        }
+    }
+
+    fn call(&mut self, owner: usize, member: usize, call: Call) {
+        let at = self.now + self.delay();
+        let began = self.now;
+        self.at(
+            at,
+            Delivery::ToMember {
+                owner,
+                member,
+                began,
+                call,
+            },
+        );
+    }
+
+    /// A member takes a call; the answer goes back, or nothing does.
+    fn serve(&mut self, owner: usize, member: usize, began: Duration, call: Call) {
+        let lost_there = self.is_cut(owner, member) || self.lost() || self.members[member].frozen;
+        if lost_there {
+            self.silence(owner, member, began, call);
+            return;
+        }
+        if !self.members[member].up {
+            self.reply(owner, member, began, call, Err(MemberError::Broken));
+            return;
+        }
+        let now = self.now;
+        if let Call::Run(id) = call {
+            let ran = self.execute(member, id);
+            let back = self.now + self.delay();
+            let answer = if self.lost() { None } else { ran };
+            self.at(
+                back,
+                Delivery::Answer {
+                    owner,
+                    id,
+                    began,
+                    answer,
+                },
+            );
+            return;
+        }
+        let unkept = self.without.fences;
+        let node = &mut self.members[member];
+        let fenced = Err(MemberError::Fenced {
+            promised: node.promised,
+        });
+        let answer = match call {
+            Call::Fence(term) if unkept => Ok(Status {
+                promised: term,
+                ..node.status(now)
+            }),
+            Call::Promote(term) if unkept => {
+                node.promised = node.promised.max(term);
+                node.role = Role::Primary;
+                node.term = term;
+                node.append(None, now);
+                Ok(node.status(now))
+            }
+            Call::Fence(term) if term > node.promised => {
+                node.promised = term;
+                Ok(node.status(now))
+            }
+            Call::Promote(term) if term == node.promised => {
+                if node.role != Role::Primary || node.term != term {
+                    node.role = Role::Primary;
+                    node.term = term;
+                    node.append(None, now);
+                }
+                Ok(node.status(now))
+            }
+            Call::Follow(term, primary) if term >= node.promised && primary != member => {
+                node.promised = term;
+                node.role = Role::Replica;
+                node.primary = Some(primary);
+                Ok(node.status(now))
+            }
+            Call::Status => Ok(node.status(now)),
+            _ => fenced,
+        };
+        match self.lost() {
+            true => self.silence(owner, member, began, call),
+            false => self.reply(owner, member, began, call, answer),
+        }
+    }
+
+    fn execute(&mut self, member: usize, id: u64) -> Option<Ran> {
+        let value = self.statements.get(&id)?.value;
+        let now = self.now;
+        let fences = !self.without.fences;
+        let node = &mut self.members[member];
+        if let Some(value) = value {
+            if node.role != Role::Primary || (fences && node.promised != node.term) {
+                return None;
+            }
+            node.append(Some(value), now);
+        }
+        Some(Ran {
+            position: node.position(node.applied),
+            values: node.values(),
+        })
+    }
+
+    fn silence(&mut self, owner: usize, member: usize, began: Duration, call: Call) {
+        if let Call::Run(id) = call {
+            let at = self.now + ANSWER_WAIT;
+            self.at(
+                at,
+                Delivery::Answer {
+                    owner,
+                    id,
+                    began,
+                    answer: None,
+                },
+            );
+            return;
+        }
+        let at = self.now + ANSWER_WAIT;
+        let event = event_of(member, began, call, Err(MemberError::Silent));
+        self.at(at, Delivery::ToOwner { owner, event });
+    }
+
+    fn reply(
+        &mut self,
+        owner: usize,
+        member: usize,
+        began: Duration,
+        call: Call,
+        answer: Result<Status, MemberError>,
+    ) {
+        let at = self.now + self.delay();
+        if let Call::Run(id) = call {
+            self.at(
+                at,
+                Delivery::Answer {
+                    owner,
+                    id,
+                    began,
+                    answer: None,
+                },
+            );
+            return;
+        }
+        let event = event_of(member, began, call, answer);
+        self.at(at, Delivery::ToOwner { owner, event });
+    }
+
+    fn replicate(&mut self, member: usize) {
+        let now = self.now;
+        let fences = !self.without.fences;
+        let Some(primary) = self.members[member].primary else {
+            return;
+        };
+        if self.members[member].role == Role::Primary || !self.members[member].up {
+            return;
+        }
+        if self.members[member].frozen || self.domains_cut(member, primary) {
+            return;
+        }
+        let source = self.members[primary].clone();
+        let node = &mut self.members[member];
+        node.broken = !source.up;
+        let current = source.role == Role::Primary
+            && (!fences || (source.promised == source.term && node.promised == source.term));
+        if !source.up || source.frozen || !current {
+            return;
+        }
+        let same = |i: &usize| {
+            let (a, b) = (&node.log[*i - 1], &source.log[*i - 1]);
+            a.term == b.term
+        };
+        let shared = (1..=node.log.len().min(source.log.len()))
+            .rev()
+            .find(same)
+            .unwrap_or(0);
+        node.heard = now;
+        node.term = source.term;
+        node.log.truncate(shared);
+        node.received.truncate(shared);
+        node.applied = node.applied.min(shared);
+        node.log.extend_from_slice(&source.log[shared..]);
+        node.received.resize(node.log.len(), now);
+    }
+
+    fn apply(&mut self, member: usize) {
+        let now = self.now;
+        let node = &mut self.members[member];
+        if !node.up || node.frozen {
+            return;
+        }
+        while node.applied < node.log.len() && node.received[node.applied] + node.lag <= now {
+            node.applied += 1;
+        }
+    }
+
+    fn assign(&mut self, owner: usize, id: u64, member: usize, term: u64) {
+        let now = self.now;
+        let Some(statement) = self.statements.get_mut(&id) else {
+            return;
+        };
+        statement.member = member;
+        statement.term = term;
+        statement.assigned = now;
+        statement.running = true;
+        if statement.value.is_none() {
+            match self.members[member].role {
+                Role::Primary => self.counts.primary_reads += 1,
+                Role::Replica => self.counts.replica_reads += 1,
+            }
+        }
+        self.call(owner, member, Call::Run(id));
+    }
+
+    fn answered(&mut self, owner: usize, id: u64, began: Duration, answer: Option<Ran>) {
+        let Some(statement) = self.statements.get_mut(&id) else {
+            return;
+        };
+        statement.ran = answer.clone();
+        let statement = statement.clone();
+        let release = Event::Release {
+            member: statement.member,
+            began,
+            took: self.now - began,
+            position: answer.as_ref().map(|ran| ran.position),
+        };
+        self.tell(owner, release);
+        let Some(ran) = answer else {
+            self.counts.unknown += usize::from(statement.value.is_some());
+            self.statements.remove(&id);
+            return;
+        };
+        let deadline = self.now + ms(2_000);
+        match (statement.value, statement.target) {
+            (Some(_), _) => {
+                let event = Event::Wrote {
+                    id,
+                    member: statement.member,
+                    position: ran.position,
+                    deadline,
+                };
+                self.tell(owner, event);
+            }
+            (None, Target::Strict) if !self.without.verification => {
+                self.verify(owner, id, &statement, statement.arrived);
+            }
+            (None, Target::Replica { max_age }) if self.is_primary_for(&statement) => {
+                let since = statement.arrived.saturating_sub(max_age);
+                self.verify(owner, id, &statement, since);
+            }
+            (None, _) => self.settled(id, Outcome::Confirmed),
+        }
+    }
+
+    fn is_primary_for(&self, statement: &Statement) -> bool {
+        self.owners[statement.owner].primary() == Some(statement.member)
+    }
+
+    fn verify(&mut self, owner: usize, id: u64, statement: &Statement, since: Duration) {
+        let event = Event::Verify {
+            id,
+            member: statement.member,
+            term: statement.term,
+            since,
+            deadline: self.now + ms(2_000),
+        };
+        self.tell(owner, event);
+    }
+
+    fn settled(&mut self, id: u64, outcome: Outcome) {
+        let Some(statement) = self.statements.remove(&id) else {
+            return;
+        };
+        let Some(ran) = statement.ran else { return };
+        if outcome == Outcome::Unknown {
+            self.counts.unknown += usize::from(statement.value.is_some());
+            return;
+        }
+        let session = &mut self.sessions[statement.session];
+        session.floor = Some(session.floor.unwrap_or(Position::ZERO).join(ran.position));
+        if let Some(value) = statement.value {
+            session.own.insert(value);
+            self.acknowledged.insert(value, self.now);
+            self.counts.acknowledged += 1;
+            self.counts.acks.push(self.now);
+            return;
+        }
+        let missing = !statement.must_see.is_subset(&ran.values);
+        match statement.target {
+            Target::Strict => self.faults.stale_strict += usize::from(missing),
+            _ => self.faults.stale_own += usize::from(missing),
+        }
+        if let Target::Replica { max_age } = statement.target {
+            let bound = statement.assigned.saturating_sub(max_age);
+            let older = self.acknowledged.iter().filter(|(_, at)| **at < bound);
+            let hidden = older
+                .filter(|(value, _)| !ran.values.contains(value))
+                .count();
+            self.faults.too_old += usize::from(hidden > 0);
+        }
+    }
+
+    /// Compares all that was acknowledged with the log that won.
+    pub fn check(&mut self) {
+        let Some(leader) = self.leader() else {
+            self.faults.without_primary += 1;
+            return;
+        };
+        let log: Vec<u64> = self.members[leader]
+            .log
+            .iter()
+            .filter_map(|e| e.value)
+            .collect();
+        let present: BTreeSet<u64> = log.iter().copied().collect();
+        self.faults.twice += log.len() - present.len();
+        let lost = self
+            .acknowledged
+            .keys()
+            .filter(|value| !present.contains(value));
+        self.faults.lost += lost.count();
+    }
+}
+
+fn event_of(
+    member: usize,
+    began: Duration,
+    call: Call,
+    answer: Result<Status, MemberError>,
+) -> Event {
+    match call {
+        Call::Fence(term) => Event::Fenced {
+            member,
+            term,
+            answer,
+        },
+        Call::Promote(term) => Event::Promoted { term, answer },
+        Call::Status => Event::Status {
+            member,
+            began,
+            answer,
+        },
+        Call::Follow(..) | Call::Run(_) => Event::Look,
+    }
+}
