--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -118,11 +118,11 @@
         assert!(self.running > 0, "a place is released that nobody held");
         self.running -= 1;
         self.service = (self.service * (SMOOTHING - 1) + took) / SMOOTHING;
-        self.next()
+        self.admit_next()
     }
 
     /// Fills a place that is free without a release, as after a change of capacity.
-    pub fn next(&mut self) -> Option<u64> {
+    pub fn admit_next(&mut self) -> Option<u64> {
         if self.running >= self.capacity {
             return None;
         }
--- a/src/standin/member.rs
+++ b/src/standin/member.rs
@@ -367,11 +367,12 @@
 
     /// Takes what a primary shipped. True when something was received.
     pub async fn receive(&self, batch: Batch) -> Result<bool, Fault> {
-        let state = self.state();
         let length = batch.first - 1 + batch.entries.len() as u64;
-        let shared = state.shared(&batch.runs, length);
-        let cuts = shared < state.log.len() as u64;
-        drop(state);
+        let (shared, held) = {
+            let state = self.state();
+            (state.shared(&batch.runs, length), state.last().index)
+        };
+        let cuts = shared < held;
         let _whole = match cuts {
             true => Some(self.lock.lock().await),
             false => None,
