--- a/src/node.rs
+++ b/src/node.rs
@@ -12,5 +12,6 @@
 pub mod peers;
 pub mod pool;
 pub mod relay;
+pub mod routes;
 pub mod run;
 pub mod session;
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::message::Sender;
+use super::routes::{Classes, Routes};
 use crate::borders::clock::Clock;
 use crate::borders::member::Members;
 use crate::borders::roster::{Listing, Roster};
@@ -34,6 +35,8 @@
     pub boxes: watch::Receiver<Arc<[Listing]>>,
     /// True from the moment the box leaves.
     pub leaving: watch::Receiver<bool>,
+    pub classes: Classes,
+    pub routes: Routes,
     /// Callers connected now.
     pub callers: Cell<usize>,
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -17,6 +17,7 @@
 use super::driver::Driver;
 use super::entry::Entry;
 use super::owner::Owner;
+use super::routes::{Classes, Routes};
 use crate::borders::clock::System;
 use crate::borders::table::{Commit, Table, TableError, Verdict};
 use crate::configs::run::Run;
@@ -62,6 +63,8 @@
         snapshot: snapshot.clone(),
         boxes: boxes.clone(),
         leaving: leaving.clone(),
+        classes: Classes::default(),
+        routes: Routes::default(),
         callers: Cell::new(0),
         settings,
         log,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -15,7 +15,6 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::context::Context;
-use super::driver::group_owners;
 use super::exchange::{
     Close, Effect, Exchange, Expect, Failure, Reply, Server, Statement, Status, Step, state,
 };
@@ -23,7 +22,7 @@
 use super::peers::{self, ForwardError};
 use super::relay::encoded;
 use crate::borders::roster::Listing;
-use crate::decisions::classify::{Class, Command, Kind, classify};
+use crate::decisions::classify::{Class, Command, Kind};
 use crate::decisions::group::{Reason, Refusal, Target};
 use crate::decisions::position::Position;
 use crate::declarations::snapshot::Plan;
@@ -48,7 +47,7 @@
 #[derive(Clone)]
 struct Named {
     statement: Statement,
-    class: Class,
+    class: Rc<Class>,
 }
 
 /// Messages gathered until the exchange is closed.
@@ -56,16 +55,17 @@
 struct Batch {
     steps: Vec<Step>,
     /// Decides where the exchange runs.
-    class: Option<Class>,
+    class: Option<Rc<Class>>,
     /// Something is executed that may change data.
     writes: bool,
     executes: bool,
 }
 
 impl Batch {
-    fn join(&mut self, class: Class) {
+    fn join(&mut self, class: Rc<Class>) {
         self.class = Some(match self.class.take() {
-            Some(before) => before.join(class),
+            Some(before) if Rc::ptr_eq(&before, &class) => before,
+            Some(before) => Rc::new(Class::clone(&before).join(Class::clone(&class))),
             None => class,
         });
     }
@@ -85,7 +85,7 @@
     group: Arc<str>,
     floor: Option<Position>,
     statements: HashMap<String, Named>,
-    portals: HashMap<String, Class>,
+    portals: HashMap<String, Rc<Class>>,
     batch: Batch,
     held: Option<Held>,
     status: Status,
@@ -216,7 +216,7 @@
     }
 
     fn parse(&mut self, parse: Parse) -> Result<(), ChannelError> {
-        let class = classify(&parse.query);
+        let class = self.context.classes.of(&parse.query);
         let statement = shared_statement(&parse.query, parse.type_oids);
         let named = Named {
             statement: statement.clone(),
@@ -280,7 +280,7 @@
     // Simple protocol.
 
     async fn simple(&mut self, sql: String) -> Result<(), ChannelError> {
-        let class = classify(&sql);
+        let class = self.context.classes.of(&sql);
         if self.status == Status::Idle && class.kind == Kind::Session {
             return self.command(&class.command).await;
         }
@@ -406,7 +406,7 @@
             .groups
             .get(&self.group)
             .ok_or_else(|| Report::fatal("3D000", "this database group is no longer declared"))?;
-        let class = batch.class.unwrap_or_else(|| classify(""));
+        let class = batch.class.unwrap_or_else(|| self.context.classes.of(""));
         if let Command::Refuse { what } = class.command {
             return Err(unsupported(what));
         }
@@ -494,7 +494,7 @@
             reason: Reason::CutOff,
             retry_after: Duration::from_secs(1),
         });
-        for owner in self.owners() {
+        for owner in self.owners().iter() {
             let own = owner.name == self.context.settings.name;
             let served = match own {
                 true => self
@@ -505,7 +505,7 @@
                 false => peers::forward(&self.context, &owner.address, exchange).await,
             };
             match served {
-                Ok(reply) => return Ok((reply, (!own).then_some(owner.address))),
+                Ok(reply) => return Ok((reply, (!own).then(|| owner.address.clone()))),
                 Err(ForwardError::Unsent) => {}
                 Err(ForwardError::Failure(failure)) if elsewhere(&failure) => last = failure,
                 Err(ForwardError::Failure(failure)) => return Err(failure),
@@ -533,19 +533,13 @@
     }
 
     /// Owners of the group, in the order in which this box tries them.
-    fn owners(&self) -> Vec<Listing> {
-        let snapshot = self.context.snapshot.borrow().clone();
-        let boxes = self.context.boxes.borrow().clone();
-        let Some(plan) = snapshot.groups.get(&self.group) else {
-            return Vec::new();
-        };
-        let mut owners: Vec<Listing> = group_owners(plan, &boxes).into_iter().cloned().collect();
-        let settings = &self.context.settings;
-        let spread = xxh3_128(settings.name.as_bytes()) as usize;
-        let turn = spread % owners.len().max(1);
-        owners.rotate_left(turn);
-        owners.sort_by_key(|owner| (owner.name != settings.name, owner.domain != settings.domain));
-        owners
+    fn owners(&self) -> Rc<[Listing]> {
+        let context = &self.context;
+        let snapshot = context.snapshot.borrow().clone();
+        let boxes = context.boxes.borrow().clone();
+        context
+            .routes
+            .owners(&self.group, &snapshot, &boxes, &context.settings)
     }
 
     async fn answer(
