fix: admission keeps time for the answer; declared kinds of read kept apart

Two causes, both found by measurement.

Ruled out: the box's processor, the fair queue.

The default is one floor, as before.

--- a/examples/replicas.rs
+++ b/examples/replicas.rs
@@ -101,6 +101,7 @@
     lag: u64,
     length: Duration,
     strict: bool,
+    own_writes: &str,
 ) -> anyhow::Result<()> {
     let max_age = if strict { 0 } else { 2_000 };
     let shape = Shape {
@@ -110,7 +111,7 @@
         group_fields: json!({ "max_age_ms": max_age }),
         rules: vec![(
             "read".to_owned(),
-            json!({ "name": "deck", "tables": ["deck"], "max_age_ms": if strict { 0 } else { 5_000 } }),
+            json!({ "name": "deck", "tables": ["deck"], "max_age_ms": if strict { 0 } else { 5_000 }, "own_writes": own_writes }),
         )],
         ..Shape::default()
     };
@@ -138,13 +139,25 @@
     for session in sessions {
         session.await??;
     }
+    let deck = r#"kind="deck""#;
+    let decks = cluster
+        .counter_with("larkfall_reads_by_replica_total", deck)
+        .await;
+    let decks_by_primary = cluster
+        .counter_with("larkfall_reads_by_primary_total", deck)
+        .await;
     let replica = cluster.counter("larkfall_reads_by_replica_total").await - replica;
     let primary = cluster.counter("larkfall_reads_by_primary_total").await - primary;
     let seen = seen.borrow();
-    let way = if strict { "all to primary" } else { "larkfall" };
+    let way = match (strict, own_writes) {
+        (true, _) => "all to primary",
+        (false, "tables") => "decks apart",
+        _ => "one floor",
+    };
     println!(
-        "{name:12} lag {lag:3} ms  {way:14} on replicas {:5.1}%  (pinned {:.0} s after a write: {:5.1}%)  stale own reads {}  errors {}",
+        "{name:12} lag {lag:3} ms  {way:14} on replicas {:5.1}%, panel and deck {:5.1}%  (pinned {:.0} s after a write: {:5.1}%)  stale own reads {}  errors {}",
         100.0 * replica / (replica + primary).max(1.0),
+        100.0 * decks / (decks + decks_by_primary).max(1.0),
         PIN.as_secs_f64(),
         100.0 * (1.0 - seen.pinned as f64 / seen.reads.max(1) as f64),
         seen.stale,
@@ -181,8 +194,9 @@
     ];
     for make in deployments {
         for lag in [5, 50, 500] {
-            for strict in [false, true] {
-                LocalSet::new().block_on(&runtime, trial(make(), lag, length, strict))?;
+            for (strict, own_writes) in [(false, "tables"), (false, "all"), (true, "all")] {
+                LocalSet::new()
+                    .block_on(&runtime, trial(make(), lag, length, strict, own_writes))?;
             }
         }
     }
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -5,6 +5,7 @@
 pub mod confirm;
 pub mod detect;
 pub mod fair;
+pub mod floors;
 pub mod group;
 pub mod owners;
 pub mod position;
--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -12,6 +12,8 @@
 
 const SCALE: u64 = 1_000_000;
 const SMOOTHING: u32 = 16;
+const SERVICES_KEPT: u32 = 2;
+const WAIT_SHARE_KEPT: u32 = 4;
 
 /// What becomes of an arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +90,7 @@
         }
         let own = self.queued.get(partner).copied().unwrap_or_default();
         let wait = self.expected(own, self.queued.len().max(1));
-        if now + wait > deadline {
+        if now + wait + self.allowance(wait) > deadline {
             return Admission::Refuse { retry_after: wait };
         }
         let start = self.finish.get(partner).copied().unwrap_or_default();
@@ -113,6 +115,13 @@
         self.service * rounds
     }
 
+    /// Time kept between the expected start and the deadline: for the statement
+    /// itself, and for the wait to turn out longer. An answer after its deadline
+    /// is work for nothing.
+    fn allowance(&self, wait: Duration) -> Duration {
+        self.service * SERVICES_KEPT + wait / WAIT_SHARE_KEPT
+    }
+
     /// A place became free after `took`. Who runs next, if anyone waits.
     pub fn release(&mut self, took: Duration) -> Option<u64> {
         assert!(self.running > 0, "a place is released that nobody held");
@@ -144,9 +153,11 @@
         true
     }
 
-    /// Takes out those whose deadline has passed, to be answered at once.
+    /// Takes out those who can't be served by their deadline any more, to be
+    /// answered at once.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
-        let late = self.waiting.iter().filter(|(_, w)| w.deadline <= now);
+        let end = now + self.service;
+        let late = self.waiting.iter().filter(|(_, w)| w.deadline < end);
         let ids: Vec<u64> = late.map(|(_, waiter)| waiter.id).collect();
         for id in &ids {
             self.withdraw(*id);
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -763,6 +763,7 @@
         if let Some(position) = position {
             self.answered(member, position, began, now);
         }
+        self.expire_queue(member, now, out);
         let mut next = self.members[member].fair.release(took);
         while let Some(id) = next {
             let (request, _) = self
@@ -1171,17 +1172,8 @@
 
     /// Answers at once those who have waited in vain.
     fn expire(&mut self, now: Duration, out: &mut Vec<Action>) {
-        for member in &mut self.members {
-            let retry_after = member.fair.wait();
-            for id in member.fair.expire(now) {
-                self.waiting.queued.remove(&id);
-                let reason = Reason::Overload;
-                let refusal = Refusal {
-                    reason,
-                    retry_after,
-                };
-                out.push(Action::Refuse { id, refusal });
-            }
+        for member in 0..self.members.len() {
+            self.expire_queue(member, now, out);
         }
         let mut refused = Vec::new();
         let held = self.waiting.parked.values();
@@ -1200,6 +1192,20 @@
         }
     }
 
+    fn expire_queue(&mut self, member: usize, now: Duration, out: &mut Vec<Action>) {
+        let fair = &mut self.members[member].fair;
+        let retry_after = fair.wait();
+        for id in fair.expire(now) {
+            self.waiting.queued.remove(&id);
+            let reason = Reason::Overload;
+            let refusal = Refusal {
+                reason,
+                retry_after,
+            };
+            out.push(Action::Refuse { id, refusal });
+        }
+    }
+
     // Probes.
 
     fn want_all(&mut self) {
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -8,7 +8,7 @@
 
 use super::entry::Entry;
 use super::finding::Finding;
-use super::resource::{Durability, Group, Key, Kind, Member, Once, Partner, Read, Spec};
+use super::resource::{Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec};
 use crate::borders::member::Address;
 
 const DEFAULT_WEIGHT: u64 = 1;
@@ -225,7 +225,16 @@
 }
 
 fn read(reader: &mut Reader) -> Spec {
+    let own_writes = match reader.value("own_writes").map(|value| value.as_str()) {
+        None | Some(Some("all")) => OwnWrites::All,
+        Some(Some("tables")) => OwnWrites::Tables,
+        Some(_) => {
+            reader.note("own_writes", "must be \"all\" or \"tables\"");
+            OwnWrites::All
+        }
+    };
     Spec::Read(Read {
+        own_writes,
         partner: reader.name("partner"),
         group: reader.name("group"),
         name: reader.name("name"),
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -129,6 +129,16 @@
     pub leaving: bool,
 }
 
+/// Which of a session's writes a kind of read must show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OwnWrites {
+    All,
+    /// Those to the kind's tables. The operator vouches that no trigger, view or
+    /// cascade makes other writes show in them.
+    Tables,
+}
+
 /// A kind of read and the staleness it tolerates.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Read {
@@ -139,6 +149,7 @@
     pub max_age_ms: u64,
     /// Reads of only these tables are of this kind, without a hint.
     pub tables: Vec<Arc<str>>,
+    pub own_writes: OwnWrites,
 }
 
 /// Requests that must never be repeated.
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use opentelemetry::KeyValue;
 use pgwire::messages::PgWireBackendMessage as Back;
 use pgwire::messages::PgWireFrontendMessage as Front;
 use pgwire::messages::data::{DataRow, FieldDescription, RowDescription};
@@ -23,8 +24,10 @@
 use super::relay::encoded;
 use crate::borders::roster::Listing;
 use crate::decisions::classify::{Class, Command, Kind};
+use crate::decisions::floors::{Floors, Scope};
 use crate::decisions::group::{Reason, Refusal, Target};
 use crate::decisions::position::Position;
+use crate::declarations::resource::{OwnWrites, Read};
 use crate::declarations::snapshot::Plan;
 use crate::events;
 use crate::wire::channel::{Channel, ChannelError};
@@ -83,7 +86,7 @@
     owner: Rc<Owner>,
     channel: Channel,
     group: Arc<str>,
-    floor: Option<Position>,
+    floors: Floors,
     statements: HashMap<String, Named>,
     portals: HashMap<String, Rc<Class>>,
     batch: Batch,
@@ -118,7 +121,7 @@
             owner,
             channel,
             group,
-            floor,
+            floors: Floors::new(floor),
             statements: HashMap::new(),
             portals: HashMap::new(),
             batch: Batch::default(),
@@ -338,7 +341,7 @@
             ONCE => self.once = some(),
             KIND => self.kind = some(),
             report::TOKEN => match value.parse::<Position>() {
-                Ok(position) => self.raise(position),
+                Ok(position) => self.floors.raise(position),
                 Err(error) => return Err(Report::error("22023", error.to_string())),
             },
             name if HARMLESS.contains(&name) => {}
@@ -352,7 +355,7 @@
 
     fn show(&self, name: &str) -> Option<String> {
         match name {
-            report::TOKEN => Some(self.floor.map_or(String::new(), Position::token)),
+            report::TOKEN => Some(self.floors.token().map_or(String::new(), Position::token)),
             "server_version" => Some(super::entry::SERVER_VERSION.to_owned()),
             "transaction.isolation.level" => Some("read committed".to_owned()),
             "standard_conforming_strings" => Some("on".to_owned()),
@@ -379,8 +382,8 @@
         if self.lost {
             return self.refuse_lost(&batch, close).await;
         }
-        let exchange = match self.exchange(batch, close) {
-            Ok(exchange) => exchange,
+        let (exchange, scope) = match self.exchange(batch, close) {
+            Ok(ready) => ready,
             Err(report) => return self.fail(&report, Some(close)).await,
         };
         let cancel = self.cancel.clone();
@@ -391,7 +394,7 @@
             () = cancel.notified(), if reads => None,
         };
         match served {
-            Some(Ok(reply)) => self.answer(reply, &exchange).await,
+            Some(Ok(reply)) => self.answer(reply, &exchange, &scope).await,
             Some(Err(failure)) => self.failed(&failure, &exchange).await,
             None => {
                 let failure = Report::error("57014", "canceling statement due to user request");
@@ -400,7 +403,7 @@
         }
     }
 
-    fn exchange(&mut self, batch: Batch, close: Close) -> Result<Exchange, Report> {
+    fn exchange(&mut self, batch: Batch, close: Close) -> Result<(Exchange, Scope), Report> {
         let snapshot = self.context.snapshot.borrow().clone();
         let plan = snapshot
             .groups
@@ -415,39 +418,40 @@
             false => Effect::Reads,
         };
         let once = self.once_key(plan, &class, effect)?;
-        Ok(Exchange {
+        let kind = self.read_kind(plan, &class);
+        let apart = kind.filter(|kind| kind.own_writes == OwnWrites::Tables);
+        let covered = |kind: &&Read| class.tables.iter().all(|t| kind.tables.contains(t));
+        let scope = Scope {
+            declared: kind.map(|kind| kind.name.clone()),
+            kind: apart.filter(covered).map(|kind| kind.name.clone()),
+            tables: class.tables.clone(),
+            ends: class.kind == Kind::End,
+        };
+        let exchange = Exchange {
             group: self.group.clone(),
-            target: self.target(plan, &class),
+            target: target(plan, &class, kind),
             effect,
-            floor: self.floor,
+            floor: self.floors.of(&scope),
             patience: Duration::from_millis(plan.group.deadline_ms),
             lease: self.held.as_ref().map(|held| held.id),
             steps: batch.steps,
             close,
             once,
-        })
+        };
+        Ok((exchange, scope))
     }
 
-    fn target(&self, plan: &Plan, class: &Class) -> Target {
-        if !matches!(class.kind, Kind::Read | Kind::BeginRead) {
-            return Target::Primary;
-        }
+    /// The declared kind of a read: by hint, by setting, or by its tables.
+    fn read_kind<'a>(&self, plan: &'a Plan, class: &Class) -> Option<&'a Read> {
         let named = class.read.as_ref().or(self.kind.as_ref());
         let by_name = named.and_then(|name| plan.reads.iter().find(|read| read.name == *name));
         let by_tables = || {
-            let all = |read: &&crate::declarations::resource::Read| {
+            let all = |read: &&Read| {
                 !class.tables.is_empty() && class.tables.iter().all(|t| read.tables.contains(t))
             };
             plan.reads.iter().find(all)
         };
-        let declared = by_name.or_else(by_tables);
-        let max_age = declared.map_or(plan.group.max_age_ms, |read| read.max_age_ms);
-        match max_age {
-            0 => Target::Strict,
-            milliseconds => Target::Replica {
-                max_age: Duration::from_millis(milliseconds),
-            },
-        }
+        by_name.or_else(by_tables)
     }
 
     /// The key of a request that must not be repeated, if it is one.
@@ -546,18 +550,17 @@
         &mut self,
         (reply, owner): (Reply, Option<Arc<str>>),
         exchange: &Exchange,
+        scope: &Scope,
     ) -> Result<(), ChannelError> {
-        self.count(&reply, exchange);
+        self.count(&reply, exchange, scope);
         self.held = reply.lease.map(|id| Held { owner, id });
         self.channel.queue_bytes(&reply.messages);
         if !reply.believed {
             let log = &self.context.log;
             events::emit(log, &events::TOKEN_IGNORED, &[("group", &self.group)]);
-            self.floor = None;
-        }
-        if let Some(position) = reply.position {
-            self.report_floor(position)?;
+            self.floors.forget();
         }
+        self.note_floors(&reply, exchange, scope)?;
         if exchange.close == Close::Flush {
             self.skipping = reply.failed;
             return self.channel.flush().await;
@@ -569,27 +572,47 @@
         self.ready().await
     }
 
-    fn count(&self, reply: &Reply, exchange: &Exchange) {
+    fn count(&self, reply: &Reply, exchange: &Exchange, scope: &Scope) {
         let metrics = &self.context.metrics;
-        match (exchange.effect, reply.server) {
-            (Effect::Writes, _) => metrics.writes.add(1, &[]),
-            (Effect::Reads, Server::Replica) => metrics.reads_by_replica.add(1, &[]),
-            (Effect::Reads, _) => metrics.reads_by_primary.add(1, &[]),
+        if exchange.effect == Effect::Writes {
+            return metrics.writes.add(1, &[]);
+        }
+        let kind = scope.declared.as_deref().unwrap_or("none").to_owned();
+        let labels = [KeyValue::new("kind", kind)];
+        match reply.server {
+            Server::Replica => metrics.reads_by_replica.add(1, &labels),
+            _ => metrics.reads_by_primary.add(1, &labels),
         }
     }
 
-    fn raise(&mut self, position: Position) {
-        let floor = self.floor.unwrap_or(Position::ZERO).join(position);
-        self.floor = Some(floor);
-    }
-
-    fn report_floor(&mut self, position: Position) -> Result<(), ChannelError> {
-        let before = self.floor;
-        self.raise(position);
-        let Some(floor) = self.floor.filter(|floor| Some(*floor) != before) else {
-            return Ok(());
-        };
-        let token = report::parameter(report::TOKEN, floor.token());
+    /// Raises the floors by what was read or written, and reports a new token.
+    fn note_floors(
+        &mut self,
+        reply: &Reply,
+        exchange: &Exchange,
+        scope: &Scope,
+    ) -> Result<(), ChannelError> {
+        let before = self.floors.token();
+        if exchange.effect == Effect::Writes {
+            self.floors.writing(scope);
+        }
+        let ended = reply.lease.is_none();
+        match reply.position {
+            Some(position) if exchange.effect == Effect::Writes && ended => {
+                self.floors.wrote(position);
+            }
+            Some(position) => {
+                let replica = reply.server == Server::Replica;
+                self.floors.read(scope, position, replica);
+            }
+            None => {}
+        }
+        if ended {
+            self.floors.ended();
+        }
+        let after = self.floors.token().filter(|token| Some(*token) != before);
+        let Some(position) = after else { return Ok(()) };
+        let token = report::parameter(report::TOKEN, position.token());
         self.channel.queue_back(&token)
     }
 
@@ -678,6 +701,19 @@
     }
 }
 
+/// Where an exchange may run.
+fn target(plan: &Plan, class: &Class, kind: Option<&Read>) -> Target {
+    if !matches!(class.kind, Kind::Read | Kind::BeginRead) {
+        return Target::Primary;
+    }
+    match kind.map_or(plan.group.max_age_ms, |kind| kind.max_age_ms) {
+        0 => Target::Strict,
+        milliseconds => Target::Replica {
+            max_age: Duration::from_millis(milliseconds),
+        },
+    }
+}
+
 fn unsupported(what: &str) -> Report {
     let message = format!("{what} is not supported on pooled connections");
     Report::error(state::UNSUPPORTED, message)
--- a/src/trial/cluster.rs
+++ b/src/trial/cluster.rs
@@ -432,8 +432,13 @@
         serde_json::from_slice(&body).context("the dump is JSON")
     }
 
-    /// A counter summed over the boxes that answer.
+    /// A counter summed over its labels and the boxes that answer.
     pub async fn counter(&self, name: &str) -> f64 {
+        self.counter_with(name, "").await
+    }
+
+    /// The same, of the lines with this label only, as `kind="deck"`.
+    pub async fn counter_with(&self, name: &str, label: &str) -> f64 {
         let mut sum = 0.0;
         for i in 0..self.boxes.len() {
             let Ok(body) = self.http.get(&self.api_address(i), "/metrics", WAIT).await else {
@@ -441,7 +446,9 @@
             };
             let text = String::from_utf8_lossy(&body).into_owned();
             let values = text.lines().filter_map(|line| {
-                let rest = line.strip_prefix(name)?;
+                let rest = line
+                    .strip_prefix(name)
+                    .filter(|rest| rest.contains(label))?;
                 rest.rsplit(' ').next()?.parse::<f64>().ok()
             });
             sum += values.sum::<f64>();
--- /dev/null
+++ b/tests/unit/floors.rs
@@ -0,0 +1,95 @@
+use googletest::prelude::*;
+use larkfall::decisions::floors::{Floors, Scope};
+use larkfall::decisions::position::Position;
+
+fn at(index: u64) -> Position {
+    Position::new(1, index)
+}
+
+fn scope(kind: Option<&str>, tables: &[&str]) -> Scope {
+    Scope {
+        kind: kind.map(Into::into),
+        tables: tables.iter().map(|table| (*table).into()).collect(),
+        ..Scope::default()
+    }
+}
+
+/// A session that knows where it started.
+fn session() -> Floors {
+    Floors::new(Some(at(1)))
+}
+
+#[gtest]
+fn a_session_without_a_token_has_no_floor_until_its_first_answer() {
+    let mut floors = Floors::new(None);
+    expect_that!(floors.of(&scope(None, &[])), none());
+    floors.read(&scope(None, &[]), at(5), false);
+    expect_that!(floors.of(&scope(Some("deck"), &["deck"])), some(eq(at(5))));
+}
+
+#[gtest]
+fn a_write_concerns_kinds_kept_apart_only_where_it_touches_their_tables() {
+    let mut floors = session();
+    floors.writing(&scope(None, &["answer"]));
+    floors.wrote(at(9));
+    expect_that!(floors.of(&scope(None, &["x"])), some(eq(at(9))));
+    expect_that!(floors.of(&scope(Some("deck"), &["deck"])), some(eq(at(1))));
+    expect_that!(
+        floors.of(&scope(Some("deck"), &["answer"])),
+        some(eq(at(9)))
+    );
+}
+
+#[gtest]
+fn a_write_to_unknown_tables_concerns_every_read() {
+    let mut floors = session();
+    floors.writing(&scope(None, &["answer"]));
+    floors.writing(&scope(None, &[]));
+    floors.wrote(at(9));
+    expect_that!(floors.of(&scope(Some("deck"), &["deck"])), some(eq(at(9))));
+}
+
+#[gtest]
+fn a_transactions_tables_count_from_its_end_and_not_after_a_rollback() {
+    let mut floors = session();
+    floors.writing(&scope(None, &["deck"]));
+    expect_that!(floors.of(&scope(Some("deck"), &["deck"])), some(eq(at(1))));
+    floors.ended();
+    floors.wrote(at(9));
+    expect_that!(floors.of(&scope(Some("deck"), &["deck"])), some(eq(at(1))));
+}
+
+#[gtest]
+fn reads_raise_their_own_floor_and_the_token_holds_all() {
+    let mut floors = session();
+    let deck = scope(Some("deck"), &["deck"]);
+    floors.read(&deck, at(3), true);
+    floors.read(&deck, at(8), false);
+    expect_that!(floors.of(&deck), some(eq(at(3))));
+    floors.read(&scope(None, &["answer"]), at(6), false);
+    expect_that!(floors.of(&scope(None, &[])), some(eq(at(6))));
+    expect_that!(floors.of(&deck), some(eq(at(3))));
+    expect_that!(floors.token(), some(eq(at(6))));
+}
+
+#[gtest]
+fn a_forgotten_floor_is_unknown_again() {
+    let mut floors = session();
+    floors.forget();
+    expect_that!(floors.token(), none());
+}
+
+#[gtest]
+fn tokens_are_read_back_and_malformed_ones_are_errors() {
+    expect_that!(at(7).token().parse::<Position>(), ok(eq(&at(7))));
+    for text in [
+        "",
+        "v1.1",
+        "v2.1.1",
+        "v1.x.1",
+        "v1.1.-1",
+        "v1.1.99999999999999999999",
+    ] {
+        expect_that!(text.parse::<Position>(), err(anything()), "{text}");
+    }
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -3,6 +3,9 @@
 mod classify;
 mod declarations;
 mod events;
+mod fair;
 mod fake;
+mod floors;
+mod owners;
 mod randomised;
 mod settings;
--- /dev/null
+++ b/tests/unit/owners.rs
@@ -0,0 +1,66 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use larkfall::borders::roster::Listing;
+use larkfall::decisions::owners::{owners, share};
+
+fn boxes(count: usize) -> Vec<Listing> {
+    let listing = |i: usize| Listing {
+        name: format!("b{i}").into(),
+        address: format!("127.0.0.1:{i}").into(),
+        domain: format!("d{}", i % 10).into(),
+        leaving: false,
+    };
+    (0..count).map(listing).collect()
+}
+
+fn domains(names: &[&str]) -> BTreeSet<Arc<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+#[gtest]
+fn owners_are_spread_over_the_members_domains() {
+    let boxes = boxes(420);
+    for group in 0..50 {
+        let chosen = owners(
+            &format!("g{group}"),
+            3,
+            &domains(&["d1", "d2", "d3"]),
+            &boxes,
+        );
+        let found: BTreeSet<Arc<str>> = chosen.iter().map(|l| l.domain.clone()).collect();
+        expect_that!(found, eq(&domains(&["d1", "d2", "d3"])));
+    }
+}
+
+#[gtest]
+fn one_box_more_or_less_moves_few_groups() {
+    let (all, fewer) = (boxes(420), boxes(419));
+    let near = domains(&["d0", "d1", "d2"]);
+    let moved = (0..840).filter(|group| {
+        let id = format!("g{group}");
+        owners(&id, 3, &near, &all) != owners(&id, 3, &near, &fewer)
+    });
+    expect_that!(moved.count(), le(30));
+}
+
+#[gtest]
+fn a_leaving_box_owns_nothing() {
+    let mut boxes = boxes(6);
+    boxes[0].leaving = true;
+    for group in 0..20 {
+        let chosen = owners(&format!("g{group}"), 3, &domains(&["d0"]), &boxes);
+        expect_that!(
+            chosen.iter().any(|listing| &*listing.name == "b0"),
+            eq(false)
+        );
+    }
+}
+
+#[gtest]
+fn shares_leave_a_reserve() {
+    expect_that!(share(24, 3), eq(7));
+    expect_that!(share(40, 3), eq(12));
+    expect_that!(share(2, 3), eq(1));
+}
