fix: what belongs to an earlier start of a group is not given to a later one

Cause: a box that loses a group and gets it back (or whose group's members change) starts it anew, while statements, settlements and probes of the earlier start still come in: requests that waited were never answered, and a place given back to the new start would break an invariant. Connections of groups no longer owned stayed open, against the members' limits. A start has a number; events carry it; who waits for a start that is gone is answered at once; idle connections to foreign members are closed. A statement lost inside a transaction is now 40001 (rolled back); only a lost COMMIT of a transaction that wrote is 40003.

--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -20,7 +20,7 @@
 
 use super::configuration::{self, News, RESOURCE};
 use super::exchange::{Exchange, Failure, Reply};
-use super::message::{Message, Sender};
+use super::message::{Dump, Message, Sender};
 use super::peers;
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, TableError, Verdict, Write};
@@ -155,7 +155,11 @@
 async fn dump(State(api): Shared) -> Json<Value> {
     let (reply, answer) = oneshot::channel();
     let _ = api.decisions.send(Message::Dump(reply));
-    let groups = answer.await.unwrap_or_default();
+    let Dump {
+        callers,
+        idle_connections,
+        groups,
+    } = answer.await.unwrap_or_default();
     let revision = api.snapshot.borrow().revision;
     let boxes = api.boxes.borrow().to_vec();
     Json(json!({
@@ -163,6 +167,8 @@
         "revision": revision,
         "leaving": *api.leaving.borrow(),
         "boxes": boxes,
+        "callers": callers,
+        "idle_connections": idle_connections,
         "groups": groups,
     }))
 }
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -1,6 +1,7 @@
 //! What is handed down to every part of a box.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,10 @@
     pub leaving: watch::Receiver<bool>,
     pub classes: Classes,
     pub routes: Routes,
+    /// Connections to members that nobody uses now.
+    pub idle: Cell<usize>,
+    /// SQL addresses of the members of owned groups.
+    pub owned: watch::Sender<HashSet<Arc<str>>>,
     /// Callers connected now.
     pub callers: Cell<usize>,
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -3,7 +3,7 @@
 //! One `select!` takes messages and the time; each group's decisions answer with
 //! actions. What needs I/O is spawned and comes back as a message.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use tokio::task::AbortHandle;
 
 use super::context::Context;
-use super::message::{Ask, Denial, Grant, Health, Message, Settle, SettleNeed};
+use super::message::{Ask, Denial, Dump, Grant, Health, Incarnation, Message, Settle, SettleNeed};
 use super::peers;
 use crate::borders::member::Member;
 use crate::borders::roster::Listing;
@@ -32,6 +32,7 @@
 
 /// A group this box owns, with its members' borders.
 struct Owned {
+    incarnation: Incarnation,
     group: Group,
     members: Vec<Rc<dyn Member>>,
     watches: Vec<AbortHandle>,
@@ -53,8 +54,9 @@
     settings: Settings,
     inbox: mpsc::UnboundedReceiver<Message>,
     groups: HashMap<Arc<str>, Owned>,
-    grants: HashMap<u64, oneshot::Sender<Result<Grant, Denial>>>,
-    settles: HashMap<u64, oneshot::Sender<Outcome>>,
+    /// Who asked for a member, and of which incarnation.
+    grants: HashMap<u64, (Incarnation, oneshot::Sender<Result<Grant, Denial>>)>,
+    settles: HashMap<u64, (Incarnation, oneshot::Sender<Outcome>)>,
     snapshot: Arc<Snapshot>,
     ranking: Ranking,
     next: u64,
@@ -110,7 +112,16 @@
         match message {
             Message::Ask(ask) => self.ask(ask),
             Message::Settle(settle) => self.settle(settle),
-            Message::Group { group, event } => self.handle(&group, event),
+            Message::Group {
+                group,
+                incarnation,
+                event,
+            } => {
+                let current = self.groups.get(&group).map(|owned| owned.incarnation);
+                if current == Some(incarnation) {
+                    self.handle(&group, event);
+                }
+            }
             Message::Snapshot(snapshot) => {
                 self.snapshot = snapshot;
                 self.own();
@@ -126,8 +137,12 @@
             }
             Message::Dump(reply) => {
                 let now = self.context.now();
-                let dumps = self.groups.values().map(|owned| owned.group.dump(now));
-                let _ = reply.send(dumps.collect());
+                let groups = self.groups.values().map(|owned| owned.group.dump(now));
+                let _ = reply.send(Dump {
+                    callers: self.context.callers.get(),
+                    idle_connections: self.context.idle.get(),
+                    groups: groups.collect(),
+                });
             }
         }
     }
@@ -141,7 +156,7 @@
         let weight = self.snapshot.partners.get(&partner).map_or(1, |p| p.weight);
         let id = self.next;
         self.next += 1;
-        self.grants.insert(id, ask.reply);
+        self.grants.insert(id, (owned.incarnation, ask.reply));
         let request = Request {
             id,
             partner,
@@ -156,13 +171,14 @@
     }
 
     fn settle(&mut self, settle: Settle) {
-        if !self.groups.contains_key(&settle.group) {
+        let current = self.groups.get(&settle.group);
+        if current.is_none_or(|owned| owned.incarnation != settle.incarnation) {
             let _ = settle.reply.send(Outcome::Unknown);
             return;
         }
         let id = self.next;
         self.next += 1;
-        self.settles.insert(id, settle.reply);
+        self.settles.insert(id, (settle.incarnation, settle.reply));
         let member = settle.member;
         let deadline = settle.deadline;
         let event = match settle.need {
@@ -223,6 +239,7 @@
                 believed,
             } => {
                 let grant = Grant {
+                    incarnation: owned.incarnation,
                     member,
                     spec: owned.group.plan.members[member].clone(),
                     term,
@@ -231,7 +248,7 @@
                     health: owned.health.subscribe(),
                 };
                 let reply = self.grants.remove(&request);
-                let gone = reply.is_none_or(|reply| reply.send(Ok(grant)).is_err());
+                let gone = reply.is_none_or(|(_, reply)| reply.send(Ok(grant)).is_err());
                 let now = self.context.now();
                 return gone.then_some(Event::Release {
                     member,
@@ -244,7 +261,7 @@
                 id: request,
                 refusal,
             } => {
-                if let Some(reply) = self.grants.remove(&request) {
+                if let Some((_, reply)) = self.grants.remove(&request) {
                     let _ = reply.send(Err(Denial::NotRun(refusal)));
                 }
             }
@@ -252,7 +269,7 @@
                 id: request,
                 outcome,
             } => {
-                if let Some(reply) = self.settles.remove(&request) {
+                if let Some((_, reply)) = self.settles.remove(&request) {
                     let _ = reply.send(outcome);
                 }
             }
@@ -303,9 +320,13 @@
     fn spawn(&self, id: &Arc<str>, work: impl Future<Output = Event> + 'static) {
         let context = self.context.clone();
         let group = id.clone();
+        let Some(owned) = self.groups.get(id) else {
+            return;
+        };
+        let incarnation = owned.incarnation;
         tokio::task::spawn_local(async move {
             let event = work.await;
-            context.tell(&group, event);
+            context.tell(&group, incarnation, event);
         });
     }
 
@@ -335,6 +356,7 @@
             let from = listing.name.clone();
             let context = self.context.clone();
             let group = id.clone();
+            let incarnation = owned.incarnation;
             tokio::task::spawn_local(async move {
                 if let Some(suspects) = asked.await {
                     let event = Event::Opinion {
@@ -342,7 +364,7 @@
                         near,
                         suspects,
                     };
-                    context.tell(&group, event);
+                    context.tell(&group, incarnation, event);
                 }
             });
         }
@@ -400,17 +422,39 @@
                 mine.insert(id.clone(), (plan.clone(), rank as u32));
             }
         }
-        self.groups.retain(|id, _| mine.contains_key(id));
+        let kept = |id: &Arc<str>, owned: &Owned| {
+            let plan = mine.get(id).map(|(plan, _)| plan);
+            plan.is_some_and(|plan| Group::same_members(&owned.group.plan, plan))
+        };
+        self.groups.retain(|id, owned| kept(id, owned));
         let crowd = (mine.len() as u32).div_ceil(GROUPS_AT_FULL_RATE).max(1);
         for (id, (plan, rank)) in mine {
             match self.groups.get_mut(&id) {
-                Some(owned) if Group::same_members(&owned.group.plan, &plan) => {
+                Some(owned) => {
                     owned.group.set_rank(rank, crowd);
                     owned.group.set_plan(plan);
                 }
-                _ => self.start(id, plan, rank, crowd),
+                None => self.start(id, plan, rank, crowd),
             }
         }
+        self.dismiss();
+    }
+
+    /// Answers those who waited for a group that is not owned any more.
+    fn dismiss(&mut self) {
+        let live: HashSet<Incarnation> = self.groups.values().map(|o| o.incarnation).collect();
+        // Dropped, a grant's reply says that this box is no owner, and a
+        // settlement's that the outcome is unknown.
+        self.grants
+            .retain(|_, (incarnation, _)| live.contains(incarnation));
+        self.settles
+            .retain(|_, (incarnation, _)| live.contains(incarnation));
+        let members = self
+            .groups
+            .values()
+            .flat_map(|owned| &owned.group.plan.members);
+        let addresses = members.map(|member| member.address.sql.clone()).collect();
+        self.context.owned.send_replace(addresses);
     }
 
     fn start(&mut self, id: Arc<str>, plan: Arc<Plan>, rank: u32, crowd: u32) {
@@ -419,8 +463,11 @@
             self.context.members.member(&member.address)
         };
         let members: Vec<Rc<dyn Member>> = plan.members.iter().map(border).collect();
+        let incarnation = self.next;
+        self.next += 1;
         let watch = |(i, member): (usize, &Rc<dyn Member>)| {
-            let watching = watch_member(self.context.clone(), id.clone(), i, member.clone());
+            let group = (id.clone(), incarnation);
+            let watching = watch_member(self.context.clone(), group, i, member.clone());
             tokio::task::spawn_local(watching).abort_handle()
         };
         let watches = members.iter().enumerate().map(watch).collect();
@@ -429,6 +476,7 @@
         let mut group = Group::new(plan, domain, rank, self.settings, seed, now);
         group.set_rank(rank, crowd);
         let owned = Owned {
+            incarnation,
             group,
             members,
             watches,
@@ -459,13 +507,13 @@
 /// Tells the group whenever a member's process is seen to be gone.
 async fn watch_member(
     context: Rc<Context>,
-    group: Arc<str>,
+    (group, incarnation): (Arc<str>, Incarnation),
     member: usize,
     border: Rc<dyn Member>,
 ) {
     loop {
         border.gone().await;
-        context.tell(&group, Event::Broken { member });
+        context.tell(&group, incarnation, Event::Broken { member });
         tokio::time::sleep(GONE_RETRY).await;
     }
 }
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -80,6 +80,8 @@
     pub group: Arc<str>,
     pub target: Target,
     pub effect: Effect,
+    /// Ends a transaction: lost, its outcome is unknown.
+    pub commits: bool,
     pub floor: Option<Position>,
     /// Time left until the statement must have started.
     pub patience: Duration,
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::borders::roster::Listing;
@@ -19,9 +20,14 @@
     pub suspected: Vec<bool>,
 }
 
+/// Names one start of a group at an owner: whoever gives something back to an
+/// earlier one must not give it to a later.
+pub type Incarnation = u64;
+
 /// Leave to run a statement on a member.
 #[derive(Debug)]
 pub struct Grant {
+    pub incarnation: Incarnation,
     pub member: usize,
     pub spec: Member,
     pub term: u64,
@@ -54,6 +60,7 @@
 #[derive(Debug)]
 pub struct Settle {
     pub group: Arc<str>,
+    pub incarnation: Incarnation,
     pub member: usize,
     pub need: SettleNeed,
     pub deadline: Duration,
@@ -71,6 +78,15 @@
     },
 }
 
+/// What a dump shows of a box besides its configuration.
+#[derive(Debug, Default, Serialize)]
+pub struct Dump {
+    pub callers: usize,
+    /// Connections to members that nobody uses.
+    pub idle_connections: usize,
+    pub groups: Vec<GroupDump>,
+}
+
 /// A message to the loop.
 #[derive(Debug)]
 pub enum Message {
@@ -78,6 +94,7 @@
     Settle(Settle),
     Group {
         group: Arc<str>,
+        incarnation: Incarnation,
         event: Event,
     },
     Snapshot(Arc<Snapshot>),
@@ -87,7 +104,7 @@
         term: u64,
         reply: oneshot::Sender<Option<bool>>,
     },
-    Dump(oneshot::Sender<Vec<GroupDump>>),
+    Dump(oneshot::Sender<Dump>),
 }
 
 /// The way to the loop.
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -58,6 +58,7 @@
             Err(failure) => return Err(failure),
         };
         let member = place.grant.member;
+        let incarnation = place.grant.incarnation;
         let attempt = match owner.connect(&place).await {
             Err(_) => Attempt::Lost,
             Ok(connection) => {
@@ -71,7 +72,8 @@
             Attempt::Done(reply, None) => return Ok(reply),
             Attempt::Done(reply, Some(position)) => {
                 let need = SettleNeed::Wrote(position);
-                let outcome = owner.settle(&exchange.group, member, need, deadline).await;
+                let settled = owner.settle(&exchange.group, incarnation, member, need, deadline);
+                let outcome = settled.await;
                 if outcome == Outcome::Confirmed {
                     return Ok(reply);
                 }
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -1,7 +1,7 @@
 //! Serves exchanges on the members of the groups this box owns.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 
 use super::context::Context;
 use super::exchange::{Effect, Exchange, Failure, Reply, Server, Status};
-use super::message::{Ask, Denial, Grant, Message, Settle, SettleNeed};
+use super::message::{Ask, Denial, Grant, Incarnation, Message, Settle, SettleNeed};
 use super::once;
 use super::pool::{ConnectError, Connection, Pool};
 use super::relay::{self, Answer};
@@ -45,7 +45,15 @@
             took: now.saturating_sub(self.began),
             position: self.position,
         };
-        self.context.tell(&self.group, event);
+        self.context
+            .tell(&self.group, self.grant.incarnation, event);
+    }
+}
+
+impl Place {
+    fn tell(&self, event: Event) {
+        let incarnation = self.grant.incarnation;
+        self.context.tell(&self.group, incarnation, event);
     }
 }
 
@@ -67,9 +75,13 @@
 }
 
 impl Context {
-    pub fn tell(&self, group: &Arc<str>, event: Event) {
-        let group = group.clone();
-        let _ = self.decisions.send(Message::Group { group, event });
+    /// Tells the loop what happened to one incarnation of a group.
+    pub fn tell(&self, group: &Arc<str>, incarnation: Incarnation, event: Event) {
+        let _ = self.decisions.send(Message::Group {
+            group: group.clone(),
+            incarnation,
+            event,
+        });
     }
 }
 
@@ -148,7 +160,7 @@
             };
             match self.run(&mut lease, exchange).await {
                 Ok(answer) if refused_unrun(&answer, exchange) => {
-                    self.context.tell(&exchange.group, Event::Look);
+                    lease.place.tell(Event::Look);
                     drop(lease);
                     self.again(deadline, PAUSE).await?;
                 }
@@ -207,7 +219,7 @@
         taken.map_err(|error| {
             if let ConnectError::Channel(_) = error {
                 let member = place.grant.member;
-                self.context.tell(&place.group, Event::Broken { member });
+                place.tell(Event::Broken { member });
             }
             PAUSE
         })
@@ -255,7 +267,7 @@
             }
             Err(Broken::Channel(ChannelError::Io(_) | ChannelError::Closed)) => {
                 let member = place.grant.member;
-                self.context.tell(&exchange.group, Event::Broken { member });
+                place.tell(Event::Broken { member });
                 Err(())
             }
             Err(_) => Err(()),
@@ -284,6 +296,7 @@
         } = lease;
         let member = place.grant.member;
         let term = place.grant.term;
+        let incarnation = place.grant.incarnation;
         let believed = place.grant.believed;
         let served = match target {
             Target::Replica { .. } if !self.is_primary(&place) => Server::Replica,
@@ -313,7 +326,8 @@
             _ => None,
         };
         if let Some(need) = need {
-            let outcome = self.settle(&exchange.group, member, need, now + wait).await;
+            let settled = self.settle(&exchange.group, incarnation, member, need, now + wait);
+            let outcome = settled.await;
             self.after_settling(outcome, need, exchange)?;
         }
         Ok(Reply {
@@ -351,6 +365,7 @@
     pub async fn settle(
         &self,
         group: &Arc<str>,
+        incarnation: Incarnation,
         member: usize,
         need: SettleNeed,
         deadline: Duration,
@@ -359,6 +374,7 @@
         let (reply, answer) = oneshot::channel();
         let settle = Settle {
             group: group.clone(),
+            incarnation,
             member,
             need,
             deadline,
@@ -408,9 +424,7 @@
                 self.finish(lease, answer, exchange, now, deadline).await
             }
             // Lost at its end, a transaction that wrote may be committed or not.
-            Err(()) if exchange.effect == Effect::Writes && (wrote || ends(exchange)) => {
-                Err(self.unknown(&exchange.group))
-            }
+            Err(()) if exchange.commits && wrote => Err(self.unknown(&exchange.group)),
             Err(()) => Err(Failure::TransactionLost),
         }
     }
@@ -420,6 +434,12 @@
         self.leases.borrow_mut().remove(&id);
     }
 
+    /// Closes idle connections to members of groups this box does not own.
+    pub fn close_foreign(&self, owned: &HashSet<Arc<str>>) {
+        self.pool.retain(owned);
+        self.context.idle.set(self.pool.idle());
+    }
+
     /// Gives up connections held without a statement for too long.
     pub fn reap(&self) {
         let now = self.context.now();
@@ -435,10 +455,6 @@
     refused && exchange.effect == Effect::Writes && answer.status == Some(Status::Idle)
 }
 
-fn ends(exchange: &Exchange) -> bool {
-    exchange.target == Target::Primary
-}
-
 /// Returns when the member is replaced, or suspected for too long.
 async fn given_up(grant: &mut Grant) {
     loop {
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -140,11 +140,8 @@
             .retain(|address, _| keep.contains(address));
     }
 
-    /// Idle connections by address.
-    pub fn counts(&self) -> Vec<(Arc<str>, usize)> {
-        let idle = self.idle.borrow();
-        idle.iter()
-            .map(|(a, list)| (a.clone(), list.len()))
-            .collect()
+    /// Connections that nobody uses now.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
     }
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,6 +1,7 @@
 //! Puts a box together and runs it until it is told to stop.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -65,6 +66,8 @@
         leaving: leaving.clone(),
         classes: Classes::default(),
         routes: Routes::default(),
+        idle: Cell::new(0),
+        owned: watch::channel(HashSet::new()).0,
         callers: Cell::new(0),
         settings,
         log,
@@ -135,6 +138,8 @@
 async fn reap(owner: Rc<Owner>) {
     loop {
         tokio::time::sleep(REAP).await;
+        let owned = owner.context.owned.borrow().clone();
+        owner.close_foreign(&owned);
         owner.reap();
     }
 }
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -431,6 +431,7 @@
             group: self.group.clone(),
             target: target(plan, &class, kind),
             effect,
+            commits: class.kind == Kind::End,
             floor: self.floors.of(&scope),
             patience: Duration::from_millis(plan.group.deadline_ms),
             lease: self.held.as_ref().map(|held| held.id),
--- a/tests/system/many.rs
+++ b/tests/system/many.rs
@@ -338,3 +338,48 @@
         },
     );
 }
+
+#[gtest]
+fn owners_that_come_and_go_under_load_lose_nothing_and_hold_no_connections() {
+    with_cluster(
+        Shape {
+            boxes: 4,
+            ..Shape::default()
+        },
+        async |cluster| {
+            let workload = start_load(cluster, "market").await;
+            for owners in [1, 3, 1, 4, 2, 3, 1] {
+                let mut declared = cluster.declarations("huerto");
+                declared[0]["spec"]["owners"] = json!(owners);
+                let done = apply(cluster, 0, &declared).await.expect("is taken");
+                let revision = done["revision"].as_u64().expect("has a revision");
+                cluster.in_force(revision).await.expect("in force");
+                acknowledged(&workload, 15).await;
+            }
+            is_clean(workload).await;
+            let mut owning = 0;
+            for i in 0..4 {
+                let dump = cluster.dump(i).await.expect("every box is alive");
+                owning += dump["groups"].as_array().map_or(0, Vec::len);
+            }
+            expect_that!(owning, eq(1));
+            until(
+                "boxes that own nothing have closed their connections",
+                async || {
+                    let mut idle = 0;
+                    for i in 0..4 {
+                        let dump = cluster.dump(i).await.unwrap_or_default();
+                        let owns = dump["groups"]
+                            .as_array()
+                            .is_some_and(|groups| !groups.is_empty());
+                        let count = dump["idle_connections"].as_u64().unwrap_or(1);
+                        idle += if owns { 0 } else { count };
+                    }
+                    idle == 0
+                },
+            )
+            .await
+            .expect("boxes that own nothing have closed their connections");
+        },
+    );
+}
