fix: a read counts towards the session's floor also when its member reported no new position

Cause: a member reports its position when it changed on that connection; an answer without a report left the session's floor as it was, so a session could read from a replica further ahead and then from one behind, and a forged token stayed in place after it was found out. Now the position that the connection knew counts. Also: a caller that sends a malformed or oversized message is told so (08P01) before the connection is closed; tests of bad input, lost and late answers.

--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -333,7 +333,9 @@
         Ok(Reply {
             messages: answer.messages.freeze(),
             status: Status::Idle,
-            position: answer.position,
+            // A member reports its position when it changed: unreported, it is
+            // the one that the connection knew.
+            position,
             lease: None,
             server: served,
             failed,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -142,7 +142,12 @@
             let idle = self.status == Status::Idle && self.held.is_none();
             let message = tokio::select! {
                 biased;
-                message = self.channel.read_front() => message?,
+                message = self.channel.read_front() => match message {
+                    Err(error @ ChannelError::Malformed(_)) => {
+                        return self.hang_up(error).await;
+                    }
+                    message => message?,
+                },
                 _ = leaving.wait_for(|leaving| *leaving), if idle => {
                     return self.say_goodbye().await;
                 }
@@ -154,6 +159,14 @@
         }
     }
 
+    /// Tells a caller that broke the protocol why it is cut off.
+    async fn hang_up(&mut self, error: ChannelError) -> Result<(), ChannelError> {
+        let report = Report::fatal("08P01", error.to_string());
+        self.channel.queue_back(&report.message())?;
+        self.channel.flush().await?;
+        Err(error)
+    }
+
     async fn say_goodbye(&mut self) -> Result<(), ChannelError> {
         let report = Report::fatal("57P01", "this box is leaving; connect again");
         self.channel.queue_back(&report.message())?;
--- /dev/null
+++ b/tests/system/hostile.rs
@@ -0,0 +1,197 @@
+//! Bad input and bad members: clear errors, nothing lost, no box that dies.
+
+use googletest::prelude::*;
+use larkfall::standin::faults::Faults;
+use larkfall::trial::cluster::{Cluster, Shape, until};
+use larkfall::trial::journal::Verdict;
+use larkfall::trial::workload::{Mix, Workload, create_tables};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::support::with_cluster;
+
+async fn is_alive(cluster: &Cluster) {
+    let mut client = cluster.connect(0, "market", None).await.expect("connects");
+    let answer = client.query("SELECT 7").await.expect("answers");
+    expect_that!(answer.number(), some(eq(7)));
+}
+
+/// A connection on which a session is open, for raw bytes.
+async fn raw(cluster: &Cluster) -> TcpStream {
+    let mut stream = TcpStream::connect(cluster.sql_address(0))
+        .await
+        .expect("connects");
+    let mut startup = Vec::new();
+    startup.extend_from_slice(&196_608u32.to_be_bytes());
+    startup.extend_from_slice(b"user\0huerto\0database\0market\0\0");
+    let length = startup.len() as u32 + 4;
+    stream
+        .write_all(&length.to_be_bytes())
+        .await
+        .expect("writes");
+    stream.write_all(&startup).await.expect("writes");
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"Z\0\0\0\x05I") {
+        let mut bytes = [0; 256];
+        let count = stream.read(&mut bytes).await.expect("reads");
+        assert!(count > 0, "the box hung up during start-up");
+        seen.extend_from_slice(&bytes[..count]);
+    }
+    stream
+}
+
+#[gtest]
+fn a_forged_token_is_as_good_as_none() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut client = cluster.connect(0, "market", None).await.expect("connects");
+        client
+            .query("CREATE TABLE seed (id bigint)")
+            .await
+            .expect("creates");
+        client
+            .query("INSERT INTO seed VALUES (1)")
+            .await
+            .expect("writes");
+        for token in [
+            "v1.99.1000000",
+            "v1.1.18446744073709551615",
+            "v1.0.0",
+            "nonsense",
+            "v9.1.1",
+        ] {
+            let mut roaming = cluster
+                .connect(1, "market", Some(token))
+                .await
+                .expect("connects");
+            let read = async || {
+                let mut again = cluster.connect(1, "market", Some(token)).await.ok();
+                let answer = again
+                    .as_mut()?
+                    .query("SELECT count(*) FROM seed")
+                    .await
+                    .ok();
+                answer?.number()
+            };
+            // v1.0.0 is a possible floor: it asks for nothing, and is given time.
+            until("the row is seen", async || read().await == Some(1))
+                .await
+                .expect("is seen");
+            let answer = roaming.query("SELECT count(*) FROM seed").await;
+            expect_that!(answer.expect("reads").number(), some(eq(1)), "{token}");
+            let token = roaming.token.expect("a token is reported");
+            expect_that!(token.starts_with("v1.1."), eq(true), "{token}");
+        }
+    });
+}
+
+#[gtest]
+fn an_oversized_message_is_refused_and_a_truncated_one_harms_nobody() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut stream = raw(cluster).await;
+        stream
+            .write_all(b"Q\x7f\xff\xff\xff")
+            .await
+            .expect("writes");
+        let mut answer = Vec::new();
+        stream
+            .read_to_end(&mut answer)
+            .await
+            .expect("the box closes in good order");
+        let text = String::from_utf8_lossy(&answer).into_owned();
+        expect_that!(
+            text,
+            all![contains_substring("FATAL"), contains_substring("08P01")]
+        );
+        let mut stream = raw(cluster).await;
+        stream
+            .write_all(b"Q\0\0\0\x20SELECT")
+            .await
+            .expect("writes");
+        drop(stream);
+        let mut stream = TcpStream::connect(cluster.sql_address(0))
+            .await
+            .expect("connects");
+        stream.write_all(&[0xff; 64]).await.expect("writes");
+        let _ = stream.read_to_end(&mut answer).await;
+        is_alive(cluster).await;
+    });
+}
+
+#[gtest]
+fn lost_and_late_answers_never_reach_another_request() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut client = cluster.connect(0, "market", None).await.expect("connects");
+        create_tables(&mut client).await.expect("creates");
+        let boxes = (0..2).map(|i| cluster.sql_address(i)).collect();
+        let workload = Workload::start(boxes, "huerto", "market", &Mix::default());
+        let done = |workload: &Workload| workload.journal.borrow().reads;
+        for round in 0..6 {
+            let member = 1 + round % 2;
+            let faults = match round % 3 {
+                0 => Faults {
+                    drop_answers: true,
+                    ..Faults::default()
+                },
+                1 => Faults {
+                    frozen: true,
+                    ..Faults::default()
+                },
+                _ => Faults {
+                    delay_ms: 20,
+                    ..Faults::default()
+                },
+            };
+            cluster
+                .set_faults(0, member, &faults)
+                .await
+                .expect("switches");
+            let goal = done(&workload) + 100;
+            until("reads go on", async || done(&workload) >= goal)
+                .await
+                .expect("reads go on");
+            cluster
+                .set_faults(0, member, &Faults::default())
+                .await
+                .expect("switches");
+        }
+        let (verdict, _) = workload.finish().await.expect("the rows can be read");
+        expect_that!(verdict, eq(Verdict::default()));
+    });
+}
+
+#[gtest]
+fn a_ruled_write_without_a_key_and_a_key_in_a_transaction_are_refused() {
+    let rule = serde_json::json!({ "name": "sale", "table": "sale" });
+    let shape = Shape {
+        rules: vec![("once".to_owned(), rule)],
+        ..Shape::default()
+    };
+    with_cluster(shape, async |cluster| {
+        let mut client = cluster.connect(0, "market", None).await.expect("connects");
+        client
+            .query("CREATE TABLE other (id bigint)")
+            .await
+            .expect("creates");
+        let error = client
+            .query("INSERT INTO sale VALUES (1)")
+            .await
+            .expect_err("refused");
+        expect_that!(error.code(), eq("LF002"));
+        client.query("BEGIN").await.expect("begins");
+        let keyed = "/* larkfall: once=a */ INSERT INTO other VALUES (1)";
+        expect_that!(
+            client.query(keyed).await.expect_err("refused").code(),
+            eq("0A000")
+        );
+        expect_that!(
+            client.query("SELECT 1").await.expect_err("is over").code(),
+            eq("25P02")
+        );
+        client.query("ROLLBACK").await.expect("ends");
+        let count = client
+            .query("SELECT count(*) FROM other")
+            .await
+            .expect("goes on");
+        expect_that!(count.number(), some(eq(0)));
+    });
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod clients;
 mod failover;
+mod hostile;
 mod many;
 #[path = "../../examples/support/processes.rs"]
 mod processes;
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -243,6 +243,12 @@
     })
 }
 
+/// A group at its first owner that knows nothing yet.
+pub fn fresh_group() -> Group {
+    let plan = plan(Durability::Majority);
+    Group::new(plan, "d0".into(), 0, Settings::default(), 1, ms(0))
+}
+
 impl World {
     pub fn new(seed: u64, without: Without) -> Self {
         let durability = match without.confirmation {
--- /dev/null
+++ b/tests/unit/group.rs
@@ -0,0 +1,54 @@
+//! Single events against a group's decisions.
+
+use googletest::prelude::*;
+use larkfall::borders::member::{Role, Status, Stream};
+use larkfall::decisions::group::{Action, Event, Note};
+use larkfall::decisions::position::Position;
+
+use super::fake::{fresh_group, ms};
+
+fn status(promised: u64, log: Position, applied: Position) -> Status {
+    Status {
+        promised,
+        role: Role::Primary,
+        log,
+        applied,
+        stream: Stream::None,
+    }
+}
+
+fn told(status: Status) -> Event {
+    Event::Status {
+        member: 0,
+        began: ms(1),
+        answer: Ok(status),
+    }
+}
+
+#[gtest]
+fn reports_that_cannot_be_true_are_not_taken() {
+    let at = Position::new;
+    for nonsense in [
+        status(u64::MAX, at(u64::MAX, 1), at(1, 1)),
+        status(1 << 40, at(1 << 40, 1), at(1, 1)),
+        status(1, at(2, 5), at(1, 5)),
+        status(2, at(2, 5), at(2, 9)),
+    ] {
+        let mut group = fresh_group();
+        let actions = group.handle(told(nonsense), ms(2));
+        expect_that!(
+            actions,
+            contains(eq(&Action::Note(Note::Nonsense { member: 0 })))
+        );
+        expect_that!(group.term(), eq(0));
+    }
+}
+
+#[gtest]
+fn a_primary_that_reports_its_own_term_is_adopted() {
+    let mut group = fresh_group();
+    let at = Position::new;
+    group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
+    expect_that!(group.term(), eq(1));
+    expect_that!(group.primary(), some(eq(0)));
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -6,6 +6,7 @@
 mod fair;
 mod fake;
 mod floors;
+mod group;
 mod owners;
 mod randomised;
 mod settings;
