fix: silence is noticed when nothing else happens

Cause: a group was woken for its next probe and not for the moment at which three unanswered ones become a suspicion; with everything parked nothing else woke it.

--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -47,14 +47,7 @@
 }
 
 async fn measure(length: Duration) -> anyhow::Result<Measures> {
-    let shape = Shape {
-        log: if std::env::var("DEMO_LOG").is_ok() {
-            crate::events::Format::Terminal
-        } else {
-            crate::events::Format::None
-        },
-        ..Shape::default()
-    };
+    let shape = Shape::default();
     let mut cluster = Cluster::start(shape, &Threads::default()).await?;
     let mut client = cluster.connect(0, "market", None).await?;
     create_tables(&mut client).await?;
--- a/src/decisions/detect.rs
+++ b/src/decisions/detect.rs
@@ -14,6 +14,8 @@
     /// An answer came to a probe that was sent at `sent`. Other traffic counts too.
     fn heard(&mut self, sent: Duration, now: Duration);
     fn suspects(&self, now: Duration) -> bool;
+    /// Moment at which the silence so far becomes a suspicion, if it lasts.
+    fn deadline(&self) -> Option<Duration>;
     /// Changes the time between two probes, where the detector has one.
     fn set_period(&mut self, period: Duration);
 }
--- a/src/decisions/detect/adaptive.rs
+++ b/src/decisions/detect/adaptive.rs
@@ -62,6 +62,10 @@
         now > self.newest + self.period + self.mean() + self.margin
     }
 
+    fn deadline(&self) -> Option<Duration> {
+        Some(self.newest + self.period + self.mean() + self.margin)
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.period = period;
     }
--- a/src/decisions/detect/baseline.rs
+++ b/src/decisions/detect/baseline.rs
@@ -85,6 +85,11 @@
         !self.heard && (self.suspected || late)
     }
 
+    fn deadline(&self) -> Option<Duration> {
+        let last_try = !self.heard && self.sent >= self.settings.tries;
+        last_try.then(|| self.last + self.settings.interval)
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.settings.period = period;
     }
--- a/src/decisions/detect/fixed.rs
+++ b/src/decisions/detect/fixed.rs
@@ -39,6 +39,10 @@
         now > self.heard + self.timeout
     }
 
+    fn deadline(&self) -> Option<Duration> {
+        Some(self.heard + self.timeout)
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.period = period;
     }
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -365,6 +365,9 @@
         let never = Duration::MAX;
         let probes = self.members.iter().map(|member| {
             let due = member.detector.due();
+            // A suspicion has to be noticed when nothing else happens.
+            let silent = member.detector.deadline().filter(|_| !member.suspected);
+            let due = silent.map_or(due, |deadline| due.min(deadline));
             match (member.wanted, member.probed) {
                 (true, Some(probed)) => due.min(probed + self.settings.probe_gap),
                 _ => due,
--- a/tests/system/cli.rs
+++ b/tests/system/cli.rs
@@ -62,3 +62,25 @@
         expect_that!(output.status.code(), some(eq(0)), "{command}");
     }
 }
+
+#[gtest]
+fn the_worked_examples_have_no_findings() {
+    let root = env!("CARGO_MANIFEST_DIR");
+    let paths = ["santiago", "casa"].map(|place| format!("{root}/examples/{place}"));
+    let output = larkfall(&["check", &paths[0], &paths[1]]);
+    expect_that!(errors(&output), eq(""));
+    expect_that!(output.status.code(), some(eq(0)));
+}
+
+#[gtest]
+fn the_demo_ends_by_itself_and_prints_both_measures() {
+    let output = larkfall(&["demo", "--json", "--seconds", "2"]);
+    expect_that!(output.status.code(), some(eq(0)));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let measures: serde_json::Value = serde_json::from_str(&text).expect("one JSON object");
+    expect_that!(measures["replica_read_share"].as_f64(), some(gt(0.0)));
+    expect_that!(measures["failover_gap_ms"].as_f64(), some(gt(0.0)));
+    for count in ["lost_acknowledged_writes", "double_runs", "stale_own_reads"] {
+        expect_that!(measures[count].as_u64(), some(eq(0)), "{count}");
+    }
+}
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -1,5 +1,7 @@
 //! Whole systems of processes for tests.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use larkfall::trial::cluster::{Cluster, Shape, until};
 use larkfall::trial::journal::Verdict;
@@ -8,6 +10,7 @@
 
 use super::processes::Processes;
 
+const GUARD: Duration = Duration::from_secs(180);
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_larkfall");
 
 pub fn processes() -> Processes {
@@ -23,10 +26,15 @@
         .build()
         .expect("a runtime can be built");
     LocalSet::new().block_on(&runtime, async {
-        let mut cluster = Cluster::start(shape, &processes())
-            .await
-            .expect("the system starts");
-        test(&mut cluster).await;
+        let whole = async {
+            let mut cluster = Cluster::start(shape, &processes())
+                .await
+                .expect("the system starts");
+            test(&mut cluster).await;
+        };
+        // A guard against hanging for good; no test comes near it.
+        let ended = tokio::time::timeout(GUARD, whole).await;
+        ended.expect("the test ends");
     });
 }
 
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -52,3 +52,18 @@
     expect_that!(group.term(), eq(1));
     expect_that!(group.primary(), some(eq(0)));
 }
+
+#[gtest]
+fn silence_is_noticed_when_nothing_else_happens() {
+    let mut group = fresh_group();
+    let at = Position::new;
+    group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
+    // Nobody answers any more; the group is woken only when it asks to be.
+    let mut now = ms(2);
+    while !group.suspicions()[0] && now < ms(10_000) {
+        now = group.wake().max(now + ms(1));
+        group.handle(Event::Tick, now);
+    }
+    // The period, and three tries of 200 ms each.
+    expect_that!(now, le(ms(1_000 + 600 + 10)));
+}
