fix: a read's own answer is no vote that its primary was not fenced

Cause: the confirmation of a strict read counted the primary's answer as one member of the majority. A fenced primary refuses writes but still reads, so a strict read could come from a replaced primary with one other member's old promise. Writes are as before.

--- a/src/decisions/confirm.rs
+++ b/src/decisions/confirm.rs
@@ -54,12 +54,14 @@
 }
 
 impl Confirm {
-    /// Adds a waiter whose primary's own answer counts already.
+    /// Adds a waiter. The answer of the primary that took a write counts already:
+    /// had it been fenced, it had refused. A read's answer does not count, since a
+    /// fenced primary still reads.
     pub fn add(
         &mut self,
         id: u64,
         need: Need,
-        primary: usize,
+        primary: Option<usize>,
         since: Duration,
         deadline: Duration,
     ) {
@@ -67,7 +69,7 @@
             need,
             since,
             deadline,
-            seen: BTreeSet::from([primary]),
+            seen: primary.into_iter().collect(),
         };
         let before = self.waiters.insert(id, waiter);
         assert!(before.is_none(), "waiter {id} waits twice");
--- a/src/decisions/detect.rs
+++ b/src/decisions/detect.rs
@@ -16,6 +16,8 @@
     fn suspects(&self, now: Duration) -> bool;
     /// Moment at which the silence so far becomes a suspicion, if it lasts.
     fn deadline(&self) -> Option<Duration>;
+    /// Has the next probe sent at once, unless the last one is quite recent.
+    fn hurry(&mut self, now: Duration);
     /// Changes the time between two probes, where the detector has one.
     fn set_period(&mut self, period: Duration);
 }
--- a/src/decisions/detect/adaptive.rs
+++ b/src/decisions/detect/adaptive.rs
@@ -66,6 +66,10 @@
         Some(self.newest + self.period + self.mean() + self.margin)
     }
 
+    fn hurry(&mut self, now: Duration) {
+        self.due = self.due.min(now);
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.period = period;
     }
--- a/src/decisions/detect/baseline.rs
+++ b/src/decisions/detect/baseline.rs
@@ -25,6 +25,8 @@
     /// Start of the present period, the sending of its first probe.
     start: Duration,
     sent: u32,
+    /// Start of the next period.
+    next: Duration,
     heard: bool,
     suspected: bool,
     last: Duration,
@@ -36,6 +38,7 @@
             settings,
             start: now,
             sent: 0,
+            next: now,
             heard: true,
             suspected: false,
             last: now,
@@ -45,20 +48,18 @@
 
 impl Detector for Baseline {
     fn due(&self) -> Duration {
-        if self.sent == 0 {
-            return self.start;
-        }
         if !self.heard && self.sent < self.settings.tries {
             return self.last + self.settings.interval;
         }
-        self.start + self.settings.period
+        self.next
     }
 
     fn sent(&mut self, now: Duration) {
-        let fresh = self.sent == 0 || now >= self.start + self.settings.period;
+        let fresh = self.sent == 0 || now >= self.next;
         if fresh {
             self.suspected = self.sent > 0 && !self.heard;
             self.start = now;
+            self.next = now + self.settings.period;
             self.sent = 0;
             self.heard = false;
         }
@@ -73,6 +74,7 @@
         // An answered statement is as good as a probe sent at the same time: the
         // period starts anew, and a busy member costs no probes.
         self.start = sent;
+        self.next = sent + self.settings.period;
         self.sent = self.sent.max(1);
         self.last = self.last.max(sent);
         self.heard = true;
@@ -90,7 +92,17 @@
         last_try.then(|| self.last + self.settings.interval)
     }
 
+    fn hurry(&mut self, now: Duration) {
+        let recent = now < self.last + self.settings.interval;
+        if self.heard && !recent {
+            self.next = now;
+        }
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.settings.period = period;
+        if self.sent > 0 {
+            self.next = self.start + period;
+        }
     }
 }
--- a/src/decisions/detect/fixed.rs
+++ b/src/decisions/detect/fixed.rs
@@ -43,6 +43,10 @@
         Some(self.heard + self.timeout)
     }
 
+    fn hurry(&mut self, now: Duration) {
+        self.due = self.due.min(now);
+    }
+
     fn set_period(&mut self, period: Duration) {
         self.period = period;
     }
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -295,6 +295,12 @@
                 position,
             } => self.release(member, began, took, position, now, &mut out),
             Event::Look => self.want_all(),
+            Event::Asked => {
+                // Owners that are not the first look seldom: now is the time.
+                if let Some(primary) = self.replace.primary {
+                    self.members[primary].detector.hurry(now);
+                }
+            }
             Event::Broken { member } => self.broken(member, now, &mut out),
             Event::Wrote {
                 id,
@@ -304,7 +310,7 @@
             } => self.wrote(id, member, position, deadline, now, &mut out),
             Event::Verify {
                 id,
-                member,
+                member: _,
                 term,
                 since,
                 position,
@@ -315,7 +321,7 @@
                     Need::Holds(_) => now,
                     Need::Unfenced(_) => since,
                 };
-                self.verify(id, member, need, since, deadline, &mut out);
+                self.verify(id, need, since, deadline, &mut out);
             }
             Event::Status {
                 member,
--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -28,7 +28,7 @@
             return;
         }
         let need = Need::Holds(position);
-        self.confirm.add(id, need, member, now, deadline);
+        self.confirm.add(id, need, Some(member), now, deadline);
         self.want_for_confirmation();
     }
 
@@ -45,7 +45,6 @@
     pub(super) fn verify(
         &mut self,
         id: u64,
-        member: usize,
         need: Need,
         since: Duration,
         deadline: Duration,
@@ -65,7 +64,7 @@
             out.push(Action::Settle { id, outcome });
             return;
         }
-        self.confirm.add(id, need, member, since, deadline);
+        self.confirm.add(id, need, None, since, deadline);
         self.want_for_confirmation();
     }
 
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -108,6 +108,8 @@
         term: u64,
         answer: Result<Status, MemberError>,
     },
+    /// Another owner suspects the primary and asks what this one thinks.
+    Asked,
     /// Another owner's view of the primary.
     Opinion {
         from: Arc<str>,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -134,6 +134,7 @@
             Message::Opinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
                 let _ = reply.send(owned.map(|owned| owned.group.suspects(term)));
+                self.handle(&group, Event::Asked);
             }
             Message::Dump(reply) => {
                 let now = self.context.now();
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -565,6 +565,14 @@
             };
             let at = self.now + self.delay() + self.delay();
             self.at(at, Delivery::ToOwner { owner, event });
+            let event = Event::Asked;
+            self.at(
+                self.now,
+                Delivery::ToOwner {
+                    owner: other,
+                    event,
+                },
+            );
         }
     }
 
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -67,3 +67,18 @@
     // The period, and three tries of 200 ms each.
     expect_that!(now, le(ms(1_000 + 600 + 10)));
 }
+
+#[gtest]
+fn an_owner_that_looks_seldom_looks_at_once_when_another_suspects_the_primary() {
+    let mut group = fresh_group();
+    group.set_rank(1, 1);
+    let at = Position::new;
+    group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
+    let mut now = ms(2);
+    while !group.suspicions()[0] && now < ms(10_000) {
+        now += ms(25);
+        group.handle(Event::Asked, now);
+    }
+    // Three tries of 200 ms, not the four seconds between two looks.
+    expect_that!(now, le(ms(1_000)));
+}
