--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -310,7 +310,6 @@
             } => self.wrote(id, member, position, deadline, now, &mut out),
             Event::Verify {
                 id,
-                member: _,
                 term,
                 since,
                 position,
--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -23,8 +23,7 @@
         } else {
             None
         };
-        if let Some(outcome) = outcome {
-            out.push(Action::Settle { id, outcome });
+        if Self::settle_now(id, outcome, out) {
             return;
         }
         let need = Need::Holds(position);
@@ -60,8 +59,7 @@
         } else {
             None
         };
-        if let Some(outcome) = outcome {
-            out.push(Action::Settle { id, outcome });
+        if Self::settle_now(id, outcome, out) {
             return;
         }
         self.confirm.add(id, need, None, since, deadline);
@@ -82,6 +80,13 @@
         }
     }
 
+    /// Ends a wait that need not begin.
+    fn settle_now(id: u64, outcome: Option<Outcome>, out: &mut Vec<Action>) -> bool {
+        let settled = outcome.map(|outcome| (id, outcome));
+        Self::settle(settled.into_iter().collect(), out);
+        settled.is_some()
+    }
+
     pub(super) fn settle(ended: Vec<(u64, Outcome)>, out: &mut Vec<Action>) {
         let settle = |(id, outcome)| Action::Settle { id, outcome };
         out.extend(ended.into_iter().map(settle));
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -88,7 +88,6 @@
     /// is seen not to be replaced after `since`, and a majority holds what it saw.
     Verify {
         id: u64,
-        member: usize,
         term: u64,
         since: Duration,
         position: Option<Position>,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -195,7 +195,6 @@
                 position,
             } => Event::Verify {
                 id,
-                member,
                 term,
                 since,
                 position,
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -835,7 +835,6 @@
     fn verify(&mut self, owner: usize, id: u64, statement: &Statement, since: Duration) {
         let event = Event::Verify {
             id,
-            member: statement.member,
             term: statement.term,
             since,
             position: statement.ran.as_ref().map(|ran| ran.position),
