refactor: what stood twice stands once; no allocation per event where nothing changed

The examples' arguments and loop, the overload refusal and the start-up parameters stood two or three times. The loop built a list of suspicions for every event, and each running statement copied it, though it hardly ever changes. Two names that nothing used are gone (an exchange in once.rs, a time in an example). Speed was not measured again.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -244,7 +244,6 @@
         tokio::time::sleep(Duration::from_secs(2)).await;
         let mut sample = Sample::default();
         let (bytes, time) = (loopback_bytes(), cpu("box-"));
-        let began = Instant::now();
         for change in 0..CHANGES {
             let spec = json!({ "partner": "huerto", "group": "g0", "name": "panel", "max_age_ms": 1_000 + change });
             let resource = json!({ "kind": "read", "spec": spec });
@@ -259,14 +258,12 @@
             cluster.in_force(revision).await?;
             sample.add(start.elapsed());
         }
-        let spent = began.elapsed().as_secs_f64();
         println!(
             "  {boxes:3} boxes  {}  {:7.0} B a box and change, polls and looks included  {:6.2} ms processor a box and change",
             sample.summary(),
             (loopback_bytes() - bytes) as f64 / f64::from(boxes) / CHANGES as f64,
             (cpu("box-") - time).as_secs_f64() * 1e3 / f64::from(boxes) / CHANGES as f64,
         );
-        let _ = spent;
     }
     Ok(())
 }
--- a/examples/overload.rs
+++ b/examples/overload.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use larkfall::trial::bench;
 use larkfall::trial::client::Client;
 use larkfall::trial::cluster::{Cluster, Shape};
 use larkfall::trial::host::Threads;
@@ -172,12 +173,6 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let seconds = std::env::args()
-        .nth(1)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(4);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, measure(Duration::from_secs(seconds)))
+    let runtime = bench::runtime()?;
+    LocalSet::new().block_on(&runtime, measure(bench::length()))
 }
--- a/examples/replicas.rs
+++ b/examples/replicas.rs
@@ -8,6 +8,7 @@
 
 use std::time::{Duration, Instant};
 
+use larkfall::trial::bench;
 use larkfall::trial::client::{Client, ClientError};
 use larkfall::trial::cluster::{Cluster, Shape};
 use larkfall::trial::host::Threads;
@@ -170,14 +171,8 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let seconds = std::env::args()
-        .nth(1)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(4);
-    let length = Duration::from_secs(seconds);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let length = bench::length();
+    let runtime = bench::runtime()?;
     let deployments: [fn() -> Deployment; 2] = [
         || Deployment {
             name: "huerto",
--- a/examples/speed.rs
+++ b/examples/speed.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use larkfall::trial::bench;
 use larkfall::trial::client::Client;
 use larkfall::trial::cluster::{Cluster, Shape, until};
 use larkfall::trial::cost::cpu;
@@ -154,12 +155,6 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let seconds = std::env::args()
-        .nth(1)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(4);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, measure(Duration::from_secs(seconds)))
+    let runtime = bench::runtime()?;
+    LocalSet::new().block_on(&runtime, measure(bench::length()))
 }
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -217,8 +217,8 @@
     }
 
     /// Which members this owner suspects, by place.
-    pub fn suspicions(&self) -> Vec<bool> {
-        self.members.iter().map(|member| member.suspected).collect()
+    pub fn suspicions(&self) -> impl Iterator<Item = bool> {
+        self.members.iter().map(|member| member.suspected)
     }
 
     /// `crowd` is the factor by which a box with many groups looks less often.
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -55,6 +55,16 @@
     pub retry_after: Duration,
 }
 
+impl Refusal {
+    /// The wait would pass the deadline.
+    pub fn overload(retry_after: Duration) -> Self {
+        Self {
+            reason: Reason::Overload,
+            retry_after,
+        }
+    }
+}
+
 /// What happens to a group.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -135,11 +135,7 @@
         let retry_after = fair.wait();
         for id in fair.expire(now) {
             self.waiting.queued.remove(&id);
-            let reason = Reason::Overload;
-            let refusal = Refusal {
-                reason,
-                retry_after,
-            };
+            let refusal = Refusal::overload(retry_after);
             out.push(Action::Refuse { id, refusal });
         }
     }
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -208,11 +208,7 @@
                 self.waiting.queued.insert(id, (request, member));
             }
             Admission::Refuse { retry_after } => {
-                let reason = Reason::Overload;
-                let refusal = Refusal {
-                    reason,
-                    retry_after,
-                };
+                let refusal = Refusal::overload(retry_after);
                 out.push(Action::Refuse { id, refusal });
             }
         }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -213,14 +213,17 @@
             };
             let actions = owned.group.handle(event, now);
             owned.wake = owned.group.wake();
-            let health = Health {
-                term: owned.group.term(),
-                suspected: owned.group.suspicions(),
-            };
-            owned.health.send_if_modified(|old| {
-                let changed = *old != health;
-                *old = health;
-                changed
+            let group = &owned.group;
+            owned.health.send_if_modified(|known| {
+                let suspected = known.suspected.iter().copied();
+                if known.term == group.term() && suspected.eq(group.suspicions()) {
+                    return false;
+                }
+                *known = Health {
+                    term: group.term(),
+                    suspected: group.suspicions().collect(),
+                };
+                true
             });
             for action in actions {
                 events.extend(self.act(id, action));
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -191,15 +191,10 @@
     ) -> Result<(), ChannelError> {
         let key: Key = (rand::rng().random_range(1..i32::MAX), rand::rng().random());
         channel.queue_back(&Back::Authentication(Authentication::Ok))?;
-        for (name, value) in [
-            ("server_version", SERVER_VERSION),
-            ("server_encoding", "UTF8"),
-            ("client_encoding", "UTF8"),
-            ("DateStyle", "ISO, MDY"),
-            ("TimeZone", "UTC"),
-            ("integer_datetimes", "on"),
-            ("standard_conforming_strings", "on"),
-        ] {
+        for (name, value) in [("server_version", SERVER_VERSION)]
+            .into_iter()
+            .chain(report::SESSION)
+        {
             channel.queue_back(&report::parameter(name, value))?;
         }
         let data = BackendKeyData::new(key.0, SecretKey::I32(key.1));
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -134,7 +134,7 @@
         let known = code == UNIQUE;
         let position = query(connection, "ROLLBACK").await?.position;
         return match known {
-            true => recorded(connection, exchange, key, position).await,
+            true => recorded(connection, key, position).await,
             false => Ok(Attempt::Lost),
         };
     }
@@ -163,7 +163,6 @@
 /// to last, so the wait is for the member's newest position.
 async fn recorded(
     connection: &mut Connection,
-    exchange: &Exchange,
     key: &str,
     position: Option<Position>,
 ) -> Result<Attempt, ChannelError> {
@@ -182,7 +181,6 @@
     let Some(position) = position else {
         return Ok(Attempt::Lost);
     };
-    let _ = exchange;
     let mut reply = reply(Bytes::from(bytes), false, Some(position));
     reply.server = Server::Ledger;
     Ok(Attempt::Done(reply, Some(position)))
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -460,11 +460,13 @@
 /// Returns when the member is replaced, or suspected for too long.
 async fn given_up(grant: &mut Grant) {
     loop {
-        let health = grant.health.borrow_and_update().clone();
-        if health.term > grant.term {
+        let (term, suspected) = {
+            let health = grant.health.borrow_and_update();
+            (health.term, health.suspected.get(grant.member).copied())
+        };
+        if term > grant.term {
             return;
         }
-        let suspected = health.suspected.get(grant.member).copied();
         if suspected == Some(true) {
             let changed = tokio::time::timeout(SUSPECT_PATIENCE, grant.health.changed()).await;
             if changed.is_err() {
--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -135,15 +135,10 @@
         tokio::time::sleep(Duration::from_millis(self.member.settings.connect_ms)).await;
         self.channel
             .queue_back(&Back::Authentication(Authentication::Ok))?;
-        for (name, value) in [
-            ("server_version", "15.0 (larkfall stand-in)"),
-            ("server_encoding", "UTF8"),
-            ("client_encoding", "UTF8"),
-            ("DateStyle", "ISO, MDY"),
-            ("TimeZone", "UTC"),
-            ("integer_datetimes", "on"),
-            ("standard_conforming_strings", "on"),
-        ] {
+        for (name, value) in [("server_version", "15.0 (larkfall stand-in)")]
+            .into_iter()
+            .chain(report::SESSION)
+        {
             self.channel.queue_back(&report::parameter(name, value))?;
         }
         let key = BackendKeyData::new(1, SecretKey::I32(1));
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -1,5 +1,6 @@
 //! Trials on loopback: whole systems of stand-ins and boxes, a workload and a checker.
 
+pub mod bench;
 pub mod client;
 pub mod cluster;
 pub mod cost;
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -9,6 +9,16 @@
 /// Parameter in which a box hands the session's token to the caller.
 pub const TOKEN: &str = "larkfall.token";
 
+/// What callers are told at start-up besides the version.
+pub const SESSION: [(&str, &str); 6] = [
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
 /// An error with its SQLSTATE, as sent to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::member::{Role, Status, Stream};
-use larkfall::decisions::group::{Action, Event, Note};
+use larkfall::decisions::group::{Action, Event, Group, Note};
 use larkfall::decisions::position::Position;
 
 use super::fake::{fresh_group, ms};
@@ -25,6 +25,10 @@
     }
 }
 
+fn is_suspected(group: &Group) -> bool {
+    group.suspicions().next().expect("has a primary")
+}
+
 #[gtest]
 fn reports_that_cannot_be_true_are_not_taken() {
     let at = Position::new;
@@ -60,7 +64,7 @@
     group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
     // Nobody answers any more; the group is woken only when it asks to be.
     let mut now = ms(2);
-    while !group.suspicions()[0] && now < ms(10_000) {
+    while !is_suspected(&group) && now < ms(10_000) {
         now = group.wake().max(now + ms(1));
         group.handle(Event::Tick, now);
     }
@@ -75,7 +79,7 @@
     let at = Position::new;
     group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
     let mut now = ms(2);
-    while !group.suspicions()[0] && now < ms(10_000) {
+    while !is_suspected(&group) && now < ms(10_000) {
         now += ms(25);
         group.handle(Event::Asked, now);
     }
