--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -100,7 +100,7 @@
             ("platform", settings.platform.to_string()),
             (
                 "peer",
-                settings.peer.clone().unwrap_or_default().to_string(),
+                settings.peers.join(","),
             ),
             (
                 "admin",
--- a/src/borders.rs
+++ b/src/borders.rs
@@ -4,3 +4,4 @@
 pub mod member;
 pub mod roster;
 pub mod table;
+pub mod upstream;
--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decisions::position::Position;
+use crate::declarations::resource::Member as Declared;
 
 /// What a member does in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,10 +54,22 @@
     Silent,
     #[error("refused: its promised term is {promised}")]
     Fenced { promised: u64 },
+    /// It answers, but has no time for this.
+    #[error("too busy")]
+    Busy,
     #[error("answered nonsense: {0}")]
     Nonsense(String),
 }
 
+/// On whose authority a member is promoted, where the platform wants to know.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Order {
+    /// The box that holds the duty.
+    pub holder: Arc<str>,
+    /// Rises whenever the holder changes.
+    pub generation: u64,
+}
+
 /// Where a member listens.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Address {
@@ -73,13 +86,17 @@
     /// Takes `term` if it is strictly above the member's promised term.
     async fn fence(&self, term: u64) -> Result<Status, MemberError>;
     /// Makes the member primary of `term`, which it must have promised.
-    async fn promote(&self, term: u64) -> Result<Status, MemberError>;
+    async fn promote(&self, term: u64, order: &Order) -> Result<Status, MemberError>;
     async fn follow(&self, term: u64, primary: &Address) -> Result<Status, MemberError>;
+    /// Takes back a fence that leads to nothing; does nothing where fences last.
+    async fn release(&self) -> Result<(), MemberError> {
+        Ok(())
+    }
     /// Returns when the member's process is seen to be gone.
     async fn gone(&self);
 }
 
-/// Makes the control half for an address.
+/// Makes the control half of a declared member.
 pub trait Members {
-    fn member(&self, address: &Address) -> Rc<dyn Member>;
+    fn member(&self, declared: &Declared) -> Rc<dyn Member>;
 }
--- a/src/borders/roster.rs
+++ b/src/borders/roster.rs
@@ -32,4 +32,12 @@
     /// The list, or none when it is still the one of `tag`: with hundreds of
     /// boxes the whole list is too much for every look.
     async fn boxes(&self, tag: &str) -> Result<Option<Tagged>, TableError>;
+    /// Puts this box on the list, where boxes list themselves.
+    async fn enter(&self, _: &Listing) -> Result<(), TableError> {
+        Ok(())
+    }
+    /// Takes a box off the list, where boxes list themselves.
+    async fn leave(&self, _: &str) -> Result<(), TableError> {
+        Ok(())
+    }
 }
--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -1,6 +1,7 @@
 //! Border to the platform's transactional table service.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
@@ -63,4 +64,14 @@
     /// All rows written after `since`.
     async fn scan(&self, since: u64) -> Result<Scan, TableError>;
     async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError>;
+    /// Returns when there may be something new: after `poll` where the table does
+    /// not tell.
+    async fn news(&self, poll: Duration) {
+        tokio::time::sleep(poll).await;
+    }
+    /// Whether rows become known in the order of their revisions. Where not, a
+    /// revision does not say which rows somebody has.
+    fn is_ordered(&self) -> bool {
+        true
+    }
 }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -21,7 +21,7 @@
             optional --api-port port: String
             /// IP:port of the platform (LARKFALL_PLATFORM).
             optional --platform address: String
-            /// IP:port of a peer to ask when the platform is down at the start (LARKFALL_PEER).
+            /// IP:port of peers, with commas, to ask when the platform is down at the start (LARKFALL_PEER).
             optional --peer address: String
             /// SHA-256 of the token that may declare partners (LARKFALL_ADMIN).
             optional --admin hash: String
@@ -40,6 +40,9 @@
             /// Milliseconds that requests in flight get at a stop (LARKFALL_DRAIN_MS, 30000).
             optional --drain-ms ms: String
         }
+        /// Run a box on the users' platform, by the settings file that
+        /// LARKFALL_NODE_FILE names.
+        cmd serve {}
         /// Run a small stand-in for an outside system.
         cmd stand-in {
             /// A member of a database group, with SQLite inside.
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -22,8 +22,8 @@
     pub api_port: u16,
     /// `IP:port` of the platform.
     pub platform: Arc<str>,
-    /// `IP:port` of a peer to ask when the platform is down at the start.
-    pub peer: Option<Arc<str>>,
+    /// `IP:port` of peers to ask when the platform is down at the start.
+    pub peers: Vec<Arc<str>>,
     /// SHA-256 of the token that may declare partners, in hexadecimal.
     pub admin: Option<Arc<str>>,
     pub log: Format,
@@ -39,6 +39,8 @@
     pub callers: usize,
     /// Time that requests in flight get at a stop.
     pub drain: Duration,
+    /// Promotions are ordered under a generation number that is kept in the table.
+    pub duty: bool,
 }
 
 impl Default for Run {
@@ -50,7 +52,7 @@
             port: 5432,
             api_port: 8432,
             platform: "".into(),
-            peer: None,
+            peers: Vec::new(),
             admin: None,
             log: Format::Terminal,
             poll: Duration::from_secs(2),
@@ -59,6 +61,7 @@
             connect_wait: Duration::from_secs(1),
             callers: 10_000,
             drain: Duration::from_secs(30),
+            duty: false,
         }
     }
 }
@@ -175,7 +178,9 @@
             port: reader.number("port", defaults.port),
             api_port: reader.number("api-port", defaults.api_port),
             platform: reader.required("platform", defaults.platform, "IP:port", address),
-            peer: reader.optional("peer", defaults.peer, "IP:port", |t| address(t).map(Some)),
+            peers: reader.optional("peer", defaults.peers, "IP:port, or several with commas", |t| {
+                t.split(',').map(address).collect()
+            }),
             admin: reader.optional(
                 "admin",
                 defaults.admin,
@@ -192,6 +197,7 @@
             connect_wait: reader.milliseconds("connect-wait-ms", defaults.connect_wait),
             callers: reader.number("callers", defaults.callers),
             drain: reader.milliseconds("drain-ms", defaults.drain),
+            duty: defaults.duty,
         };
         match reader.findings.is_empty() {
             true => Ok(run),
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -55,6 +55,17 @@
     pub cut_off_retry: Duration,
     /// Guess of a statement's time before any was measured.
     pub service: Duration,
+    /// Part of the lease that is not used: for clocks that differ and the way of an
+    /// answer out of the process.
+    pub lease_margin: Duration,
+    /// A leaving primary serves until another is about to take over.
+    pub serve_leaving: bool,
+    /// A member that is missing from the list is still one for this long: lists lag,
+    /// and lose members that live while their keeper is away.
+    pub missing_grace: Duration,
+    /// Statements at a member at once, as a percentage of this box's share of its
+    /// connections.
+    pub overcommit: u32,
 }
 
 impl Default for Settings {
@@ -73,6 +84,10 @@
             probe_gap: Duration::from_millis(2),
             cut_off_retry: Duration::from_secs(1),
             service: Duration::from_millis(2),
+            lease_margin: Duration::from_millis(50),
+            serve_leaving: false,
+            missing_grace: Duration::ZERO,
+            overcommit: 100,
         }
     }
 }
@@ -91,6 +106,12 @@
     probed: Option<Duration>,
     wanted: bool,
     fair: Fair,
+    /// It reports that it is a replica.
+    demoted: bool,
+    /// Since when it is missing from the list.
+    missing: Option<Duration>,
+    /// It is no member any more; its place is kept, since members go by place.
+    gone: bool,
 }
 
 impl Member {
@@ -106,6 +127,9 @@
             probed: None,
             wanted: false,
             fair: Fair::new(capacity, settings.service),
+            demoted: false,
+            missing: None,
+            gone: false,
         }
     }
 
@@ -147,6 +171,8 @@
     born: Duration,
     /// Since when the primary is declared to leave.
     leaving: Option<Duration>,
+    /// It has had all the time that a leaving primary gets.
+    overstayed: bool,
     crowd: u32,
 }
 
@@ -186,6 +212,7 @@
         now: Duration,
     ) -> Self {
         let capacity = share(plan.group.connections, plan.group.owners);
+        let capacity = (capacity * settings.overcommit as usize / 100).max(1);
         let member = |spec: &MemberSpec| Member::new(spec.clone(), capacity, &settings, now);
         let members: Vec<Member> = plan.members.iter().map(member).collect();
         let mut group = Self {
@@ -200,14 +227,20 @@
             dice: SmallRng::seed_from_u64(seed),
             born: now,
             leaving: None,
+            overstayed: false,
             crowd: 1,
             plan,
         };
-        group.note_leaving();
+        group.note_members();
         group.set_periods();
         group
     }
 
+    /// This owner's share of the connections to each member.
+    pub fn share(&self) -> usize {
+        share(self.plan.group.connections, self.plan.group.owners)
+    }
+
     pub fn term(&self) -> u64 {
         self.replace.term
     }
@@ -246,30 +279,82 @@
         }
     }
 
-    /// Takes a plan that differs in anything but the list of members.
-    pub fn set_plan(&mut self, plan: Arc<Plan>) {
-        assert!(
-            Self::same_members(&self.plan, &plan),
-            "members keep their places"
-        );
-        let capacity = share(plan.group.connections, plan.group.owners);
-        for (member, spec) in self.members.iter_mut().zip(&plan.members) {
-            member.spec = spec.clone();
+    /// Statements that may be at a member at once.
+    fn capacity(&self) -> usize {
+        let percent = self.settings.overcommit as usize;
+        (self.share() * percent / 100).max(1)
+    }
+
+    /// Takes a new plan. Members keep their places; new ones get places of their own.
+    pub fn set_plan(&mut self, plan: Arc<Plan>, now: Duration) {
+        let mut members = Vec::new();
+        for known in &mut self.members {
+            let same = |spec: &&MemberSpec| {
+                spec.name == known.spec.name && spec.address == known.spec.address
+            };
+            match plan.members.iter().find(same) {
+                Some(spec) => {
+                    known.spec = spec.clone();
+                    known.missing = None;
+                    known.gone = false;
+                }
+                None => known.missing = known.missing.or(Some(now)),
+            }
+            members.push(known.spec.clone());
+        }
+        for spec in &plan.members {
+            if !members.contains(spec) {
+                let member = Member::new(spec.clone(), 1, &self.settings, now);
+                self.members.push(member);
+                members.push(spec.clone());
+            }
+        }
+        self.plan = Arc::new(Plan {
+            members,
+            ..Plan::clone(&plan)
+        });
+        let capacity = self.capacity();
+        for member in &mut self.members {
             member.fair.set_capacity(capacity);
         }
-        self.plan = plan;
-        self.note_leaving();
+        self.note_members();
     }
 
-    fn note_leaving(&mut self) {
-        let leaving = (0..self.members.len()).filter(|i| self.members[*i].spec.leaving);
-        self.replace.set_leaving(leaving.collect());
+    /// Members that are still there, by place.
+    pub fn present(&self) -> impl Iterator<Item = usize> + use<> {
+        let places = self.members.iter().enumerate();
+        let present: Vec<usize> = places.filter(|(_, m)| !m.gone).map(|(i, _)| i).collect();
+        present.into_iter()
     }
 
-    /// Whether two plans name the same members at the same addresses.
-    pub fn same_members(one: &Plan, other: &Plan) -> bool {
-        let same = |(a, b): (&MemberSpec, &MemberSpec)| a.name == b.name && a.address == b.address;
-        one.members.len() == other.members.len() && one.members.iter().zip(&other.members).all(same)
+    fn note_members(&mut self) {
+        let leaving = self.present().filter(|i| self.members[*i].spec.leaving);
+        self.replace
+            .set_members(self.present().collect(), leaving.collect());
+    }
+
+    /// Gives up members that have been missing from the list for long enough.
+    fn forget_missing(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let grace = self.settings.missing_grace;
+        let late = |member: &Member| {
+            !member.gone && member.missing.is_some_and(|since| now >= since + grace)
+        };
+        if !self.members.iter().any(late) {
+            return;
+        }
+        let primary = self.replace.primary;
+        for (i, member) in self.members.iter_mut().enumerate() {
+            // The primary is replaced before it is forgotten.
+            if late(member) && Some(i) != primary {
+                member.gone = true;
+                member.view = None;
+            }
+            if late(member) {
+                member.spec.leaving = true;
+            }
+        }
+        self.note_members();
+        self.requeue(now, out);
     }
 
     /// Whether this owner finds the primary suspect, for a peer who asks.
@@ -295,6 +380,10 @@
                 position,
             } => self.release(member, began, took, position, now, &mut out),
             Event::Look => self.want_all(),
+            Event::Behind { member } => {
+                self.members[member].applied = Position::ZERO;
+                self.members[member].wanted = true;
+            }
             Event::Asked => {
                 // Owners that are not the first look seldom: now is the time.
                 if let Some(primary) = self.replace.primary {
@@ -320,7 +409,7 @@
                     Need::Holds(_) => now,
                     Need::Unfenced(_) => since,
                 };
-                self.verify(id, need, since, deadline, &mut out);
+                self.verify(id, need, since, deadline, now, &mut out);
             }
             Event::Status {
                 member,
@@ -368,7 +457,11 @@
     /// When a tick is due at the latest.
     pub fn wake(&self) -> Duration {
         let never = Duration::MAX;
-        let probes = self.members.iter().map(|member| {
+        let present = self.members.iter().filter(|member| !member.gone);
+        let missing = self.members.iter().filter(|member| !member.gone);
+        let missing = missing.filter_map(|member| member.missing);
+        let missing = missing.map(|since| since + self.settings.missing_grace);
+        let probes = present.map(|member| {
             let due = member.detector.due();
             // A suspicion has to be noticed when nothing else happens.
             let silent = member.detector.deadline().filter(|_| !member.suspected);
@@ -387,7 +480,8 @@
         let left = self.leaving.map(|since| since + self.settings.leave_grace);
         let replace = self.replace.wake().into_iter().chain(left);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
-        all.chain(queued).chain(replace).min().unwrap_or(never)
+        let all = all.chain(queued).chain(replace).chain(missing);
+        all.min().unwrap_or(never)
     }
 
     /// The state, for an operator.
--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -14,7 +14,11 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) {
-        let outcome = if self.plan.group.durability == Durability::Primary {
+        let alone = self.plan.group.durability == Durability::Primary;
+        if alone && !self.settings.replace.lease.is_zero() {
+            return self.wrote_alone(id, member, deadline, now, out);
+        }
+        let outcome = if alone {
             Some(Outcome::Confirmed)
         } else if position.term < self.replace.term {
             Some(Outcome::Unknown)
@@ -31,6 +35,30 @@
         self.want_for_confirmation();
     }
 
+    /// A write that only the primary holds is acknowledged while no other primary can
+    /// have been promoted.
+    fn wrote_alone(
+        &mut self,
+        id: u64,
+        member: usize,
+        deadline: Duration,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let leads = Some(member) == self.replace.primary;
+        let outcome = match (leads, self.is_leased(now)) {
+            (false, _) => Some(Outcome::Unknown),
+            (true, true) => Some(Outcome::Confirmed),
+            (true, false) => None,
+        };
+        if Self::settle_now(id, outcome, out) {
+            return;
+        }
+        let need = Need::Unfenced(self.replace.term);
+        self.confirm.add(id, need, None, now, deadline);
+        self.want_for_confirmation();
+    }
+
     /// What a read from the primary must wait for. What no majority holds yet may
     /// be lost with this primary, and then its reader would go back in time.
     pub(super) fn read_need(&self, term: u64, position: Option<Position>) -> Need {
@@ -47,9 +75,10 @@
         need: Need,
         since: Duration,
         deadline: Duration,
+        now: Duration,
         out: &mut Vec<Action>,
     ) {
-        let seen = self.verified().is_some_and(|moment| moment >= since);
+        let seen = self.verified().is_some_and(|moment| moment >= since) || self.is_leased(now);
         let outcome = if self.replace.majority() == 1 {
             Some(Outcome::Confirmed)
         } else if need.term() < self.replace.term {
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -1,5 +1,6 @@
 //! What happens to a group, and what it asks to be done.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,16 @@
     Replica { max_age: Duration },
 }
 
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Target::Primary => write!(f, "primary"),
+            Target::Strict => write!(f, "strict"),
+            Target::Replica { max_age } => write!(f, "replica {} ms", max_age.as_millis()),
+        }
+    }
+}
+
 /// A statement that asks for a member.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -48,6 +59,18 @@
     Stale,
 }
 
+impl Reason {
+    /// One word for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Overload => "overload",
+            Reason::Replacement => "replacement",
+            Reason::CutOff => "cut off",
+            Reason::Stale => "stale",
+        }
+    }
+}
+
 /// A refusal: not run, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -87,6 +110,10 @@
     },
     /// A member answered as if it were not what we take it for.
     Look,
+    /// A replica's log lacked a floor that it was believed to hold.
+    Behind {
+        member: usize,
+    },
     /// A write's answer came; it waits for confirmation.
     Wrote {
         id: u64,
@@ -158,6 +185,10 @@
         member: usize,
         term: u64,
     },
+    /// Take back a fence that leads to nothing.
+    Release {
+        member: usize,
+    },
     Promote {
         member: usize,
         term: u64,
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -18,6 +18,7 @@
             Ok(status) if self.sane(&status) => self.observe(member, status, began, now, out),
             Ok(_) => out.push(Action::Note(Note::Nonsense { member })),
             Err(MemberError::Broken) => self.broken(member, now, out),
+            Err(MemberError::Busy) => self.members[member].detector.heard(began, now),
             Err(_) => {}
         }
     }
@@ -51,16 +52,24 @@
         }
         known.view = Some((status, began));
         known.applied = status.applied;
+        known.demoted = status.role == Role::Replica;
+        if Some(member) == self.replace.primary {
+            let demoted = status.role == Role::Replica;
+            self.replace.set_demoted(demoted);
+        }
         self.replace.observe(member, &status, began, now);
+        self.note_promises();
         if status.role == Role::Primary && status.log.term == status.promised {
             self.adopt(status.log.term, member, now, out);
         }
         if Some(member) == self.replace.primary && status.promised == self.replace.term {
             self.history.observe(began, status.log.index);
         }
-        let majority = self.replace.majority();
-        let ended = self.confirm.observe(member, &status, began, majority);
-        Self::settle(ended, out);
+        if self.replace.accepts(member) && !self.is_demoted(member) {
+            let majority = self.replace.majority();
+            let ended = self.confirm.observe(member, &status, began, majority);
+            Self::settle(ended, out);
+        }
         self.note_held();
         self.repair(member, &status, out);
         self.wake_floorless(now, out);
@@ -68,6 +77,19 @@
         self.want_for_confirmation();
     }
 
+    /// A primary that leads no more vouches for nothing.
+    fn is_demoted(&self, member: usize) -> bool {
+        Some(member) == self.replace.primary && self.members[member].demoted
+    }
+
+    fn note_promises(&mut self) {
+        let reports = self.members.iter().filter(|member| !member.gone);
+        let promised = reports.filter_map(|member| member.status().map(|s| s.promised));
+        if let Some(highest) = promised.max() {
+            self.replace.note_promises(highest);
+        }
+    }
+
     /// Has a member that strays follow the primary.
     pub(super) fn repair(&self, member: usize, status: &Status, out: &mut Vec<Action>) {
         let Some(primary) = self.replace.primary else {
@@ -146,7 +168,8 @@
     }
 
     pub(super) fn news(&mut self, term: u64, primary: &str, now: Duration, out: &mut Vec<Action>) {
-        let found = self.members.iter().position(|m| &*m.spec.name == primary);
+        let named = |member: &Member| !member.gone && &*member.spec.name == primary;
+        let found = self.members.iter().position(named);
         if let Some(member) = found {
             self.adopt(term, member, now, out);
         }
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -6,6 +6,7 @@
 
 impl Group {
     pub(super) fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.forget_missing(now, out);
         self.update_suspicions(now, out);
         let left = self.has_left(now);
         let doubt = match self.replace.primary {
@@ -31,27 +32,32 @@
             .filter(|p| self.members[*p].spec.leaving);
         let Some(primary) = leader else {
             self.leaving = None;
+            self.overstayed = false;
             return false;
         };
+        let since = *self.leaving.get_or_insert(now);
         let others = self
             .members
             .iter()
-            .filter(|m| !m.spec.leaving && !m.suspected);
+            .filter(|m| !m.gone && !m.spec.leaving && !m.suspected);
         if others.count() < self.replace.majority() {
             // Nobody to hand over to: better a leaving primary than none.
             return false;
         }
-        let since = *self.leaving.get_or_insert(now);
+        self.overstayed = now >= since + self.settings.leave_most;
         let patience = self.settings.replace.stagger * self.replace.rank();
-        let idle = self.members[primary].fair.running() == 0 && self.confirm.is_empty();
+        let served = self.settings.serve_leaving;
+        let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
         let due = now >= since + self.settings.leave_grace + patience;
         (idle && due) || now >= since + self.settings.leave_most + patience
     }
 
     pub(super) fn update_suspicions(&mut self, now: Duration, out: &mut Vec<Action>) {
         let mut fresh = false;
+        let primary = self.replace.primary;
         for (i, member) in self.members.iter_mut().enumerate() {
-            let suspected = member.broken.is_some() || member.detector.suspects(now);
+            let silent = member.broken.is_some() || member.detector.suspects(now);
+            let suspected = silent || (member.demoted && Some(i) == primary);
             if suspected == member.suspected {
                 continue;
             }
@@ -80,6 +86,7 @@
                     }
                     out.push(Action::Fence { member, term });
                 }
+                Step::Release { member } => out.push(Action::Release { member }),
                 Step::Promote { member, term } => out.push(Action::Promote { member, term }),
                 Step::Lost { term } => out.push(Action::Note(Note::Lost { term })),
                 Step::Won { member, term } => self.won(member, term, now, out),
@@ -94,7 +101,7 @@
         }));
         let primary = winner;
         out.push(Action::Record { term, primary });
-        for member in (0..self.members.len()).filter(|member| *member != winner) {
+        for member in self.present().filter(|member| *member != winner) {
             out.push(Action::Follow {
                 member,
                 term,
@@ -104,6 +111,7 @@
         let winner = &mut self.members[winner];
         winner.broken = None;
         winner.suspected = false;
+        winner.demoted = false;
         winner.detector = Box::new(Baseline::new(self.settings.detect, now));
         self.enter_term(now, out);
     }
@@ -155,6 +163,9 @@
     pub(super) fn send_probes(&mut self, now: Duration, out: &mut Vec<Action>) {
         let gap = self.settings.probe_gap;
         for (i, member) in self.members.iter_mut().enumerate() {
+            if member.gone {
+                continue;
+            }
             let due = now >= member.detector.due();
             let rested = member.probed.is_none_or(|probed| now >= probed + gap);
             let asked = member.wanted && member.probes == 0 && rested;
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -4,8 +4,12 @@
 
 use super::*;
 
+/// A lease is renewed when this part of it has passed: two looks may be lost.
+const LEASE_LOOKS: u32 = 3;
+
 impl Group {
     pub(super) fn place(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
+        self.renew_lease(now);
         match request.target {
             Target::Primary | Target::Strict => self.place_primary(request, now, out),
             Target::Replica { max_age } => match request.floor {
@@ -29,13 +33,20 @@
     pub(super) fn writable(&self) -> Option<usize> {
         let primary = self.replace.primary?;
         let known = &self.members[primary];
-        let fine = !known.suspected && !known.spec.leaving && self.sees_majority();
+        let leaving = match self.settings.serve_leaving {
+            true => self.replace.is_deposing() || self.overstayed,
+            false => known.spec.leaving,
+        };
+        let fine = !known.suspected && !leaving && self.sees_majority();
         fine.then_some(primary)
     }
 
     pub(super) fn sees_majority(&self) -> bool {
-        let trusted = |member: &&Member| !member.suspected && member.view.is_some();
-        self.members.iter().filter(trusted).count() >= self.replace.majority()
+        let trusted = |(i, member): &(usize, &Member)| {
+            self.replace.accepts(*i) && !member.suspected && member.view.is_some()
+        };
+        let members = self.members.iter().enumerate();
+        members.filter(trusted).count() >= self.replace.majority()
     }
 
     /// Holds a request for a primary while one is to be expected in time.
@@ -156,7 +167,7 @@
                 continue;
             };
             let follows = status.log.term == self.replace.term && status.role == Role::Replica;
-            if member.suspected || member.spec.leaving || !follows {
+            if member.gone || member.suspected || member.spec.leaving || !follows {
                 continue;
             }
             let moment = self.history.moment(member.applied.index);
@@ -174,15 +185,44 @@
 
     /// Newest moment at which our term is known not to have been replaced.
     pub(super) fn verified(&self) -> Option<Duration> {
-        let ours = |member: &Member| {
+        let ours = |(i, member): (usize, &Member)| {
             let (status, began) = member.view.as_ref()?;
-            (status.promised <= self.replace.term).then_some(*began)
+            let vouches = status.promised <= self.replace.term && !self.vouches_not(i);
+            (vouches && self.replace.accepts(i)).then_some(*began)
         };
-        let mut moments: Vec<Duration> = self.members.iter().filter_map(ours).collect();
+        let members = self.members.iter().enumerate();
+        let mut moments: Vec<Duration> = members.filter_map(ours).collect();
         moments.sort_unstable_by(|a, b| b.cmp(a));
         moments.get(self.replace.majority() - 1).copied()
     }
 
+    /// Whether a member is the primary and reports that it leads no more.
+    fn vouches_not(&self, member: usize) -> bool {
+        Some(member) == self.replace.primary && self.members[member].demoted
+    }
+
+    /// Whether the lease on the present term holds: a majority was seen to keep to
+    /// it so lately that no promotion can have followed.
+    pub(super) fn is_leased(&self, now: Duration) -> bool {
+        let lease = self.settings.replace.lease;
+        let Some(margin) = lease.checked_sub(self.settings.lease_margin) else {
+            return false;
+        };
+        !lease.is_zero() && self.verified().is_some_and(|seen| now < seen + margin)
+    }
+
+    /// Looks again before the lease runs out, while somebody needs it.
+    pub(super) fn renew_lease(&mut self, now: Duration) {
+        let lease = self.settings.replace.lease;
+        if lease.is_zero() {
+            return;
+        }
+        let seen = self.verified().unwrap_or_default();
+        if now >= seen + lease / LEASE_LOOKS {
+            self.want_all();
+        }
+    }
+
     pub(super) fn enqueue(
         &mut self,
         request: Request,
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -4,6 +4,10 @@
 //! gets a majority at it. The winner is the granting member with the greatest
 //! log, which therefore holds everything that was ever acknowledged. Whoever
 //! loses a race, or an answer, goes to a higher term.
+//!
+//! Where a primary takes no fence, the boxes acknowledge under a lease: they have
+//! seen a majority unfenced within the lease's length. Then the promotion waits
+//! that long after the majority was fenced, and nobody acknowledges any more.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -26,6 +30,15 @@
     pub abandoned: Duration,
     /// Usual time from the first doubt to the new primary.
     pub expected: Duration,
+    /// A promotion that shows no new primary by then has failed.
+    pub promotion: Duration,
+    /// Wait between the majority's fences and the promotion; zero where a fenced
+    /// primary refuses by itself.
+    pub lease: Duration,
+    /// Time that replicas get to receive what a leaving primary took last.
+    pub catch_up: Duration,
+    /// A promotion ends all fences, and a replica's fence may be taken back.
+    pub fences_end: bool,
 }
 
 impl Default for Settings {
@@ -37,6 +50,10 @@
             rest: Duration::from_secs(1),
             abandoned: Duration::from_millis(600),
             expected: Duration::from_secs(2),
+            promotion: Duration::from_millis(500),
+            lease: Duration::ZERO,
+            catch_up: Duration::ZERO,
+            fences_end: false,
         }
     }
 }
@@ -52,6 +69,10 @@
         member: usize,
         term: u64,
     },
+    /// Take back a fence that leads to nothing.
+    Release {
+        member: usize,
+    },
     Promote {
         member: usize,
         term: u64,
@@ -80,6 +101,14 @@
         since: Duration,
         granted: BTreeMap<usize, Status>,
         refused: BTreeSet<usize>,
+        /// When the members besides the leaving primary are fenced too.
+        rest: Option<Duration>,
+    },
+    /// A majority is fenced; leases run out.
+    Waiting {
+        term: u64,
+        until: Duration,
+        granted: BTreeMap<usize, Status>,
     },
     Promoting {
         term: u64,
@@ -111,7 +140,10 @@
 #[derive(Clone, Debug)]
 pub struct Replace {
     settings: Settings,
-    members: usize,
+    /// Members whose majority decides: all that stay, and the primary.
+    acceptors: BTreeSet<usize>,
+    /// All members that can be asked.
+    members: BTreeSet<usize>,
     rank: u32,
     pub term: u64,
     pub primary: Option<usize>,
@@ -124,13 +156,16 @@
     doubted: Option<Duration>,
     /// Members that are not to be promoted where others can be.
     avoid: BTreeSet<usize>,
+    /// The primary itself reports that it leads no more.
+    demoted: bool,
 }
 
 impl Replace {
     pub fn new(settings: Settings, members: usize, rank: u32) -> Self {
         Self {
             settings,
-            members,
+            acceptors: (0..members).collect(),
+            members: (0..members).collect(),
             rank,
             term: 0,
             primary: None,
@@ -140,12 +175,30 @@
             done: None,
             doubted: None,
             avoid: BTreeSet::new(),
+            demoted: false,
         }
     }
 
-    /// Names the members that are declared to leave.
-    pub fn set_leaving(&mut self, leaving: BTreeSet<usize>) {
+    /// Names the members there are, and those of them that are declared to leave.
+    pub fn set_members(&mut self, members: BTreeSet<usize>, leaving: BTreeSet<usize>) {
+        self.members = members;
         self.avoid = leaving;
+        self.set_acceptors();
+    }
+
+    fn set_acceptors(&mut self) {
+        let stays = |member: &usize| !self.avoid.contains(member) || self.primary == Some(*member);
+        self.acceptors = self.members.iter().copied().filter(stays).collect();
+    }
+
+    /// Whether a member's fence or report counts towards a majority.
+    pub fn accepts(&self, member: usize) -> bool {
+        self.acceptors.contains(&member)
+    }
+
+    /// Takes the primary's own word on whether it leads.
+    pub fn set_demoted(&mut self, demoted: bool) {
+        self.demoted = demoted;
     }
 
     pub fn set_rank(&mut self, rank: u32) {
@@ -158,7 +211,7 @@
     }
 
     pub fn majority(&self) -> usize {
-        self.members / 2 + 1
+        self.acceptors.len() / 2 + 1
     }
 
     /// Highest term promised anywhere, as far as seen.
@@ -170,11 +223,20 @@
         self.phase == Phase::Steady
     }
 
+    /// Whether this box takes the primary's lead away just now.
+    pub fn is_deposing(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Fencing { .. } | Phase::Waiting { .. } | Phase::Promoting { .. }
+        )
+    }
+
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Steady => "steady",
             Phase::Doubt { .. } => "doubt",
             Phase::Fencing { .. } => "fencing",
+            Phase::Waiting { .. } => "waiting for leases",
             Phase::Promoting { .. } => "promoting",
             Phase::Resting { .. } => "resting",
         }
@@ -192,10 +254,11 @@
         let phase = match &self.phase {
             Phase::Steady => None,
             Phase::Doubt { asked, .. } => Some(*asked + self.settings.again),
-            Phase::Fencing { since, .. } | Phase::Promoting { since, .. } => {
-                Some(*since + self.settings.ballot)
+            Phase::Fencing { since, rest, .. } => {
+                Some(rest.unwrap_or(*since + self.settings.ballot))
             }
-            Phase::Resting { until } => Some(*until),
+            Phase::Promoting { since, .. } => Some(*since + self.settings.promotion),
+            Phase::Waiting { until, .. } | Phase::Resting { until } => Some(*until),
         };
         let above = self.above.map(|since| since + self.patience());
         match phase {
@@ -213,15 +276,23 @@
         if term <= self.term {
             return false;
         }
-        assert!(primary < self.members, "a primary is a member of its group");
+        assert!(
+            self.members.contains(&primary),
+            "a primary is a member of its group"
+        );
         // The first primary that is seen was not put there by a replacement.
         self.done = (self.term > 0).then_some(now);
         self.term = term;
         self.primary = Some(primary);
-        self.highest = self.highest.max(term);
+        self.highest = match self.settings.fences_end {
+            true => term,
+            false => self.highest.max(term),
+        };
         self.above = (self.highest > term).then_some(now);
         self.phase = Phase::Steady;
         self.doubted = None;
+        self.demoted = false;
+        self.set_acceptors();
         true
     }
 
@@ -244,6 +315,17 @@
         }
     }
 
+    /// Takes the highest promise among all newest reports, where fences may end.
+    pub fn note_promises(&mut self, highest: u64) {
+        if !self.settings.fences_end || !matches!(self.phase, Phase::Steady | Phase::Doubt { .. }) {
+            return;
+        }
+        self.highest = highest.max(self.term);
+        if self.highest == self.term {
+            self.above = None;
+        }
+    }
+
     pub fn opinion(&mut self, from: Arc<str>, near: bool, suspects: bool) {
         if let Phase::Doubt { peers, .. } = &mut self.phase {
             peers.insert(from, Opinion { near, suspects });
@@ -256,16 +338,26 @@
             .above
             .is_some_and(|since| now >= since + self.patience());
         match &self.phase {
-            Phase::Steady if doubt == Doubt::Left => self.fence(now),
+            Phase::Steady if doubt == Doubt::Left => self.fence_leaving(now),
+            Phase::Steady if abandoned && doubt == Doubt::None && self.settings.fences_end => {
+                self.release_abandoned(now)
+            }
             Phase::Steady if doubt == Doubt::Suspected || abandoned => self.start_doubt(now),
             Phase::Steady => Vec::new(),
             Phase::Doubt { .. } => self.weigh(doubt, abandoned, now),
-            Phase::Fencing { term, since, .. } | Phase::Promoting { term, since, .. } => {
-                match now >= *since + self.settings.ballot {
-                    true => self.lose(*term, now),
-                    false => Vec::new(),
-                }
+            Phase::Fencing { term, since, .. } if now >= *since + self.settings.ballot => {
+                self.lose(*term, now)
+            }
+            Phase::Fencing {
+                rest: Some(rest), ..
+            } if now >= *rest => self.fence_rest(),
+            Phase::Fencing { .. } => Vec::new(),
+            Phase::Waiting { until, .. } if now >= *until => self.promote(now),
+            Phase::Waiting { .. } => Vec::new(),
+            Phase::Promoting { term, since, .. } if now >= *since + self.settings.promotion => {
+                self.lose(*term, now)
             }
+            Phase::Promoting { .. } => Vec::new(),
             Phase::Resting { until } if now >= *until => {
                 self.phase = Phase::Steady;
                 self.tick(doubt, now)
@@ -302,6 +394,8 @@
         }
         let patient = self.settings.stagger * self.rank;
         let again = self.settings.again;
+        // Another box's ballot gets its time where a lost one can be taken back.
+        let foreign = self.settings.fences_end && self.above.is_some() && !abandoned;
         let corroborated = abandoned || self.corroborated();
         let majority = self.majority();
         let Phase::Doubt {
@@ -314,7 +408,7 @@
             return Vec::new();
         };
         let reachable = replicas.len() >= majority;
-        if corroborated && reachable && now >= *since + patient {
+        if corroborated && reachable && !foreign && now >= *since + patient {
             return self.fence(now);
         }
         if now < *asked + again {
@@ -326,6 +420,9 @@
 
     /// Whether someone besides this box finds the primary gone.
     fn corroborated(&self) -> bool {
+        if self.demoted {
+            return true;
+        }
         let Phase::Doubt {
             replicas, peers, ..
         } = &self.phase
@@ -342,6 +439,15 @@
     }
 
     fn fence(&mut self, now: Duration) -> Vec<Step> {
+        let term = self.start_ballot(now, None);
+        let ask = |member: &usize| Step::Fence {
+            member: *member,
+            term,
+        };
+        self.members.iter().map(ask).collect()
+    }
+
+    fn start_ballot(&mut self, now: Duration, rest: Option<Duration>) -> u64 {
         let term = self.highest.max(self.term) + 1;
         self.highest = term;
         self.phase = Phase::Fencing {
@@ -349,9 +455,42 @@
             since: now,
             granted: BTreeMap::new(),
             refused: BTreeSet::new(),
+            rest,
+        };
+        term
+    }
+
+    /// Fences a leaving primary first, so that the others receive its last writes.
+    fn fence_leaving(&mut self, now: Duration) -> Vec<Step> {
+        let Some(member) = self.primary.filter(|_| !self.settings.catch_up.is_zero()) else {
+            return self.fence(now);
         };
-        let ask = |member| Step::Fence { member, term };
-        (0..self.members).map(ask).collect()
+        let term = self.start_ballot(now, Some(now + self.settings.catch_up));
+        vec![Step::Fence { member, term }]
+    }
+
+    fn fence_rest(&mut self) -> Vec<Step> {
+        let primary = self.primary;
+        let Phase::Fencing { term, rest, .. } = &mut self.phase else {
+            return Vec::new();
+        };
+        *rest = None;
+        let term = *term;
+        let others = self.members.iter().filter(|m| Some(**m) != primary);
+        let ask = |member: &usize| Step::Fence {
+            member: *member,
+            term,
+        };
+        others.map(ask).collect()
+    }
+
+    /// Takes back fences that another box left behind.
+    fn release_abandoned(&mut self, now: Duration) -> Vec<Step> {
+        self.above = Some(now);
+        let others = self.members.iter().filter(|m| Some(**m) != self.primary);
+        others
+            .map(|member| Step::Release { member: *member })
+            .collect()
     }
 
     /// Takes a member's answer to a fence.
@@ -366,20 +505,29 @@
             self.note_promised(*promised, now);
         }
         let majority = self.majority();
-        let members = self.members;
-        let Phase::Fencing {
-            term,
-            granted,
-            refused,
-            ..
-        } = &mut self.phase
-        else {
-            return Vec::new();
+        let acceptors = &self.acceptors;
+        let (term, granted, refused) = match &mut self.phase {
+            Phase::Fencing {
+                term,
+                granted,
+                refused,
+                ..
+            } => (*term, granted, refused),
+            // A late grant may show a greater log.
+            Phase::Waiting { term, granted, .. } => {
+                if let Ok(status) = answer
+                    && *term == asked
+                    && status.promised == asked
+                {
+                    granted.insert(member, *status);
+                }
+                return Vec::new();
+            }
+            _ => return Vec::new(),
         };
-        if *term != asked {
+        if term != asked {
             return Vec::new();
         }
-        let term = *term;
         match answer {
             Ok(status) if status.promised == term => {
                 granted.insert(member, *status);
@@ -388,15 +536,36 @@
                 refused.insert(member);
             }
         }
-        if members - refused.len() < majority {
+        let counted = |member: &&usize| acceptors.contains(member);
+        let refused = refused.iter().filter(counted).count();
+        let grants = granted.keys().filter(counted).count();
+        if acceptors.len() - refused < majority {
             return self.lose(term, now);
         }
-        if granted.len() < majority {
+        if grants < majority {
             return Vec::new();
         }
+        let granted = granted.clone();
+        self.phase = Phase::Waiting {
+            term,
+            until: now + self.settings.lease,
+            granted,
+        };
+        match self.settings.lease.is_zero() {
+            true => self.promote(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Names the winner once no lease of the old term is left.
+    fn promote(&mut self, now: Duration) -> Vec<Step> {
+        let Phase::Waiting { term, granted, .. } = &self.phase else {
+            return Vec::new();
+        };
+        let term = *term;
         let mut avoid = self.avoid.clone();
         avoid.extend(self.primary);
-        let winner = winner(granted, &avoid, majority);
+        let winner = winner(granted, &avoid, self.majority());
         self.phase = Phase::Promoting {
             term,
             winner,
@@ -424,9 +593,15 @@
         if let Err(MemberError::Fenced { promised }) = answer {
             self.note_promised(*promised, now);
         }
-        if answer.is_err() {
+        let Ok(status) = answer else {
             return self.lose(term, now);
-        }
+        };
+        // Where fences end, the new primary leads the term after the old one, which
+        // may be below the term of the ballot.
+        let term = match self.settings.fences_end {
+            true => status.log.term,
+            false => term,
+        };
         self.adopt(term, winner, now);
         vec![Step::Won {
             member: winner,
@@ -435,9 +610,18 @@
     }
 
     fn lose(&mut self, term: u64, now: Duration) -> Vec<Step> {
+        let granted: Vec<usize> = match &self.phase {
+            Phase::Fencing { granted, .. } if self.settings.fences_end => {
+                granted.keys().copied().collect()
+            }
+            _ => Vec::new(),
+        };
         let until = now + self.settings.again * (1 + 2 * self.rank);
         self.phase = Phase::Resting { until };
-        vec![Step::Lost { term }]
+        let release = |member| Step::Release { member };
+        let mut steps = vec![Step::Lost { term }];
+        steps.extend(granted.into_iter().map(release));
+        steps
     }
 }
 
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -8,7 +8,7 @@
 
 use super::entry::Entry;
 use super::finding::Finding;
-use super::resource::{Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec};
+use super::resource::{Access, Database, Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec};
 use crate::borders::member::Address;
 
 const DEFAULT_WEIGHT: u64 = 1;
@@ -17,8 +17,11 @@
 const DEFAULT_OWNERS: u64 = 3;
 const DEFAULT_DEADLINE_MS: u64 = 5_000;
 const DEFAULT_MAX_AGE_MS: u64 = 1_000;
+const DEFAULT_TARGET_MS: u64 = 500;
+const DEFAULT_PRIORITY: u64 = 1;
 const HASH_DIGITS: usize = 64;
 const MOST_NAME: usize = 63;
+const MOST_HOST: usize = 253;
 
 /// Reads the fields of one entry and notes what is wrong with them.
 struct Reader<'a> {
@@ -73,6 +76,16 @@
         text
     }
 
+    /// A name as callers use it, which may be a host's.
+    fn host(&mut self, field: &'static str) -> Arc<str> {
+        let text = self.text(field);
+        let fits = |c: char| c.is_ascii_graphic();
+        if !text.is_empty() && (text.len() > MOST_HOST || !text.chars().all(fits)) {
+            self.note(field, "must be 1 to 253 signs without blanks");
+        }
+        text
+    }
+
     fn hash(&mut self, field: &'static str) -> Arc<str> {
         let text = self.text(field);
         let present = self
@@ -103,6 +116,14 @@
         }
     }
 
+    fn optional_number(&mut self, field: &'static str, least: u64, most: u64) -> Option<u64> {
+        let present = self.entry.fields.get(field);
+        match present.is_some_and(|field| !field.value.is_null()) {
+            true => Some(self.number(field, least, least, most)),
+            false => self.value(field).and(None),
+        }
+    }
+
     fn flag(&mut self, field: &'static str) -> bool {
         match self.value(field) {
             None => false,
@@ -166,6 +187,7 @@
         Kind::Member => member(&mut reader),
         Kind::Read => read(&mut reader),
         Kind::Once => once(&mut reader),
+        Kind::Database => database(&mut reader),
     };
     let findings = reader.finish();
     if findings.is_empty() {
@@ -207,6 +229,7 @@
         owners: reader.number("owners", DEFAULT_OWNERS, 1, 100) as u32,
         deadline_ms: reader.number("deadline_ms", DEFAULT_DEADLINE_MS, 1, 600_000),
         max_age_ms: reader.number("max_age_ms", DEFAULT_MAX_AGE_MS, 0, 86_400_000),
+        idle_ms: reader.optional_number("idle_ms", 1, 86_400_000),
     })
 }
 
@@ -252,6 +275,31 @@
     })
 }
 
+fn database(reader: &mut Reader) -> Spec {
+    let access = match reader.value("access").map(|value| value.as_str()) {
+        None | Some(Some("primary")) => Access::Primary,
+        Some(Some("own_writes")) => Access::OwnWrites,
+        Some(Some("bounded")) => Access::Bounded,
+        Some(_) => {
+            reader.note(
+                "access",
+                "must be \"primary\", \"own_writes\" or \"bounded\"",
+            );
+            Access::Primary
+        }
+    };
+    Spec::Database(Database {
+        access,
+        partner: reader.name("partner"),
+        name: reader.host("name"),
+        group: reader.name("group"),
+        max_age_ms: reader.number("max_age_ms", DEFAULT_MAX_AGE_MS, 0, 86_400_000),
+        timeout_ms: reader.number("timeout_ms", DEFAULT_DEADLINE_MS, 1, 600_000),
+        target_ms: reader.number("target_ms", DEFAULT_TARGET_MS, 1, 600_000),
+        priority: reader.number("priority", DEFAULT_PRIORITY, 0, 1_000),
+    })
+}
+
 /// Checks entries that are declared together.
 pub fn all(entries: &[Entry]) -> Result<BTreeMap<Key, Spec>, Vec<Finding>> {
     let mut specs = BTreeMap::new();
@@ -296,6 +344,7 @@
         Spec::Member(member) => ("group", needed(Kind::Group, &member.group)),
         Spec::Read(read) => ("group", needed(Kind::Group, &read.group)),
         Spec::Once(once) => ("group", needed(Kind::Group, &once.group)),
+        Spec::Database(database) => ("group", needed(Kind::Group, &database.group)),
     };
     (!specs.contains_key(&key)).then_some((field, key))
 }
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -16,15 +16,17 @@
     Member,
     Read,
     Once,
+    Database,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 5] = [
+    pub const ALL: [Kind; 6] = [
         Kind::Partner,
         Kind::Group,
         Kind::Member,
         Kind::Read,
         Kind::Once,
+        Kind::Database,
     ];
 
     pub fn name(self) -> &'static str {
@@ -34,6 +36,7 @@
             Kind::Member => "member",
             Kind::Read => "read",
             Kind::Once => "once",
+            Kind::Database => "database",
         }
     }
 
@@ -113,6 +116,10 @@
     pub deadline_ms: u64,
     /// Staleness that a read of no declared kind tolerates, in milliseconds.
     pub max_age_ms: u64,
+    /// Milliseconds without a statement after which an open transaction is ended;
+    /// the box's setting where none are declared.
+    #[serde(default)]
+    pub idle_ms: Option<u64>,
 }
 
 /// A member of a group.
@@ -162,6 +169,37 @@
     pub table: Arc<str>,
 }
 
+/// What reads on a database must see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Access {
+    /// Everything that was acknowledged before.
+    Primary,
+    /// The session's own writes, and nothing older than the bound.
+    OwnWrites,
+    /// Nothing older than the bound.
+    Bounded,
+}
+
+/// A name under which callers reach a group, and how it serves them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Database {
+    pub partner: Arc<str>,
+    /// As callers name it.
+    pub name: Arc<str>,
+    pub group: Arc<str>,
+    pub access: Access,
+    /// Staleness that reads tolerate, in milliseconds; without meaning for
+    /// [`Access::Primary`].
+    pub max_age_ms: u64,
+    /// Milliseconds that one statement may take, its wait included.
+    pub timeout_ms: u64,
+    /// Milliseconds within which callers want their answer.
+    pub target_ms: u64,
+    /// 0 goes first under overload.
+    pub priority: u64,
+}
+
 /// A checked resource.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
@@ -171,6 +209,7 @@
     Member(Member),
     Read(Read),
     Once(Once),
+    Database(Database),
 }
 
 impl Spec {
@@ -181,6 +220,7 @@
             Spec::Member(m) => (Kind::Member, &m.partner, inner(&m.group, &m.name)),
             Spec::Read(r) => (Kind::Read, &r.partner, inner(&r.group, &r.name)),
             Spec::Once(o) => (Kind::Once, &o.partner, inner(&o.group, &o.name)),
+            Spec::Database(d) => (Kind::Database, &d.partner, d.name.clone()),
         };
         Key {
             kind,
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::resource::{Group, Key, Member, Once, Partner, Read, Spec};
+use crate::decisions::duty::Duty;
+
+use super::resource::{Database, Group, Key, Member, Once, Partner, Read, Spec};
 
 /// A resource with the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,8 +46,12 @@
     pub partners: BTreeMap<Arc<str>, Partner>,
     /// By `PARTNER/GROUP`.
     pub groups: BTreeMap<Arc<str>, Arc<Plan>>,
+    /// By the name that callers use.
+    pub databases: BTreeMap<Arc<str>, Arc<Database>>,
     /// By `PARTNER/GROUP`.
     pub primaries: BTreeMap<Arc<str>, Primary>,
+    /// By `PARTNER/GROUP`.
+    pub duties: BTreeMap<Arc<str>, Duty>,
 }
 
 impl Snapshot {
@@ -53,8 +59,10 @@
         revision: u64,
         resources: BTreeMap<Key, Stored>,
         primaries: BTreeMap<Arc<str>, Primary>,
+        duties: BTreeMap<Arc<str>, Duty>,
     ) -> Self {
         let mut partners = BTreeMap::new();
+        let mut databases = BTreeMap::new();
         let mut groups: BTreeMap<Arc<str>, Plan> = BTreeMap::new();
         for stored in resources.values() {
             match &stored.spec {
@@ -71,6 +79,9 @@
                     };
                     groups.insert(plan.id.clone(), plan);
                 }
+                Spec::Database(database) => {
+                    databases.insert(database.name.clone(), Arc::new(database.clone()));
+                }
                 _ => {}
             }
         }
@@ -82,6 +93,8 @@
             revision,
             resources,
             partners,
+            databases,
+            duties,
             groups: groups.into_iter().map(shared).collect(),
             primaries,
         }
@@ -90,7 +103,7 @@
 
 fn attach(spec: &Spec, groups: &mut BTreeMap<Arc<str>, Plan>) {
     match spec {
-        Spec::Partner(_) | Spec::Group(_) => {}
+        Spec::Partner(_) | Spec::Group(_) | Spec::Database(_) => {}
         Spec::Member(member) => {
             if let Some(plan) = groups.get_mut(&group_id(&member.partner, &member.group)) {
                 plan.members.push(member.clone());
--- a/src/events.rs
+++ b/src/events.rs
@@ -30,6 +30,9 @@
     TABLE_BACK = 202, Info, "platform table answers again";
     ROSTER_CHANGED = 203, Info, "list of boxes changed";
     BAD_ROW = 204, Error, "a row of the table is no valid resource and is left out";
+    SOURCE_DOWN = 205, Warning, "a table of the store gives no answer";
+    SOURCE_BACK = 206, Info, "a table of the store answers";
+    NOT_LISTED = 207, Warning, "the list of boxes could not be changed";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
@@ -37,10 +40,15 @@
     PROMOTED = 304, Warning, "new primary promoted";
     ADOPTED = 305, Info, "primary of a newer term known";
     NONSENSE = 306, Error, "member's report can't be true and is not taken";
+    NO_CONNECTION = 307, Info, "no connection to a member; its statement is placed again";
+    STATEMENT_LOST = 308, Warning, "a member's answer is not coming; its connection is closed";
+    DUTY_TAKEN = 309, Info, "a promotion is ordered under this generation";
+    DUTY_ALONE = 310, Warning, "the table gives no answer; the generation follows the last one known";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller broke the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "a write's outcome is unknown";
     TOKEN_IGNORED = 403, Info, "a caller's token is not believed";
+    GIVEN_UP = 404, Info, "a request is given up on";
     CHANGED = 500, Info, "resource changed by an operator";
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Larkfall: a PostgreSQL proxy with session consistency, run by declarations.
+//! Larkfall: a database proxy with session consistency, run by declarations.
 //!
 //! Callers' messages pass from filter to filter: entry, classification,
 //! admission, routing, pool, member. The decisions among them do no I/O and
@@ -16,7 +16,7 @@
 pub mod metrics;
 pub mod node;
 pub mod platform;
+pub mod postgres;
 pub mod secret;
 pub mod standin;
 pub mod trial;
-pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,8 +4,9 @@
 
 use larkfall::cli::flags::{Larkfall, LarkfallCmd, Member, Platform, Run, StandInCmd};
 use larkfall::commands::operate::Remote;
-use larkfall::commands::{Exit, check, demo, operate, run, standin};
+use larkfall::commands::{Exit, check, demo, operate, run, serve, standin};
 use larkfall::configs::run::Source;
+use larkfall::platform::file;
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
@@ -44,6 +45,7 @@
             })
             .await
         }
+        LarkfallCmd::Serve(_) => serve::run(variable(file::VARIABLE)).await,
         LarkfallCmd::StandIn(kind) => match kind.subcommand {
             StandInCmd::Member(flags) => {
                 let flag = |name: &str| member_flag(&flags, name);
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -115,11 +115,11 @@
 }
 
 async fn scan(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
-    let since = unpacked(&body)?;
+    let question = unpacked(&body)?;
     let (reply, answer) = oneshot::channel();
     let _ = api
         .keeper
-        .send(configuration::Request::Scan { since, reply });
+        .send(configuration::Request::Scan { question, reply });
     let scan = answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(packed(&scan))
 }
--- a/src/node/api/resources.rs
+++ b/src/node/api/resources.rs
@@ -19,7 +19,7 @@
 use crate::declarations::finding::Finding;
 use crate::declarations::resource::{Key, Kind, Spec};
 use crate::declarations::snapshot::{Snapshot, Stored, group_id};
-use crate::node::configuration::{self, RESOURCE};
+use crate::node::configuration::{self, Question, RESOURCE};
 use crate::secret;
 
 /// Time that an accepted change gets to come into force on the box that took it.
@@ -444,10 +444,13 @@
     let newer = snapshot.wait_for(|snapshot| snapshot.revision > query.since);
     let _ = tokio::time::timeout(WATCH_HOLD, newer).await;
     let (reply, answer) = oneshot::channel();
-    let since = query.since;
+    let question = Question {
+        since: query.since,
+        digest: 0,
+    };
     let _ = api
         .keeper
-        .send(configuration::Request::Scan { since, reply });
+        .send(configuration::Request::Scan { question, reply });
     let scan = answer
         .await
         .map_err(|_| problem(StatusCode::SERVICE_UNAVAILABLE, "stopping"))?;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -12,11 +12,15 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::context::Context;
+use super::duty::DUTY;
 use super::message::Message;
 use super::peers;
 use crate::borders::roster::Listing;
 use crate::borders::table::{Row, Scan};
+use crate::decisions::duty::Duty;
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
 use crate::declarations::resource::Key;
@@ -34,12 +38,21 @@
     pub scan: Scan,
 }
 
+/// What a peer has, when it asks for the rest.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Question {
+    /// It has all rows up to this revision; 0 where that can't be said.
+    pub since: u64,
+    /// Digest of all its rows.
+    pub digest: u64,
+}
+
 /// What is said to the keeper.
 #[derive(Debug)]
 pub enum Request {
     /// Rows after a revision, for a peer or a watcher.
     Scan {
-        since: u64,
+        question: Question,
         reply: oneshot::Sender<Scan>,
     },
     News(News),
@@ -57,6 +70,9 @@
     /// Kept beside the rows, so that a change costs what it changes.
     resources: BTreeMap<Key, Stored>,
     primaries: BTreeMap<Arc<str>, Primary>,
+    duties: BTreeMap<Arc<str>, Duty>,
+    /// Changes with every row and its revision, whatever the order they came in.
+    digest: u64,
 }
 
 impl Store {
@@ -64,10 +80,19 @@
         self.revision
     }
 
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Takes rows written after `since`, none of them missing. False if they
     /// are old or leave a gap. What is no valid resource is left out and logged.
     pub fn take(&mut self, since: u64, scan: &Scan, log: &Logger) -> bool {
-        if since > self.revision || scan.head <= self.revision {
+        let newer = |row: &Row| {
+            let known = self.rows.get(&row.key).map_or(0, |row| row.revision);
+            row.revision > known
+        };
+        let fresh = scan.head > self.revision || scan.rows.iter().any(newer);
+        if since > self.revision || !fresh {
             return false;
         }
         for row in &scan.rows {
@@ -80,9 +105,10 @@
                     [("row", &row.key), ("error", &error)];
                 events::emit(log, &events::BAD_ROW, &fields);
             }
+            self.digest ^= mark(&row.key, known) ^ mark(&row.key, row.revision);
             self.rows.insert(row.key.clone(), row.clone());
         }
-        self.revision = scan.head;
+        self.revision = self.revision.max(scan.head);
         true
     }
 
@@ -105,6 +131,17 @@
             );
             return Ok(());
         }
+        if let Some(group) = row.key.strip_prefix(DUTY) {
+            self.duties.remove(group);
+            let Some(value) = &row.value else {
+                return Ok(());
+            };
+            let duty: Duty =
+                serde_json::from_value(value.clone()).map_err(|error| error.to_string())?;
+            let revision = row.revision;
+            self.duties.insert(group.into(), Duty { revision, ..duty });
+            return Ok(());
+        }
         let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
         let key = key.ok_or("unknown kind of row")?;
         self.resources.remove(&key);
@@ -129,10 +166,19 @@
             self.revision,
             self.resources.clone(),
             self.primaries.clone(),
+            self.duties.clone(),
         )
     }
 }
 
+/// A row's part of the digest; none while it is not known.
+fn mark(key: &str, revision: u64) -> u64 {
+    match revision {
+        0 => 0,
+        revision => xxh3_64_with_seed(key.as_bytes(), revision),
+    }
+}
+
 fn resource(row: &Row, key: &Key, value: &Value) -> Result<Stored, String> {
     let entry = Entry::from_json(key.kind.name(), &row.key, value).map_err(|f| f.to_string())?;
     let spec = check::one(&entry).map_err(|findings| findings[0].to_string())?;
@@ -171,24 +217,43 @@
     }
 
     pub async fn run(mut self) {
-        let mut next = self.context.now();
+        let table = self.context.table.clone();
         loop {
-            let now = self.context.now();
-            if now >= next {
-                self.poll().await;
-                next = self.context.now() + self.jittered();
-            }
-            let sleep = next.saturating_sub(self.context.now());
-            tokio::select! {
-                request = self.inbox.recv() => match request {
-                    Some(request) => self.take(request).await,
-                    None => return,
-                },
-                () = tokio::time::sleep(sleep) => {}
+            self.poll().await;
+            let news = table.news(self.jittered());
+            tokio::pin!(news);
+            loop {
+                tokio::select! {
+                    request = self.inbox.recv() => match request {
+                        Some(request) => self.take(request).await,
+                        None => return,
+                    },
+                    () = &mut news => break,
+                }
             }
         }
     }
 
+    /// What a peer does not have yet.
+    fn scan(&self, question: &Question) -> Scan {
+        if question.digest == self.store.digest() {
+            return Scan {
+                head: self.store.revision(),
+                rows: Vec::new(),
+            };
+        }
+        self.store.scan(question.since)
+    }
+
+    fn question(&self) -> Question {
+        let since = match self.context.table.is_ordered() {
+            true => self.store.revision(),
+            false => 0,
+        };
+        let digest = self.store.digest();
+        Question { since, digest }
+    }
+
     /// The poll interval, spread so that boxes do not ask in step.
     fn jittered(&self) -> Duration {
         let factor = rand::Rng::random_range(&mut rand::rng(), 0.8..1.2);
@@ -197,8 +262,8 @@
 
     async fn take(&mut self, request: Request) {
         match request {
-            Request::Scan { since, reply } => {
-                let _ = reply.send(self.store.scan(since));
+            Request::Scan { question, reply } => {
+                let _ = reply.send(self.scan(&question));
             }
             Request::News(news) => self.news(news).await,
             Request::Poll => self.poll().await,
@@ -312,7 +377,7 @@
     }
 
     async fn news(&mut self, news: News) {
-        if news.scan.head <= self.store.revision() {
+        if news.scan.head <= self.store.revision() && self.context.table.is_ordered() {
             return;
         }
         if self.accept(news.since, news.scan) {
@@ -322,21 +387,24 @@
     }
 
     async fn fetch_from(&mut self, peer: &str) {
-        let since = self.store.revision();
-        if let Some(scan) = peers::scan(&self.context, peer, since).await {
-            self.accept(since, scan);
+        let question = self.question();
+        if let Some(scan) = peers::scan(&self.context, peer, &question).await {
+            self.accept(question.since, scan);
         }
     }
 
     /// While the table is down, a peer may know more.
     async fn ask_a_peer(&mut self) {
+        let own = self.context.own_api_address();
+        let seeds = self.context.settings.peers.iter();
+        let seeds: Vec<Arc<str>> = seeds.filter(|seed| ***seed != *own).cloned().collect();
         if self.boxes.borrow().is_empty()
-            && let Some(seed) = self.context.settings.peer.clone()
+            && let Some(seed) = seeds.choose(&mut rand::rng())
         {
-            if let Some(boxes) = peers::boxes(&self.context, &seed).await {
+            if let Some(boxes) = peers::boxes(&self.context, seed).await {
                 self.set_boxes(boxes.into());
             }
-            self.fetch_from(&seed).await;
+            self.fetch_from(seed).await;
         }
         for listing in self.some_peers(1) {
             self.fetch_from(&listing.address).await;
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -1,7 +1,7 @@
 //! What is handed down to every part of a box.
 
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use crate::borders::roster::{Listing, Roster};
 use crate::borders::table::Table;
 use crate::configs::run::Run;
+use crate::declarations::resource::Database;
 use crate::declarations::snapshot::Snapshot;
 use crate::http::Client;
 use crate::metrics::Metrics;
@@ -40,10 +41,28 @@
     pub routes: Routes,
     /// Connections to members that nobody uses now.
     pub idle: Cell<usize>,
-    /// SQL addresses of the members of owned groups.
-    pub owned: watch::Sender<HashSet<Arc<str>>>,
+    /// This box's share of the connections to each member of its groups, by address.
+    pub owned: watch::Sender<HashMap<Arc<str>, usize>>,
     /// Callers connected now.
     pub callers: Cell<usize>,
+    /// When the box began to leave.
+    pub left: Cell<Option<Duration>>,
+}
+
+/// Counts a caller for as long as it is connected.
+pub struct Caller(Rc<Context>);
+
+impl Caller {
+    pub fn new(context: &Rc<Context>) -> Self {
+        context.callers.set(context.callers.get() + 1);
+        Self(context.clone())
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get() - 1);
+    }
 }
 
 impl Context {
@@ -51,6 +70,31 @@
         self.clock.now()
     }
 
+    /// The database that callers name so.
+    pub fn database(&self, name: &str) -> Option<Arc<Database>> {
+        self.snapshot.borrow().databases.get(name).cloned()
+    }
+
+    /// Returns when this box has been leaving for so long.
+    pub async fn left_for(&self, rest: Duration) {
+        let mut leaving = self.leaving.clone();
+        if leaving.wait_for(|leaving| *leaving).await.is_err() {
+            return std::future::pending().await;
+        }
+        let since = self.left.get().unwrap_or_else(|| self.now());
+        tokio::time::sleep((since + rest).saturating_sub(self.now())).await;
+    }
+
+    /// Time without a statement after which a group's open transaction is ended.
+    pub fn lease_idle(&self, group: &str) -> Duration {
+        let snapshot = self.snapshot.borrow();
+        let declared = snapshot
+            .groups
+            .get(group)
+            .and_then(|plan| plan.group.idle_ms);
+        declared.map_or(self.settings.lease_idle, Duration::from_millis)
+    }
+
     /// The box's own entry in the list of boxes.
     pub fn own_api_address(&self) -> String {
         format!("{}:{}", self.settings.ip, self.settings.api_port)
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -14,7 +14,7 @@
 
 use super::context::Context;
 use super::message::{Ask, Denial, Dump, Grant, Health, Incarnation, Message, Settle, SettleNeed};
-use super::peers;
+use super::{duty, peers};
 use crate::borders::member::Member;
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
@@ -33,6 +33,8 @@
 /// A group this box owns, with its members' borders.
 struct Owned {
     incarnation: Incarnation,
+    /// As declared; the group's own plan keeps the places of former members.
+    plan: Arc<Plan>,
     group: Group,
     members: Vec<Rc<dyn Member>>,
     watches: Vec<AbortHandle>,
@@ -111,6 +113,11 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Ask(ask) => self.ask(ask),
+            Message::Withdraw { group, id } => {
+                if self.grants.remove(&id).is_some() {
+                    self.handle(&group, Event::Withdraw { id });
+                }
+            }
             Message::Settle(settle) => self.settle(settle),
             Message::Group {
                 group,
@@ -155,8 +162,7 @@
         };
         let partner = owned.group.plan.group.partner.clone();
         let weight = self.snapshot.partners.get(&partner).map_or(1, |p| p.weight);
-        let id = self.next;
-        self.next += 1;
+        let id = ask.id;
         self.grants.insert(id, (owned.incarnation, ask.reply));
         let request = Request {
             id,
@@ -288,10 +294,20 @@
                     }
                 });
             }
+            Action::Release { member } => {
+                let border = owned.members[member].clone();
+                self.spawn(id, async move {
+                    // Whether it worked shows in the next report.
+                    let _ = border.release().await;
+                    Event::Look
+                });
+            }
             Action::Promote { member, term } => {
                 let border = owned.members[member].clone();
+                let (context, group) = (self.context.clone(), id.clone());
                 self.spawn(id, async move {
-                    let answer = border.promote(term).await;
+                    let order = duty::order(&context, &group).await;
+                    let answer = border.promote(term, &order).await;
                     Event::Promoted { term, answer }
                 });
             }
@@ -311,6 +327,10 @@
             Action::Record { term, primary } => {
                 let name = owned.group.plan.members[primary].name.clone();
                 self.context.metrics.replacements.add(1, &[]);
+                if self.context.settings.duty {
+                    // Members tell by themselves who leads; the duty is on record.
+                    return None;
+                }
                 let record = peers::record(self.context.clone(), id.clone(), term, name);
                 tokio::task::spawn_local(record);
             }
@@ -425,17 +445,19 @@
                 mine.insert(id.clone(), (plan.clone(), rank as u32));
             }
         }
-        let kept = |id: &Arc<str>, owned: &Owned| {
-            let plan = mine.get(id).map(|(plan, _)| plan);
-            plan.is_some_and(|plan| Group::same_members(&owned.group.plan, plan))
-        };
-        self.groups.retain(|id, owned| kept(id, owned));
+        self.groups.retain(|id, _| mine.contains_key(id));
         let crowd = (mine.len() as u32).div_ceil(GROUPS_AT_FULL_RATE).max(1);
         for (id, (plan, rank)) in mine {
             match self.groups.get_mut(&id) {
                 Some(owned) => {
                     owned.group.set_rank(rank, crowd);
-                    owned.group.set_plan(plan);
+                    if owned.plan != plan {
+                        owned.plan = plan.clone();
+                        owned.group.set_plan(plan, self.context.now());
+                        self.join_new(&id);
+                    }
+                    // What changed may have made something due.
+                    self.handle(&id, Event::Tick);
                 }
                 None => self.start(id, plan, rank, crowd),
             }
@@ -452,41 +474,52 @@
             .retain(|_, (incarnation, _)| live.contains(incarnation));
         self.settles
             .retain(|_, (incarnation, _)| live.contains(incarnation));
-        let members = self
-            .groups
-            .values()
-            .flat_map(|owned| &owned.group.plan.members);
-        let addresses = members.map(|member| member.address.sql.clone()).collect();
+        let addresses = self.groups.values().flat_map(|owned| {
+            let share = owned.group.share();
+            let members = owned.group.plan.members.iter();
+            members.map(move |member| (member.address.sql.clone(), share))
+        });
+        let addresses = addresses.collect();
         self.context.owned.send_replace(addresses);
     }
 
     fn start(&mut self, id: Arc<str>, plan: Arc<Plan>, rank: u32, crowd: u32) {
         let now = self.context.now();
-        let border = |member: &crate::declarations::resource::Member| {
-            self.context.members.member(&member.address)
-        };
-        let members: Vec<Rc<dyn Member>> = plan.members.iter().map(border).collect();
         let incarnation = self.next;
         self.next += 1;
-        let watch = |(i, member): (usize, &Rc<dyn Member>)| {
-            let group = (id.clone(), incarnation);
-            let watching = watch_member(self.context.clone(), group, i, member.clone());
-            tokio::task::spawn_local(watching).abort_handle()
-        };
-        let watches = members.iter().enumerate().map(watch).collect();
         let seed = rand::rng().random();
         let domain = self.context.settings.domain.clone();
-        let mut group = Group::new(plan, domain, rank, self.settings, seed, now);
+        let mut group = Group::new(plan.clone(), domain, rank, self.settings, seed, now);
         group.set_rank(rank, crowd);
         let owned = Owned {
             incarnation,
+            plan,
             group,
-            members,
-            watches,
+            members: Vec::new(),
+            watches: Vec::new(),
             health: watch::channel(Health::default()).0,
             wake: now,
         };
-        self.groups.insert(id, owned);
+        self.groups.insert(id.clone(), owned);
+        self.join_new(&id);
+    }
+
+    /// Makes the borders of members that have none yet.
+    fn join_new(&mut self, id: &Arc<str>) {
+        let Some(owned) = self.groups.get_mut(id) else {
+            return;
+        };
+        for place in owned.members.len()..owned.group.plan.members.len() {
+            let border = self
+                .context
+                .members
+                .member(&owned.group.plan.members[place]);
+            let group = (id.clone(), owned.incarnation);
+            let watching = watch_member(self.context.clone(), group, place, border.clone());
+            let watch = tokio::task::spawn_local(watching).abort_handle();
+            owned.watches.push(watch);
+            owned.members.push(border);
+        }
     }
 
     fn tell_primaries(&mut self) {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -1,5 +1,6 @@
-//! One exchange between a caller's session and a member: the messages up to a
-//! Sync, a Flush or the end of a simple query, and what came back.
+//! One exchange between a caller's session and a member, as the core sees it: what
+//! decides where it runs and what its outcome means. The statement itself is a
+//! payload that only a codec opens.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,65 +8,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::decisions::group::{Reason, Refusal, Target};
+pub use crate::borders::upstream::Status;
+use crate::borders::upstream::{Setup, Task};
+use crate::decisions::group::{Refusal, Target};
 use crate::decisions::position::Position;
-use crate::wire::report::Report;
-
-/// SQLSTATEs of larkfall's own answers.
-pub mod state {
-    /// Not run: come back after the time in the hint.
-    pub const NOT_RUN: &str = "LF001";
-    /// It may have run or not.
-    pub const UNKNOWN: &str = "40003";
-    /// A request that must not be repeated came without its key.
-    pub const KEY_MISSING: &str = "LF002";
-    /// A read's connection was lost; it had no effect and may be sent again.
-    pub const READ_LOST: &str = "08006";
-    /// The transaction was lost with its connection, and rolled back.
-    pub const TRANSACTION_LOST: &str = "40001";
-    pub const UNSUPPORTED: &str = "0A000";
-}
-
-/// A prepared statement under the name that all boxes give it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Statement {
-    pub name: Arc<str>,
-    pub sql: Arc<str>,
-    pub types: Vec<u32>,
-}
-
-/// What ends the answer to one message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Expect {
-    Parse,
-    Bind,
-    Describe,
-    Execute,
-    Close,
-    /// Answered as part of the whole.
-    Whole,
-}
-
-/// One thing to do on a member's connection.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Step {
-    /// Prepare, without telling the caller.
-    Ensure(Statement),
-    /// Prepare, and tell the caller.
-    Parse(Statement),
-    /// Send this message.
-    Send { bytes: Bytes, expect: Expect },
-    /// Put this into the answer at this place.
-    Answer(Bytes),
-}
-
-/// What closes an exchange.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Close {
-    Query,
-    Sync,
-    Flush,
-}
 
 /// What the exchange does to data, for retries and outcomes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +24,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Exchange {
     pub group: Arc<str>,
+    /// Names the request in logs; empty where the caller gave no id.
+    pub trace: Arc<str>,
     pub target: Target,
     pub effect: Effect,
     /// Ends a transaction: lost, its outcome is unknown.
@@ -85,19 +33,24 @@
     pub floor: Option<Position>,
     /// Time left until the statement must have started.
     pub patience: Duration,
+    /// Time left until the caller must have its answer, where that is bounded.
+    pub limit: Option<Duration>,
     /// Connection held for this session by an earlier exchange.
     pub lease: Option<u64>,
-    pub steps: Vec<Step>,
-    pub close: Close,
+    pub setup: Setup,
+    pub payload: Bytes,
     pub once: Option<Arc<str>>,
 }
 
-/// A session's state after an exchange, as in ReadyForQuery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Status {
-    Idle,
-    Transaction,
-    Failed,
+impl Exchange {
+    /// The statement for a member that must hold `floor`.
+    pub fn task(&self, floor: Option<Position>) -> Task<'_> {
+        Task {
+            payload: &self.payload,
+            setup: Some(&self.setup),
+            floor,
+        }
+    }
 }
 
 /// Which member answered.
@@ -112,8 +65,10 @@
 /// A whole answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Reply {
+    /// In the codec's format.
     pub messages: Bytes,
-    pub status: Status,
+    /// None while the codec's exchange stays open.
+    pub status: Option<Status>,
     /// Position that the answer reaches.
     pub position: Option<Position>,
     pub lease: Option<u64>,
@@ -142,38 +97,15 @@
 }
 
 impl Failure {
-    pub fn report(&self) -> Report {
+    /// One word for logs and metrics.
+    pub fn reason(&self) -> &'static str {
         match self {
-            Failure::NotRun(refusal) => not_run(refusal),
-            Failure::NotOwner => not_run(&Refusal {
-                reason: Reason::CutOff,
-                retry_after: Duration::from_secs(1),
-            }),
-            Failure::Unknown => Report::error(
-                state::UNKNOWN,
-                "the outcome is unknown: the statement may have run or not",
-            )
-            .hint("look whether it took effect before it is sent again"),
-            Failure::TransactionLost => Report::error(
-                state::TRANSACTION_LOST,
-                "the transaction was lost with its connection and is rolled back",
-            ),
-            Failure::ReadLost => Report::error(
-                state::READ_LOST,
-                "the read was lost with its connection; it may be sent again",
-            ),
-            Failure::Unsupported { message } => Report::error(state::UNSUPPORTED, message.clone()),
+            Failure::NotRun(refusal) => refusal.reason.name(),
+            Failure::NotOwner => "no owner",
+            Failure::Unknown => "unknown",
+            Failure::TransactionLost => "transaction lost",
+            Failure::ReadLost => "read lost",
+            Failure::Unsupported { .. } => "unsupported",
         }
     }
 }
-
-fn not_run(refusal: &Refusal) -> Report {
-    let why = match refusal.reason {
-        Reason::Overload => "the expected wait passes its deadline",
-        Reason::Replacement => "the primary is being replaced",
-        Reason::CutOff => "no majority of the group can be seen from here",
-        Reason::Stale => "no member that can be reached is fresh enough for this session",
-    };
-    let after = refusal.retry_after.as_millis().max(1);
-    Report::error(state::NOT_RUN, format!("not run: {why}")).hint(format!("retry after {after} ms"))
-}
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -49,6 +49,8 @@
 /// A request for a member, with the way back.
 #[derive(Debug)]
 pub struct Ask {
+    /// Given by the asker, so that it can take the question back.
+    pub id: u64,
     pub group: Arc<str>,
     pub target: Target,
     pub floor: Option<Position>,
@@ -91,6 +93,11 @@
 #[derive(Debug)]
 pub enum Message {
     Ask(Ask),
+    /// Whoever asked does not wait for the answer any more.
+    Withdraw {
+        group: Arc<str>,
+        id: u64,
+    },
     Settle(Settle),
     Group {
         group: Arc<str>,
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -1,7 +1,7 @@
 //! Serves exchanges on the members of the groups this box owns.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,83 +12,31 @@
 use super::exchange::{Effect, Exchange, Failure, Reply, Server, Status};
 use super::message::{Ask, Denial, Grant, Incarnation, Message, Settle, SettleNeed};
 use super::once;
-use super::pool::{ConnectError, Connection, Pool};
-use super::relay::{self, Answer};
+use super::place::{Lease, Place};
+use super::pool::Pool;
+use crate::borders::upstream::{Answer, ConnectError, Unrun, Upstream, UpstreamError, Verdict};
 use crate::decisions::budget::Budget;
 use crate::decisions::confirm::Outcome;
 use crate::decisions::group::{Event, Reason, Refusal, Target};
 use crate::decisions::position::Position;
 use crate::events;
-use crate::wire::channel::ChannelError;
 
-/// SQLSTATE of a member that is not the primary and takes no write.
-const READ_ONLY: &str = "25006";
+/// Time before a statement that did not run is placed again.
 const PAUSE: Duration = Duration::from_millis(10);
 /// A statement on a suspected member is given up after this time.
 const SUSPECT_PATIENCE: Duration = Duration::from_millis(1_500);
-
-/// A place at a member, given back when it is dropped.
-pub struct Place {
-    context: Rc<Context>,
-    group: Arc<str>,
-    pub grant: Grant,
-    began: Duration,
-    position: Option<Position>,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let now = self.context.now();
-        let event = Event::Release {
-            member: self.grant.member,
-            began: self.began,
-            took: now.saturating_sub(self.began),
-            position: self.position,
-        };
-        self.context
-            .tell(&self.group, self.grant.incarnation, event);
-    }
-}
-
-impl Place {
-    fn tell(&self, event: Event) {
-        let incarnation = self.grant.incarnation;
-        self.context.tell(&self.group, incarnation, event);
-    }
-}
-
-/// A connection held for a session between its exchanges.
-pub struct Lease {
-    pub connection: Connection,
-    pub place: Place,
-    pub target: Target,
-    wrote: bool,
-    touched: Duration,
-}
-
-/// How a run on a member ended without a whole answer.
-enum Broken {
-    /// Lost, or answered nonsense.
-    Channel(ChannelError),
-    /// The member is given up: replaced, or silent for too long.
-    GivenUp,
-}
-
-impl Context {
-    /// Tells the loop what happened to one incarnation of a group.
-    pub fn tell(&self, group: &Arc<str>, incarnation: Incarnation, event: Event) {
-        let _ = self.decisions.send(Message::Group {
-            group: group.clone(),
-            incarnation,
-            event,
-        });
-    }
-}
+/// A read without an answer is repeated elsewhere after this part of its limit:
+/// two more tries still fit.
+const READ_TRIES: u32 = 3;
+/// Time for a rollback that nobody waits for; then the connection is closed.
+const ROLL_BACK_WAIT: Duration = Duration::from_secs(1);
+/// What a caller is told to wait when no better time is known.
+const LEAST_RETRY: Duration = Duration::from_millis(100);
 
 /// The owner half of a box.
 pub struct Owner {
     pub context: Rc<Context>,
-    pub pool: Pool,
+    pub pool: Rc<Pool>,
     leases: RefCell<HashMap<u64, Lease>>,
     next: Cell<u64>,
     /// Exchanges of other boxes under way.
@@ -96,9 +44,28 @@
     budget: RefCell<Budget>,
 }
 
+/// Takes a question back when whoever asked it goes away before the answer.
+struct Waiting<'a> {
+    context: &'a Context,
+    group: &'a Arc<str>,
+    id: u64,
+    answered: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let _ = self.context.decisions.send(Message::Withdraw {
+            group: self.group.clone(),
+            id: self.id,
+        });
+    }
+}
+
 impl Owner {
-    pub fn new(context: Rc<Context>) -> Self {
-        let pool = Pool::new(context.settings.ip, context.settings.connect_wait);
+    pub fn new(context: Rc<Context>, pool: Rc<Pool>) -> Self {
         Self {
             context,
             pool,
@@ -109,6 +76,12 @@
         }
     }
 
+    fn next(&self) -> u64 {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        id
+    }
+
     /// Serves one exchange.
     pub async fn serve(&self, exchange: &Exchange) -> Result<Reply, Failure> {
         if let Some(id) = exchange.lease {
@@ -147,6 +120,7 @@
             let connection = match self.connect(&place).await {
                 Ok(connection) => connection,
                 Err(retry_after) => {
+                    drop(place);
                     self.again(deadline, retry_after).await?;
                     continue;
                 }
@@ -159,18 +133,19 @@
                 touched: arrived,
             };
             match self.run(&mut lease, exchange).await {
-                Ok(answer) if refused_unrun(&answer, exchange) => {
-                    lease.place.tell(Event::Look);
-                    drop(lease);
-                    self.again(deadline, PAUSE).await?;
-                }
-                Ok(answer) => {
-                    return self
-                        .finish(lease, answer, exchange, arrived, deadline)
-                        .await;
-                }
+                Ok(answer) => match unrun(&answer, exchange) {
+                    Some(why) => {
+                        self.take_back(lease, why);
+                        self.again(deadline, PAUSE).await?;
+                    }
+                    None => {
+                        return self
+                            .finish(lease, answer, exchange, arrived, deadline)
+                            .await;
+                    }
+                },
                 Err(_) if exchange.effect == Effect::Writes => {
-                    return Err(self.unknown(&exchange.group));
+                    return Err(self.unknown(exchange));
                 }
                 Err(_) => {
                     drop(lease);
@@ -182,6 +157,16 @@
         }
     }
 
+    /// Gives back a connection whose statement did not run, and says why.
+    fn take_back(&self, lease: Lease, why: Unrun) {
+        let member = lease.place.grant.member;
+        match why {
+            Unrun::Lagging => lease.place.tell(Event::Behind { member }),
+            Unrun::NotPrimary | Unrun::Busy | Unrun::NotPrepared => lease.place.tell(Event::Look),
+        }
+        self.pool.put(&lease.place.grant.spec, lease.connection);
+    }
+
     /// Asks the loop for a place at a member.
     pub async fn place(
         &self,
@@ -191,7 +176,9 @@
         deadline: Duration,
     ) -> Result<Place, Failure> {
         let (reply, answer) = oneshot::channel();
+        let id = self.next();
         let ask = Ask {
+            id,
             group: group.clone(),
             target,
             floor,
@@ -199,8 +186,16 @@
             reply,
         };
         let _ = self.context.decisions.send(Message::Ask(ask));
-        let granted = answer.await.map_err(|_| Failure::NotOwner)?;
-        let grant = granted.map_err(|denial| match denial {
+        let mut waiting = Waiting {
+            context: &self.context,
+            group,
+            id,
+            answered: false,
+        };
+        let granted = answer.await;
+        waiting.answered = true;
+        let grant = granted.map_err(|_| Failure::NotOwner)?;
+        let grant = grant.map_err(|denial| match denial {
             Denial::NotRun(refusal) => Failure::NotRun(refusal),
             Denial::NotOwner => Failure::NotOwner,
         })?;
@@ -214,13 +209,21 @@
     }
 
     /// A connection for a place; an error says when to try again.
-    pub async fn connect(&self, place: &Place) -> Result<Connection, Duration> {
-        let taken = self.pool.take(&place.grant.spec.address.sql).await;
+    pub async fn connect(&self, place: &Place) -> Result<Box<dyn Upstream>, Duration> {
+        let taken = self.pool.take(&place.grant.spec).await;
         taken.map_err(|error| {
-            if let ConnectError::Channel(_) = error {
-                let member = place.grant.member;
-                place.tell(Event::Broken { member });
+            let member = place.grant.member;
+            match error {
+                ConnectError::Lost(_) => place.tell(Event::Broken { member }),
+                ConnectError::Stranger(_) | ConnectError::Late => place.tell(Event::Look),
+                ConnectError::Full(_) => {}
             }
+            let fields: [(_, &dyn std::fmt::Display); 3] = [
+                ("group", &place.group),
+                ("member", &place.grant.spec.name),
+                ("error", &error),
+            ];
+            events::emit(&self.context.log, &events::NO_CONNECTION, &fields);
             PAUSE
         })
     }
@@ -231,7 +234,7 @@
         if late || !self.budget.borrow_mut().spend() {
             return Err(Failure::NotRun(Refusal {
                 reason: Reason::Overload,
-                retry_after: pause.max(Duration::from_millis(100)),
+                retry_after: pause.max(LEAST_RETRY),
             }));
         }
         self.context.metrics.retries.add(1, &[]);
@@ -239,25 +242,44 @@
         Ok(())
     }
 
-    fn unknown(&self, group: &str) -> Failure {
+    fn unknown(&self, exchange: &Exchange) -> Failure {
         self.context.metrics.unknown.add(1, &[]);
         events::emit(
             &self.context.log,
             &events::UNKNOWN_OUTCOME,
-            &[("group", &group)],
+            &[("group", &exchange.group), ("request", &exchange.trace)],
         );
         Failure::Unknown
     }
 
-    /// Runs an exchange on a held connection until its answer or the member's end.
+    /// Runs an exchange on a held connection until its answer, the member's end, or
+    /// the end of the time it has.
     async fn run(&self, lease: &mut Lease, exchange: &Exchange) -> Result<Answer, ()> {
         let Lease {
-            connection, place, ..
+            connection,
+            place,
+            target,
+            ..
         } = lease;
-        let relayed = relay::run(connection, &exchange.steps, exchange.close);
+        let began = self.context.now();
+        let floor = exchange.floor.filter(|_| !place.grant.primary);
+        let task = exchange.task(floor.filter(|_| matches!(target, Target::Replica { .. })));
+        let limit = exchange.limit.map(|limit| match exchange.effect {
+            Effect::Reads if exchange.lease.is_none() => limit / READ_TRIES,
+            _ => limit,
+        });
+        let late = async {
+            match limit {
+                Some(limit) => tokio::time::sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
         let ended = tokio::select! {
-            answer = relayed => answer.map_err(Broken::Channel),
-            () = given_up(&mut place.grant) => Err(Broken::GivenUp),
+            answer = connection.run(&task) => answer,
+            () = given_up(&mut place.grant) => {
+                Err(UpstreamError::Nonsense("replaced or silent".to_owned()))
+            }
+            () = late => Err(UpstreamError::Nonsense("no answer in time".to_owned())),
         };
         match ended {
             Ok(answer) => {
@@ -265,15 +287,35 @@
                 self.budget.borrow_mut().earn();
                 Ok(answer)
             }
-            Err(Broken::Channel(ChannelError::Io(_) | ChannelError::Closed)) => {
-                let member = place.grant.member;
-                place.tell(Event::Broken { member });
+            Err(error) => {
+                self.note_lost(place, exchange, began, &error);
                 Err(())
             }
-            Err(_) => Err(()),
         }
     }
 
+    fn note_lost(
+        &self,
+        place: &Place,
+        exchange: &Exchange,
+        began: Duration,
+        error: &UpstreamError,
+    ) {
+        let member = place.grant.member;
+        if let UpstreamError::Lost(_) = error {
+            place.tell(Event::Broken { member });
+        }
+        let after = (self.context.now() - began).as_millis();
+        let fields: [(_, &dyn std::fmt::Display); 5] = [
+            ("request", &exchange.trace),
+            ("group", &exchange.group),
+            ("member", &place.grant.spec.name),
+            ("after_ms", &after),
+            ("error", error),
+        ];
+        events::emit(&self.context.log, &events::STATEMENT_LOST, &fields);
+    }
+
     async fn finish(
         &self,
         mut lease: Lease,
@@ -283,9 +325,8 @@
         deadline: Duration,
     ) -> Result<Reply, Failure> {
         lease.wrote |= exchange.effect == Effect::Writes;
-        let failed = answer.error.is_some();
         if answer.status != Some(Status::Idle) {
-            return Ok(self.keep(lease, answer, failed));
+            return self.keep(lease, answer, exchange, since, deadline).await;
         }
         let Lease {
             connection,
@@ -294,51 +335,33 @@
             target,
             ..
         } = lease;
-        let member = place.grant.member;
-        let term = place.grant.term;
-        let incarnation = place.grant.incarnation;
-        let believed = place.grant.believed;
-        let served = match target {
-            Target::Replica { .. } if !self.is_primary(&place) => Server::Replica,
-            _ => Server::Primary,
+        let grant = &place.grant;
+        let member = grant.member;
+        let incarnation = grant.incarnation;
+        let believed = grant.believed;
+        let server = server(grant);
+        let position = connection.position();
+        // A commit that failed or that wrote nothing promises nothing.
+        let need = match answer.position {
+            Some(position) if wrote && grant.primary => Some(SettleNeed::Wrote(position)),
+            _ => read_need(&place, target, since, position),
         };
-        let placed = place.began;
-        let address = place.grant.spec.address.sql.clone();
-        let position = connection.position;
-        self.pool.put(&address, connection);
+        self.pool.put(&place.grant.spec, connection);
         drop(place);
-        let now = self.context.now();
-        let wait = deadline.saturating_sub(since).max(Duration::from_millis(1));
-        let need = match (target, answer.position) {
-            (Target::Primary, Some(position)) if wrote => Some(SettleNeed::Wrote(position)),
-            (Target::Strict, _) => Some(SettleNeed::Read {
-                term,
-                since,
-                position,
-            }),
-            (Target::Replica { max_age }, _) if served == Server::Primary => {
-                Some(SettleNeed::Read {
-                    term,
-                    since: placed.saturating_sub(max_age),
-                    position,
-                })
-            }
-            _ => None,
-        };
         if let Some(need) = need {
-            let settled = self.settle(&exchange.group, incarnation, member, need, now + wait);
+            let settled = self.settle(&exchange.group, incarnation, member, need, deadline);
             let outcome = settled.await;
             self.after_settling(outcome, need, exchange)?;
         }
         Ok(Reply {
-            messages: answer.messages.freeze(),
-            status: Status::Idle,
+            messages: answer.messages,
+            status: Some(Status::Idle),
             // A member reports its position when it changed: unreported, it is
             // the one that the connection knew.
             position,
             lease: None,
-            server: served,
-            failed,
+            server,
+            failed: answer.verdict != Verdict::Done,
             believed,
         })
     }
@@ -351,7 +374,7 @@
     ) -> Result<(), Failure> {
         match (outcome, need) {
             (Outcome::Confirmed, _) => Ok(()),
-            (Outcome::Unknown, SettleNeed::Wrote(_)) => Err(self.unknown(&exchange.group)),
+            (Outcome::Unknown, SettleNeed::Wrote(_)) => Err(self.unknown(exchange)),
             (Outcome::Unknown, SettleNeed::Read { .. }) => Err(Failure::NotRun(Refusal {
                 reason: Reason::CutOff,
                 retry_after: Duration::from_secs(1),
@@ -359,10 +382,6 @@
         }
     }
 
-    fn is_primary(&self, place: &Place) -> bool {
-        place.grant.primary
-    }
-
     /// Waits until a majority is seen to hold or know what `need` says.
     pub async fn settle(
         &self,
@@ -379,7 +398,7 @@
             incarnation,
             member,
             need,
-            deadline,
+            deadline: deadline.max(before + Duration::from_millis(1)),
             reply,
         };
         let _ = self.context.decisions.send(Message::Settle(settle));
@@ -393,25 +412,37 @@
         outcome
     }
 
-    fn keep(&self, mut lease: Lease, answer: Answer, failed: bool) -> Reply {
-        let id = self.next.get();
-        self.next.set(id + 1);
+    /// Keeps the connection for the session's next exchange. What a read in the
+    /// transaction saw is checked as outside of one, where the codec asks for it.
+    async fn keep(
+        &self,
+        mut lease: Lease,
+        answer: Answer,
+        exchange: &Exchange,
+        since: Duration,
+        deadline: Duration,
+    ) -> Result<Reply, Failure> {
+        let grant = &lease.place.grant;
+        let server = server(grant);
+        let believed = grant.believed;
+        let opened = exchange.setup.begin.is_some();
+        if opened && let Some(need) = read_need(&lease.place, lease.target, since, None) {
+            let (incarnation, member) = (grant.incarnation, grant.member);
+            let settled = self.settle(&exchange.group, incarnation, member, need, deadline);
+            self.after_settling(settled.await, need, exchange)?;
+        }
+        let id = self.next();
         lease.touched = self.context.now();
-        let server = match self.is_primary(&lease.place) {
-            true => Server::Primary,
-            false => Server::Replica,
-        };
-        let believed = lease.place.grant.believed;
         self.leases.borrow_mut().insert(id, lease);
-        Reply {
-            messages: answer.messages.freeze(),
-            status: answer.status.unwrap_or(Status::Idle),
+        Ok(Reply {
+            messages: answer.messages,
+            status: answer.status,
             position: answer.position,
             lease: Some(id),
             server,
-            failed,
+            failed: answer.verdict != Verdict::Done,
             believed,
-        }
+        })
     }
 
     /// Goes on with a session's held connection.
@@ -419,42 +450,100 @@
         let held = self.leases.borrow_mut().remove(&id);
         let mut lease = held.ok_or(Failure::TransactionLost)?;
         let now = self.context.now();
+        let deadline = now + exchange.patience;
         let wrote = lease.wrote;
-        match self.run(&mut lease, exchange).await {
-            Ok(answer) => {
-                let deadline = now + exchange.patience;
-                self.finish(lease, answer, exchange, now, deadline).await
+        loop {
+            match self.run(&mut lease, exchange).await {
+                Ok(answer) if answer.verdict == Verdict::Unrun(Unrun::Busy) => {
+                    if self.again(deadline, PAUSE).await.is_err() {
+                        self.roll_back(lease);
+                        return Err(Failure::TransactionLost);
+                    }
+                }
+                Ok(answer) => return self.finish(lease, answer, exchange, now, deadline).await,
+                // Lost at its end, a transaction that wrote may be committed or not.
+                Err(()) if exchange.commits && wrote => return Err(self.unknown(exchange)),
+                Err(()) => return Err(Failure::TransactionLost),
             }
-            // Lost at its end, a transaction that wrote may be committed or not.
-            Err(()) if exchange.commits && wrote => Err(self.unknown(&exchange.group)),
-            Err(()) => Err(Failure::TransactionLost),
         }
     }
 
     /// Gives up a held connection; the member rolls back.
-    pub fn abandon(&self, id: u64) {
-        self.leases.borrow_mut().remove(&id);
+    pub fn abandon(self: &Rc<Self>, id: u64) {
+        let held = self.leases.borrow_mut().remove(&id);
+        if let Some(lease) = held {
+            self.roll_back(lease);
+        }
+    }
+
+    /// Rolls back and returns the connection; nobody waits for it.
+    fn roll_back(&self, mut lease: Lease) {
+        let pool = self.pool.clone();
+        tokio::task::spawn_local(async move {
+            let done = tokio::time::timeout(ROLL_BACK_WAIT, lease.connection.roll_back()).await;
+            if let Ok(Ok(())) = done {
+                pool.put(&lease.place.grant.spec, lease.connection);
+            }
+        });
     }
 
-    /// Closes idle connections to members of groups this box does not own.
-    pub fn close_foreign(&self, owned: &HashSet<Arc<str>>) {
-        self.pool.retain(owned);
+    /// Closes idle connections that this box has no share in.
+    pub fn trim(&self) {
+        self.pool.trim(&self.context.owned.borrow());
         self.context.idle.set(self.pool.idle());
     }
 
     /// Gives up connections held without a statement for too long.
     pub fn reap(&self) {
         let now = self.context.now();
-        let idle = self.context.settings.lease_idle;
         let mut leases = self.leases.borrow_mut();
-        leases.retain(|_, lease| now < lease.touched + idle);
+        let rests =
+            |lease: &Lease| now >= lease.touched + self.context.lease_idle(&lease.place.group);
+        let late = leases.extract_if(|_, lease| rests(lease));
+        let late: Vec<Lease> = late.map(|(_, lease)| lease).collect();
+        drop(leases);
+        for lease in late {
+            self.roll_back(lease);
+        }
     }
 }
 
-/// Whether the member refused a write because it is no primary: it did not run.
-fn refused_unrun(answer: &Answer, exchange: &Exchange) -> bool {
-    let refused = answer.error.as_deref() == Some(READ_ONLY);
-    refused && exchange.effect == Effect::Writes && answer.status == Some(Status::Idle)
+fn server(grant: &Grant) -> Server {
+    match grant.primary {
+        true => Server::Primary,
+        false => Server::Replica,
+    }
+}
+
+/// What must be seen before a read's answer may be given out.
+fn read_need(
+    place: &Place,
+    target: Target,
+    since: Duration,
+    position: Option<Position>,
+) -> Option<SettleNeed> {
+    let term = place.grant.term;
+    let since = match target {
+        Target::Strict => since,
+        Target::Replica { max_age } if place.grant.primary => place.began.saturating_sub(max_age),
+        _ => return None,
+    };
+    Some(SettleNeed::Read {
+        term,
+        since,
+        position,
+    })
+}
+
+/// Why a statement did not run, where another member may run it.
+fn unrun(answer: &Answer, exchange: &Exchange) -> Option<Unrun> {
+    let Verdict::Unrun(why) = answer.verdict else {
+        return None;
+    };
+    let reads = matches!(exchange.target, Target::Replica { .. });
+    let theirs = why == Unrun::NotPrimary && reads;
+    let ended = answer.status == Some(Status::Idle);
+    (ended && !theirs).then_some(why)
 }
 
 /// Returns when the member is replaced, or suspected for too long.
@@ -464,7 +553,7 @@
             let health = grant.health.borrow_and_update();
             (health.term, health.suspected.get(grant.member).copied())
         };
-        if term > grant.term {
+        if term > grant.term && grant.primary {
             return;
         }
         if suspected == Some(true) {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::configuration::{News, PRIMARY};
+use super::configuration::{News, PRIMARY, Question};
 use super::context::Context;
 use super::exchange::{Exchange, Failure, Reply};
 use crate::borders::roster::Listing;
@@ -57,8 +57,9 @@
     exchange: &Exchange,
 ) -> Result<Reply, ForwardError> {
     context.metrics.forwarded.add(1, &[]);
+    let wait = exchange.limit.unwrap_or(EXCHANGE_WAIT);
     let answer: Result<Result<Reply, Failure>, HttpError> =
-        call(context, owner, EXCHANGE, exchange, EXCHANGE_WAIT).await;
+        call(context, owner, EXCHANGE, exchange, wait).await;
     match answer {
         Ok(served) => served.map_err(ForwardError::Failure),
         Err(HttpError::Broken(why)) if why.contains("Connect") => Err(ForwardError::Unsent),
@@ -88,8 +89,8 @@
     let _: Result<(), _> = call(&context, &peer, NEWS, &news, SMALL_WAIT).await;
 }
 
-pub async fn scan(context: &Context, peer: &str, since: u64) -> Option<Scan> {
-    call(context, peer, SCAN, &since, SMALL_WAIT).await.ok()
+pub async fn scan(context: &Context, peer: &str, question: &Question) -> Option<Scan> {
+    call(context, peer, SCAN, question, SMALL_WAIT).await.ok()
 }
 
 pub async fn boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
--- /dev/null
+++ b/src/node/place.rs
@@ -0,0 +1,62 @@
+//! A place at a member, and the connection that a session holds there.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::context::Context;
+use super::message::{Grant, Incarnation, Message};
+use crate::borders::upstream::Upstream;
+use crate::decisions::group::{Event, Target};
+use crate::decisions::position::Position;
+
+/// A place at a member, given back when it is dropped.
+pub struct Place {
+    pub context: Rc<Context>,
+    pub group: Arc<str>,
+    pub grant: Grant,
+    pub began: Duration,
+    pub position: Option<Position>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.context.now();
+        let event = Event::Release {
+            member: self.grant.member,
+            began: self.began,
+            took: now.saturating_sub(self.began),
+            position: self.position,
+        };
+        self.tell(event);
+    }
+}
+
+impl Place {
+    /// Tells the loop what this statement saw of the member.
+    pub fn tell(&self, event: Event) {
+        let incarnation = self.grant.incarnation;
+        self.context.tell(&self.group, incarnation, event);
+    }
+}
+
+/// A connection held for a session between its exchanges.
+pub struct Lease {
+    pub connection: Box<dyn Upstream>,
+    pub place: Place,
+    pub target: Target,
+    /// The open transaction may have changed data.
+    pub wrote: bool,
+    pub touched: Duration,
+}
+
+impl Context {
+    /// Tells the loop what happened to one incarnation of a group.
+    pub fn tell(&self, group: &Arc<str>, incarnation: Incarnation, event: Event) {
+        let _ = self.decisions.send(Message::Group {
+            group: group.clone(),
+            incarnation,
+            event,
+        });
+    }
+}
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,7 +1,7 @@
 //! Puts a box together and runs it until it is told to stop.
 
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -18,25 +18,68 @@
 use super::driver::Driver;
 use super::entry::Entry;
 use super::owner::Owner;
+use super::pool::Pool;
 use super::routes::{Classes, Routes};
-use crate::borders::clock::System;
+use crate::borders::clock::{Clock, System};
+use crate::borders::member::Members;
+use crate::borders::roster::{Listing, Roster};
 use crate::borders::table::{Commit, Table, TableError, Verdict};
+use crate::borders::upstream::Dialer;
 use crate::configs::run::Run;
 use crate::decisions::group::Settings;
 use crate::events;
 use crate::http::Client;
 use crate::metrics::Metrics;
-use crate::platform::Platform;
-use crate::standin::control::Remotes;
 
 const COMMIT_TRIES: u32 = 5;
 const COMMIT_PAUSE: Duration = Duration::from_millis(200);
 const REAP: Duration = Duration::from_secs(1);
+/// Time between two tries to be listed.
+const ENTER_AGAIN: Duration = Duration::from_millis(800);
+
+/// What stands at a box's borders.
+pub struct Ports {
+    pub clock: Rc<dyn Clock>,
+    pub client: Client,
+    pub entry: Rc<dyn Entry>,
+    pub pool: Rc<Pool>,
+    pub members: Rc<dyn Members>,
+    pub table: Rc<dyn Table>,
+    pub roster: Rc<dyn Roster>,
+    /// Told whether the box takes callers.
+    pub ready: Option<watch::Sender<bool>>,
+}
+
+impl Ports {
+    /// Ports around a pool of connections that `dialer` opens.
+    pub fn new(
+        client: Client,
+        entry: Rc<dyn Entry>,
+        dialer: Rc<dyn Dialer>,
+        members: impl FnOnce(&Rc<Pool>) -> Rc<dyn Members>,
+        table: Rc<dyn Table>,
+        roster: Rc<dyn Roster>,
+    ) -> Self {
+        let clock: Rc<dyn Clock> = Rc::new(System::default());
+        let pool = Rc::new(Pool::new(dialer, clock.clone()));
+        Self {
+            clock,
+            client,
+            entry,
+            members: members(&pool),
+            pool,
+            table,
+            roster,
+            ready: None,
+        }
+    }
+}
 
 /// Runs a box until `stop` says so, then drains it.
 pub async fn run(
     settings: Run,
     decisions: Settings,
+    ports: Ports,
     log: Logger,
     mut stop: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
@@ -48,17 +91,27 @@
     let (snapshot_tx, snapshot) = watch::channel(Arc::default());
     let (boxes_tx, boxes) = watch::channel(Arc::from([]));
     let (leaving_tx, leaving) = watch::channel(false);
-    let client = Client::new(settings.ip);
-    let platform = Rc::new(Platform::new(client.clone(), settings.platform.clone()));
+    let Ports {
+        clock,
+        client,
+        entry,
+        pool,
+        members,
+        table,
+        roster,
+        ready,
+    } = ports;
+    let tell_ready = |is: bool| {
+        if let Some(ready) = &ready {
+            ready.send_replace(is);
+        }
+    };
     let context = Rc::new(Context {
         metrics: Metrics::default(),
-        clock: Rc::new(System::default()),
-        members: Rc::new(Remotes {
-            client: client.clone(),
-            from: settings.ip,
-        }),
-        table: platform.clone(),
-        roster: platform,
+        clock,
+        members,
+        table,
+        roster,
         client,
         decisions: decisions_tx.clone(),
         snapshot: snapshot.clone(),
@@ -67,8 +120,9 @@
         classes: Classes::default(),
         routes: Routes::default(),
         idle: Cell::new(0),
-        owned: watch::channel(HashSet::new()).0,
+        owned: watch::channel(HashMap::new()).0,
         callers: Cell::new(0),
+        left: Cell::new(None),
         settings,
         log,
     });
@@ -84,7 +138,7 @@
         registry: context.metrics.registry(),
         nonces: AtomicU64::new(rand::random::<u32>().into()),
     });
-    let owner = Rc::new(Owner::new(context.clone()));
+    let owner = Rc::new(Owner::new(context.clone(), pool));
     let log = &context.log;
     let name = &context.settings.name;
     events::emit(log, &events::STARTED, &[("box", name)]);
@@ -94,6 +148,7 @@
         tokio::task::spawn_local(keeper.run()),
         tokio::task::spawn_local(work(context.clone(), owner.clone(), work_rx)),
         tokio::task::spawn_local(reap(owner.clone())),
+        tokio::task::spawn_local(enter(context.clone())),
         tokio::task::spawn_local(serve_api(api, operators)),
     ];
     let mut configured = snapshot;
@@ -102,10 +157,16 @@
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     }
     events::emit(log, &events::READY, &[("box", name)]);
-    let entry = Entry::new(context.clone(), owner.clone());
-    let serving = tokio::task::spawn_local(entry.serve(callers));
+    tell_ready(true);
+    let serving = {
+        let (context, owner) = (context.clone(), owner.clone());
+        tokio::task::spawn_local(async move { entry.serve(context, owner, callers).await })
+    };
     let _ = stop.wait_for(|stop| *stop).await;
+    tell_ready(false);
+    context.left.set(Some(context.now()));
     let _ = leaving_tx.send(true);
+    tokio::task::spawn_local(leave(context.clone()));
     events::emit(log, &events::DRAINING, &[("box", name)]);
     drain(&context, &owner).await;
     serving.abort();
@@ -135,11 +196,30 @@
     let _ = api::serve(api, listener).await;
 }
 
+/// Puts this box on the list, where boxes list themselves, until it is there.
+async fn enter(context: Rc<Context>) {
+    let listing = Listing {
+        name: context.settings.name.clone(),
+        address: context.own_api_address().into(),
+        domain: context.settings.domain.clone(),
+        leaving: false,
+    };
+    while let Err(error) = context.roster.enter(&listing).await {
+        events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
+        tokio::time::sleep(ENTER_AGAIN).await;
+    }
+}
+
+async fn leave(context: Rc<Context>) {
+    if let Err(error) = context.roster.leave(&context.settings.name).await {
+        events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
+    }
+}
+
 async fn reap(owner: Rc<Owner>) {
     loop {
         tokio::time::sleep(REAP).await;
-        let owned = owner.context.owned.borrow().clone();
-        owner.close_foreign(&owned);
+        owner.trim();
         owner.reap();
     }
 }
--- /dev/null
+++ b/src/platform/manifest.rs
@@ -0,0 +1,115 @@
+//! The operator's manifest as declarations of the product.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::declarations::resource::{Key, Kind};
+
+/// The platform has one operator; its declarations belong to this partner.
+pub const PARTNER: &str = "platform";
+
+/// A manifest, whole.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Manifest {
+    pub version: u64,
+    #[serde(default)]
+    routes: Vec<Route>,
+    #[serde(default)]
+    services: Vec<Service>,
+    #[serde(default)]
+    limits: Limits,
+}
+
+/// A name under which callers connect, and how its statements are served.
+#[derive(Clone, Debug, Deserialize)]
+struct Route {
+    /// The database's name for callers; a route without one is not reached.
+    #[serde(default)]
+    hostname: Option<Arc<str>>,
+    #[serde(rename = "type", default)]
+    kind: Option<Arc<str>>,
+    timeout_ms: Option<u64>,
+    target_latency_ms: Option<f64>,
+    priority: Option<u64>,
+    /// The group that serves it.
+    backend: Arc<str>,
+    max_staleness_ms: Option<u64>,
+}
+
+/// A group.
+#[derive(Clone, Debug, Deserialize)]
+struct Service {
+    name: Arc<str>,
+    /// Connections that a member takes from all boxes together.
+    max_connections: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Limits {
+    /// An open transaction may be ended after a rest this long.
+    tx_idle_ms: Option<u64>,
+}
+
+/// Declarations by key.
+pub type Declarations = BTreeMap<Key, Value>;
+
+impl Manifest {
+    pub fn parse(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// The same as resources of the product, for `boxes` boxes.
+    pub fn declarations(&self, boxes: usize) -> Declarations {
+        let groups = self.services.iter().map(|service| self.group(service, boxes));
+        let databases = self.routes.iter().filter_map(database);
+        groups.chain(databases).collect()
+    }
+
+    fn group(&self, service: &Service, boxes: usize) -> (Key, Value) {
+        let fields = json!({
+            "partner": PARTNER,
+            "name": service.name,
+            // A member answers a write when as many hold it as its service asks for.
+            "durability": "primary",
+            "connections": service.max_connections,
+            "owners": boxes,
+            "idle_ms": self.limits.tx_idle_ms,
+        });
+        (key(Kind::Group, service.name.clone()), given(fields))
+    }
+}
+
+fn database(route: &Route) -> Option<(Key, Value)> {
+    let name = route.hostname.clone()?;
+    let fields = json!({
+        "partner": PARTNER,
+        "name": name,
+        "group": route.backend,
+        "access": route.kind,
+        "max_age_ms": route.max_staleness_ms,
+        "timeout_ms": route.timeout_ms,
+        "target_ms": route.target_latency_ms.map(|ms| ms.round() as u64),
+        "priority": route.priority,
+    });
+    Some((key(Kind::Database, name), given(fields)))
+}
+
+/// Leaves out what the manifest does not give, so that defaults hold.
+fn given(fields: Value) -> Value {
+    let Value::Object(fields) = fields else {
+        return fields;
+    };
+    let given = fields.into_iter().filter(|(_, value)| !value.is_null());
+    Value::Object(given.collect())
+}
+
+pub fn key(kind: Kind, name: Arc<str>) -> Key {
+    Key {
+        kind,
+        partner: PARTNER.into(),
+        name,
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,245 @@
+//! Client of the platform's metadata store: rows, their changes, transactions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Call, Client, HttpError};
+
+/// Time for a call that reads or writes: 4 ms each on a calm day, a few hundred when
+/// the store is slow.
+const CALL_WAIT: Duration = Duration::from_millis(1_500);
+/// Time beyond the asked one after which a wait for changes has failed.
+const FEED_MARGIN: Duration = Duration::from_secs(1);
+/// Status of a transaction whose conditions do not hold.
+const CONDITION_FAILED: u16 = 412;
+/// Status of a history that is gone.
+const GONE: u16 = 410;
+
+/// A row as the store sends it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Row {
+    /// Key; the name on the wire says otherwise.
+    pub tls_key: Arc<str>,
+    /// Base64; missing when the row was removed.
+    #[serde(default)]
+    value: Option<String>,
+    /// Number of the transaction that wrote the row.
+    #[serde(default)]
+    pub schema_version: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+impl Row {
+    /// The value's bytes; none for a removed row, an error for one that is no base64.
+    pub fn bytes(&self) -> Result<Option<Vec<u8>>, StoreError> {
+        match &self.value {
+            Some(text) if !self.deleted => BASE64
+                .decode(text)
+                .map(Some)
+                .map_err(|error| StoreError::Nonsense(format!("{}: {error}", self.tls_key))),
+            _ => Ok(None),
+        }
+    }
+}
+
+/// Rows and the store's newest version.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Rows {
+    #[serde(default)]
+    pub rows: Vec<Row>,
+    /// More rows follow the last key.
+    #[serde(default)]
+    pub has_more: bool,
+    /// Number of the newest transaction in the store.
+    pub schema_version: u64,
+}
+
+/// Why the store gave no answer that can be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    #[error("no answer: {0}")]
+    Down(String),
+    #[error("the history is gone")]
+    HistoryGone,
+    #[error("a condition does not hold")]
+    Condition(Vec<(Arc<str>, u64, Option<Vec<u8>>)>),
+    #[error("nonsense: {0}")]
+    Nonsense(String),
+}
+
+/// One change of a transaction.
+#[derive(Clone, Debug)]
+pub struct Change {
+    pub key: Arc<str>,
+    /// Version that the row must have, 0 for none.
+    pub expect: Option<u64>,
+    /// None removes the row.
+    pub value: Option<Vec<u8>>,
+}
+
+#[derive(Serialize)]
+struct Named<'a> {
+    table: &'a str,
+    part: &'a str,
+    tls_key: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    schema_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Transaction<'a> {
+    expected_revision: Vec<Named<'a>>,
+    puts: Vec<Named<'a>>,
+    remove: Vec<Named<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Committed {
+    schema_version: u64,
+}
+
+/// The store at one address.
+#[derive(Clone)]
+pub struct Store {
+    client: Client,
+    address: Arc<str>,
+}
+
+impl Store {
+    pub fn new(client: Client, address: Arc<str>) -> Self {
+        Self { client, address }
+    }
+
+    /// All rows of a table, and the version they were read at.
+    pub async fn read(&self, table: &str) -> Result<Rows, StoreError> {
+        let mut all: Vec<Row> = Vec::new();
+        loop {
+            let from = all.last().map(|row| after(&row.tls_key));
+            let from = from.map_or(String::new(), |key| format!("&from={key}"));
+            let path = format!("/v1/rows-get?table={table}&part={from}");
+            let page: Rows = decode(&self.get(&path, CALL_WAIT).await?)?;
+            all.extend(page.rows);
+            if !page.has_more {
+                return Ok(Rows {
+                    rows: all,
+                    has_more: false,
+                    schema_version: page.schema_version,
+                });
+            }
+        }
+    }
+
+    /// Rows of a table that changed after a version, as soon as there is one, or
+    /// none when `wait` has passed.
+    pub async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Rows, StoreError> {
+        let ms = wait.as_millis();
+        let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={ms}");
+        decode(&self.get(&path, wait + FEED_MARGIN).await?)
+    }
+
+    /// Carries out changes of one table, all or none. Returns their version.
+    pub async fn transact(&self, table: &str, changes: &[Change]) -> Result<u64, StoreError> {
+        let named = |change: &Change| change.expect.is_some();
+        let expected = changes.iter().filter(|change| named(change));
+        let name = |change: &'_ Change| Named {
+            table,
+            part: "",
+            tls_key: "",
+            schema_version: change.expect,
+            value: change.value.as_ref().map(|value| BASE64.encode(value)),
+        };
+        let expected_revision = expected.map(|change| Named {
+            tls_key: &change.key,
+            value: None,
+            ..name(change)
+        });
+        let puts = changes.iter().filter(|change| change.value.is_some());
+        let puts = puts.map(|change| Named {
+            tls_key: &change.key,
+            schema_version: None,
+            ..name(change)
+        });
+        let remove = changes.iter().filter(|change| change.value.is_none());
+        let remove = remove.map(|change| Named {
+            tls_key: &change.key,
+            schema_version: None,
+            ..name(change)
+        });
+        let transaction = Transaction {
+            expected_revision: expected_revision.collect(),
+            puts: puts.collect(),
+            remove: remove.collect(),
+        };
+        let body = serde_json::to_vec(&transaction).expect("a transaction is plain data");
+        let call = Call {
+            method: Method::POST,
+            address: &self.address,
+            path: "/v1/rows-tx",
+            bearer: None,
+            headers: vec![("content-type", "application/json".to_owned())],
+            body,
+            wait: CALL_WAIT,
+        };
+        let body = self.client.call(call).await.map_err(failed)?;
+        let committed: Committed = decode(&body)?;
+        Ok(committed.schema_version)
+    }
+
+    async fn get(&self, path: &str, wait: Duration) -> Result<bytes::Bytes, StoreError> {
+        let body = self.client.get(&self.address, path, wait).await;
+        body.map_err(failed)
+    }
+}
+
+fn failed(error: HttpError) -> StoreError {
+    match error {
+        HttpError::Status { code: GONE, .. } => StoreError::HistoryGone,
+        HttpError::Status {
+            code: CONDITION_FAILED,
+            body,
+        } => conflicts(&body),
+        other => StoreError::Down(other.to_string()),
+    }
+}
+
+/// The rows that did not meet their condition, as they are.
+fn conflicts(body: &str) -> StoreError {
+    #[derive(Deserialize)]
+    struct Found {
+        #[serde(default)]
+        rows: Vec<Row>,
+    }
+    let found: Found = match serde_json::from_str(body) {
+        Ok(found) => found,
+        Err(error) => return StoreError::Nonsense(error.to_string()),
+    };
+    let row = |row: &Row| {
+        let value = row.bytes()?;
+        Ok((row.tls_key.clone(), row.schema_version, value))
+    };
+    let rows: Result<_, StoreError> = found.rows.iter().map(row).collect();
+    rows.map_or_else(|error| error, StoreError::Condition)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::Nonsense(error.to_string()))
+}
+
+/// The least key behind `key`, as part of a query.
+fn after(key: &str) -> String {
+    let bytes = key.bytes().chain([0]);
+    bytes.map(|byte| format!("%{byte:02X}")).collect()
+}
--- /dev/null
+++ b/src/postgres/connection.rs
@@ -0,0 +1,151 @@
+//! A connection to a member that speaks PostgreSQL.
+
+use std::collections::HashSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::BytesMut;
+use futures::FutureExt;
+use pgwire::messages::PgWireBackendMessage as Back;
+use pgwire::messages::PgWireFrontendMessage as Front;
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::{Authentication, Startup};
+use tokio::net::TcpSocket;
+
+use super::channel::{Channel, ChannelError};
+use super::steps::{Close, Expect, Step, Steps};
+use super::{ledger, relay, report};
+use crate::borders::upstream::{
+    Answer, ConnectError, Dialer, Keyed, Task, Upstream, UpstreamError,
+};
+use crate::decisions::position::Position;
+use crate::declarations::resource::Member;
+
+/// Statements kept prepared on one connection; above it the connection is not kept.
+const MOST_STATEMENTS: usize = 500;
+
+/// Opens connections from one address.
+pub struct Remote {
+    pub from: IpAddr,
+    /// Time a new connection may take.
+    pub wait: Duration,
+}
+
+#[async_trait(?Send)]
+impl Dialer for Remote {
+    async fn connect(&self, member: &Member) -> Result<Box<dyn Upstream>, ConnectError> {
+        let opened = Connection::open(self.from, &member.address.sql);
+        let opened = tokio::time::timeout(self.wait, opened).await;
+        Ok(Box::new(opened.map_err(|_| ConnectError::Late)??))
+    }
+}
+
+/// An open connection and what is prepared on it.
+pub struct Connection {
+    pub channel: Channel,
+    pub prepared: HashSet<Arc<str>>,
+    /// Position that the member reported last on it.
+    pub position: Option<Position>,
+}
+
+impl Connection {
+    async fn open(from: IpAddr, address: &str) -> Result<Self, ConnectError> {
+        let lost = |error: &dyn std::fmt::Display| ConnectError::Lost(error.to_string());
+        let channel = dial(from, address).await.map_err(|error| lost(&error))?;
+        let mut connection = Self {
+            channel,
+            prepared: HashSet::new(),
+            position: None,
+        };
+        loop {
+            let message = connection.channel.read_back().await;
+            match message.map_err(|error| lost(&error))? {
+                Back::ReadyForQuery(_) => return Ok(connection),
+                Back::ParameterStatus(parameter) if parameter.name == report::POSITION => {
+                    connection.position = parameter.value.parse().ok();
+                }
+                Back::Authentication(Authentication::Ok)
+                | Back::ParameterStatus(_)
+                | Back::BackendKeyData(_)
+                | Back::NoticeResponse(_) => {}
+                Back::ErrorResponse(error) => {
+                    return Err(ConnectError::Full(report::code_of(&error).to_owned()));
+                }
+                other => return Err(lost(&format!("unexpected message {other:?}"))),
+            }
+        }
+    }
+
+    /// Runs one statement of our own.
+    pub async fn query(&mut self, sql: &str) -> Result<relay::Answer, ChannelError> {
+        let mut bytes = BytesMut::new();
+        Front::Query(Query::new(sql.to_owned())).encode(&mut bytes)?;
+        let step = Step::Send {
+            bytes: bytes.freeze(),
+            expect: Expect::Whole,
+        };
+        relay::run(self, &[step], Close::Query).await
+    }
+}
+
+async fn dial(from: IpAddr, address: &str) -> Result<Channel, ChannelError> {
+    let invalid = |_| ChannelError::Unexpected(format!("address {address}"));
+    let address: SocketAddr = address.parse().map_err(invalid)?;
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut channel = Channel::new(Box::new(stream));
+    channel.opened();
+    let user = [("user".to_owned(), "larkfall".to_owned())];
+    let mut startup = Startup::new();
+    startup.protocol_number_minor = 0;
+    startup.parameters = user.into_iter().collect();
+    channel.queue_front(&Front::Startup(startup))?;
+    channel.flush().await?;
+    Ok(channel)
+}
+
+impl From<ChannelError> for UpstreamError {
+    fn from(error: ChannelError) -> Self {
+        match error {
+            ChannelError::Io(_) | ChannelError::Closed => UpstreamError::Lost(error.to_string()),
+            _ => UpstreamError::Nonsense(error.to_string()),
+        }
+    }
+}
+
+fn opened(task: &Task<'_>) -> Result<Steps, UpstreamError> {
+    let steps = Steps::from_payload(task.payload);
+    steps.map_err(|error| UpstreamError::Nonsense(error.to_string()))
+}
+
+#[async_trait(?Send)]
+impl Upstream for Connection {
+    async fn run(&mut self, task: &Task<'_>) -> Result<Answer, UpstreamError> {
+        let steps = opened(task)?;
+        let answer = relay::run(self, &steps.steps, steps.close).await?;
+        Ok(answer.typed())
+    }
+
+    async fn run_keyed(&mut self, task: &Task<'_>, key: &str) -> Result<Keyed, UpstreamError> {
+        let steps = opened(task)?;
+        Ok(ledger::transaction(self, &steps, key).await?)
+    }
+
+    async fn roll_back(&mut self) -> Result<(), UpstreamError> {
+        self.query("ROLLBACK").await?;
+        Ok(())
+    }
+
+    fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    fn is_reusable(&mut self) -> bool {
+        let few = self.prepared.len() <= MOST_STATEMENTS;
+        few && !self.channel.has_input() && self.channel.fill().now_or_never().is_none()
+    }
+}
--- a/src/node/relay.rs
+++ b/src/postgres/relay.rs
@@ -8,12 +8,15 @@
 use pgwire::messages::extendedquery::{Flush, Parse, ParseComplete, Sync};
 use pgwire::messages::response::TransactionStatus;
 
-use super::exchange::{Close, Expect, Statement, Status, Step};
-use super::pool::Connection;
+use super::channel::ChannelError;
+use super::connection::Connection;
+use super::report;
+use super::steps::{Close, Expect, Statement, Step};
+use crate::borders::upstream::{self, Status, Unrun, Verdict};
 use crate::decisions::position::Position;
-use crate::wire::channel::ChannelError;
-use crate::wire::report;
 
+/// SQLSTATE of a member that is not the primary and takes no write.
+const READ_ONLY: &str = "25006";
 /// Largest answer that is carried, in bytes.
 const MOST_ANSWER: usize = 256 * 1024 * 1024;
 
@@ -28,6 +31,24 @@
     pub error: Option<String>,
 }
 
+impl Answer {
+    /// The answer as the core reads it.
+    pub fn typed(self) -> upstream::Answer {
+        let idle = self.status == Some(Status::Idle);
+        let verdict = match self.error.as_deref() {
+            None => Verdict::Done,
+            Some(READ_ONLY) if idle => Verdict::Unrun(Unrun::NotPrimary),
+            Some(_) => Verdict::Failed,
+        };
+        upstream::Answer {
+            messages: self.messages.freeze(),
+            status: self.status,
+            position: self.position,
+            verdict,
+        }
+    }
+}
+
 enum Pending {
     Message(Expect),
     /// A statement's preparation; shown to the caller or not.
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -5,5 +5,7 @@
 pub mod faults;
 pub mod member;
 pub mod platform;
+pub mod ports;
 pub mod session;
+pub mod table;
 pub mod value;
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -19,7 +19,8 @@
 
 use super::faults::{Faults, Gate};
 use super::member::{Batch, Member};
-use crate::borders::member::{Address, Member as Border, MemberError, Members, Status, Stream};
+use crate::borders::member::{Address, Member as Border, MemberError, Members, Order, Status, Stream};
+use crate::declarations::resource::Member as Declared;
 use crate::http::{Client, HttpError};
 
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
@@ -159,7 +160,7 @@
         self.status_of(&Request::Fence { term }).await
     }
 
-    async fn promote(&self, term: u64) -> Result<Status, MemberError> {
+    async fn promote(&self, term: u64, _: &Order) -> Result<Status, MemberError> {
         self.status_of(&Request::Promote { term }).await
     }
 
@@ -189,10 +190,10 @@
 }
 
 impl Members for Remotes {
-    fn member(&self, address: &Address) -> Rc<dyn Border> {
+    fn member(&self, declared: &Declared) -> Rc<dyn Border> {
         Rc::new(Remote {
             client: self.client.clone(),
-            address: address.clone(),
+            address: declared.address.clone(),
             from: self.from,
         })
     }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -17,9 +17,9 @@
 
 use super::control::{faults_router, through_gate};
 use super::faults::Gate;
+use super::table::tag_of;
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Row, Scan, Verdict};
-use crate::platform::tag_of;
 
 /// Settings of the stand-in platform.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/standin/ports.rs
@@ -0,0 +1,34 @@
+//! The borders of a box that runs on the stand-ins and speaks PostgreSQL.
+
+use std::rc::Rc;
+
+use super::control::Remotes;
+use super::table::Platform;
+use crate::configs::run::Run;
+use crate::http::Client;
+use crate::node::run::Ports;
+use crate::postgres::connection::Remote;
+use crate::postgres::entry::Front;
+
+/// Ports for these settings.
+pub fn standin(settings: &Run) -> Ports {
+    let client = Client::new(settings.ip);
+    let from = settings.ip;
+    let platform = Rc::new(Platform::new(client.clone(), settings.platform.clone()));
+    let dialer = Remote {
+        from,
+        wait: settings.connect_wait,
+    };
+    let members = Remotes {
+        client: client.clone(),
+        from,
+    };
+    Ports::new(
+        client,
+        Rc::new(Front),
+        Rc::new(dialer),
+        |_| Rc::new(members),
+        platform.clone(),
+        platform,
+    )
+}
--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -22,8 +22,8 @@
 use super::member::{Cell, Change, Member};
 use super::value;
 use crate::decisions::position::Position;
-use crate::wire::channel::{Channel, ChannelError, Opening};
-use crate::wire::report::{self, Report};
+use crate::postgres::channel::{Channel, ChannelError, Opening};
+use crate::postgres::report::{self, Report};
 
 const LOCK_WAIT: Duration = Duration::from_secs(5);
 
--- a/src/trial/client.rs
+++ b/src/trial/client.rs
@@ -11,9 +11,9 @@
 use pgwire::messages::startup::Startup;
 use tokio::net::TcpStream;
 
-use crate::node::exchange::state;
-use crate::wire::channel::{Channel, ChannelError};
-use crate::wire::report;
+use crate::postgres::channel::{Channel, ChannelError};
+use crate::postgres::failure::state;
+use crate::postgres::report;
 
 /// Why a query brought no rows.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/src/trial/cluster.rs
+++ b/src/trial/cluster.rs
@@ -196,7 +196,7 @@
             port: SQL_PORT,
             api_port: API_PORT,
             platform: format!("{}:{PLATFORM_PORT}", self.platform.ip).into(),
-            peer: Some(format!("{}:{API_PORT}", Self::ip_in(self.net, 0, FIRST_BOX)).into()),
+            peers: vec![format!("{}:{API_PORT}", Self::ip_in(self.net, 0, FIRST_BOX)).into()],
             log: self.shape.log,
             poll: self.shape.poll,
             admin: Some(secret::hash("admin").into()),
--- a/src/trial/host.rs
+++ b/src/trial/host.rs
@@ -13,6 +13,7 @@
 use crate::decisions::group::Settings;
 use crate::events;
 use crate::node;
+use crate::standin::ports;
 use crate::standin::{member, platform};
 
 /// Something that runs and can be ended.
@@ -127,7 +128,8 @@
         let name = format!("box-{}", settings.name);
         Thread::start(name, move |stop| {
             let log = events::logger(settings.log);
-            node::run::run(settings, decisions, log, stop)
+            let ports = ports::standin(&settings);
+            node::run::run(settings, decisions, ports, log, stop)
         })
     }
 }
--- a/src/trial/workload.rs
+++ b/src/trial/workload.rs
@@ -10,7 +10,7 @@
 
 use super::client::{Client, ClientError};
 use super::journal::{Journal, Verdict};
-use crate::node::exchange::state;
+use crate::postgres::failure::state;
 
 const PAUSE: Duration = Duration::from_millis(5);
 const PRESSES: u32 = 3;
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -236,6 +236,7 @@
             owners: OWNERS as u32,
             deadline_ms: 5_000,
             max_age_ms: 500,
+            idle_ms: None,
         },
         members: (0..MEMBERS).map(member).collect(),
         reads: Vec::new(),
@@ -545,6 +546,8 @@
             } => {
                 self.call(owner, member, Call::Follow(term, primary));
             }
+            // Its members keep their fences.
+            Action::Release { .. } => {}
             Action::Ask => self.ask(owner),
             Action::Record { .. } => self.counts.replacements += 1,
             Action::Note(_) => {}
