perf: ordinary answers renew the lease, looks only where they are missing

A replica that shows an entry the primary wrote after some moment was not fenced at that moment, and a primary that runs a write leads; both come with ordinary answers.

--- a/examples/support/processes.rs
+++ b/examples/support/processes.rs
@@ -98,10 +98,7 @@
             ("port", settings.port.to_string()),
             ("api-port", settings.api_port.to_string()),
             ("platform", settings.platform.to_string()),
-            (
-                "peer",
-                settings.peers.join(","),
-            ),
+            ("peer", settings.peers.join(",")),
             (
                 "admin",
                 settings.admin.clone().unwrap_or_default().to_string(),
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -178,9 +178,12 @@
             port: reader.number("port", defaults.port),
             api_port: reader.number("api-port", defaults.api_port),
             platform: reader.required("platform", defaults.platform, "IP:port", address),
-            peers: reader.optional("peer", defaults.peers, "IP:port, or several with commas", |t| {
-                t.split(',').map(address).collect()
-            }),
+            peers: reader.optional(
+                "peer",
+                defaults.peers,
+                "IP:port, or several with commas",
+                |t| t.split(',').map(address).collect(),
+            ),
             admin: reader.optional(
                 "admin",
                 defaults.admin,
--- a/src/decisions/confirm.rs
+++ b/src/decisions/confirm.rs
@@ -125,6 +125,20 @@
         ended
     }
 
+    /// Ends the waits that need no more than that `term` was not replaced, which the
+    /// lease says.
+    pub fn leased(&mut self, term: u64) -> Vec<(u64, Outcome)> {
+        let met = |waiter: &Waiter| waiter.need == Need::Unfenced(term);
+        let ended: Vec<u64> = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| met(waiter))
+            .map(|(id, _)| *id)
+            .collect();
+        let confirm = |id: u64| self.waiters.remove(&id).map(|_| (id, Outcome::Confirmed));
+        ended.into_iter().filter_map(confirm).collect()
+    }
+
     /// Ends the waits whose deadline has passed.
     pub fn expire(&mut self, now: Duration) -> Vec<(u64, Outcome)> {
         let late = self.waiters.iter().filter(|(_, w)| w.deadline <= now);
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -34,6 +34,9 @@
 /// A report of a term further ahead than this is not believed.
 const MOST_TERMS_AHEAD: u64 = 1 << 20;
 
+/// Time after which waits for the lease are looked at again.
+const LEAST_LOOK: Duration = Duration::from_millis(120);
+
 /// Settings of the decisions about a group.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -108,6 +111,12 @@
     fair: Fair,
     /// It reports that it is a replica.
     demoted: bool,
+    /// Newest moment at which it is known to have kept to the present term.
+    kept: Option<Duration>,
+    /// Statements at once that its connections allow, as far as was found out.
+    room: usize,
+    /// When the room was last changed.
+    room_changed: Duration,
     /// Since when it is missing from the list.
     missing: Option<Duration>,
     /// It is no member any more; its place is kept, since members go by place.
@@ -128,6 +137,9 @@
             wanted: false,
             fair: Fair::new(capacity, settings.service),
             demoted: false,
+            kept: None,
+            room: capacity,
+            room_changed: now,
             missing: None,
             gone: false,
         }
@@ -315,6 +327,7 @@
         });
         let capacity = self.capacity();
         for member in &mut self.members {
+            member.room = capacity;
             member.fair.set_capacity(capacity);
         }
         self.note_members();
@@ -373,12 +386,14 @@
             Event::Tick => {}
             Event::Arrive(request) => self.place(request, now, &mut out),
             Event::Withdraw { id } => self.withdraw(id),
-            Event::Release {
+            Event::Answered {
                 member,
                 began,
-                took,
                 position,
-            } => self.release(member, began, took, position, now, &mut out),
+                led,
+            } => self.answered(member, began, position, led, now, &mut out),
+            Event::Release { member, took } => self.release(member, took, now, &mut out),
+            Event::Full { member } => self.full(member, now),
             Event::Look => self.want_all(),
             Event::Behind { member } => {
                 self.members[member].applied = Position::ZERO;
@@ -477,10 +492,14 @@
         let floorless = self.waiting.floorless.values().map(|r| r.deadline);
         let lagging = self.waiting.lagging.values().map(|(_, until)| *until);
         let queued = self.waiting.queued.values().map(|(r, _)| r.deadline);
+        let look = (!self.confirm.is_empty() && !self.settings.replace.lease.is_zero())
+            .then(|| self.settings.probe_gap.max(LEAST_LOOK));
+        let look = look.zip(self.members.iter().filter_map(|m| m.probed).max());
+        let look = look.map(|(gap, probed)| probed + gap);
         let left = self.leaving.map(|since| since + self.settings.leave_grace);
         let replace = self.replace.wake().into_iter().chain(left);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
-        let all = all.chain(queued).chain(replace).chain(missing);
+        let all = all.chain(queued).chain(replace).chain(missing).chain(look);
         all.min().unwrap_or(never)
     }
 
--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -32,7 +32,7 @@
         }
         let need = Need::Holds(position);
         self.confirm.add(id, need, Some(member), now, deadline);
-        self.want_for_confirmation();
+        self.want_for_confirmation(now);
     }
 
     /// A write that only the primary holds is acknowledged while no other primary can
@@ -56,7 +56,7 @@
         }
         let need = Need::Unfenced(self.replace.term);
         self.confirm.add(id, need, None, now, deadline);
-        self.want_for_confirmation();
+        self.want_for_confirmation(now);
     }
 
     /// What a read from the primary must wait for. What no majority holds yet may
@@ -92,7 +92,7 @@
             return;
         }
         self.confirm.add(id, need, None, since, deadline);
-        self.want_for_confirmation();
+        self.want_for_confirmation(now);
     }
 
     /// Moves up the newest position that a majority is known to hold.
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -97,12 +97,22 @@
     Withdraw {
         id: u64,
     },
-    /// A statement left its member. `position` is what its answer reported.
-    Release {
+    /// A member answered a statement that was sent to it after `began`.
+    Answered {
         member: usize,
         began: Duration,
-        took: Duration,
         position: Option<Position>,
+        /// Only the primary answers such a statement.
+        led: bool,
+    },
+    /// A statement left its member.
+    Release {
+        member: usize,
+        took: Duration,
+    },
+    /// A member takes no more connections.
+    Full {
+        member: usize,
     },
     /// A connection could not be made or was lost.
     Broken {
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -53,6 +53,10 @@
         known.view = Some((status, began));
         known.applied = status.applied;
         known.demoted = status.role == Role::Replica;
+        let leads = Some(member) != self.replace.primary || !known.demoted;
+        if status.promised <= self.replace.term && leads {
+            known.kept = known.kept.max(Some(began));
+        }
         if Some(member) == self.replace.primary {
             let demoted = status.role == Role::Replica;
             self.replace.set_demoted(demoted);
@@ -70,11 +74,20 @@
             let ended = self.confirm.observe(member, &status, began, majority);
             Self::settle(ended, out);
         }
+        self.settle_leased(now, out);
         self.note_held();
         self.repair(member, &status, out);
         self.wake_floorless(now, out);
         self.wake_lagging(now, out);
-        self.want_for_confirmation();
+        self.want_for_confirmation(now);
+    }
+
+    /// Ends the waits that need no more than the lease.
+    pub(super) fn settle_leased(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.is_leased(now) {
+            let ended = self.confirm.leased(self.replace.term);
+            Self::settle(ended, out);
+        }
     }
 
     /// A primary that leads no more vouches for nothing.
@@ -188,6 +201,9 @@
         let ended = self.confirm.abandon(self.replace.term);
         Self::settle(ended, out);
         self.history.clear();
+        for member in &mut self.members {
+            member.kept = None;
+        }
         self.set_periods();
         self.want_all();
         self.requeue(now, out);
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -4,6 +4,9 @@
 
 use super::*;
 
+/// A look that takes longer is not waited for: another member is looked at.
+const LOOK_PATIENCE: Duration = Duration::from_millis(120);
+
 impl Group {
     pub(super) fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.forget_missing(now, out);
@@ -18,6 +21,7 @@
         let steps = self.replace.tick(doubt, now);
         self.take_steps(steps, now, out);
         Self::settle(self.confirm.expire(now), out);
+        self.want_for_confirmation(now);
         self.wake_lagging(now, out);
         self.unpark(now, out);
         self.expire(now, out);
@@ -154,12 +158,46 @@
         }
     }
 
-    pub(super) fn want_for_confirmation(&mut self) {
+    /// Looks at those whose reports would end somebody's wait.
+    pub(super) fn want_for_confirmation(&mut self, now: Duration) {
+        if self.confirm.is_empty() {
+            return;
+        }
+        if !self.settings.replace.lease.is_zero() {
+            return self.want_for_lease(now);
+        }
         for (i, member) in self.members.iter_mut().enumerate() {
             member.wanted |= self.confirm.wants(i);
         }
     }
 
+    /// Looks at no more members than the lease needs: each look has its price.
+    fn want_for_lease(&mut self, now: Duration) {
+        let lease = self.settings.replace.lease;
+        let missing = |member: &Member| member.kept.is_none_or(|kept| now >= kept + lease / 2);
+        let acceptors = self.present().filter(|i| self.replace.accepts(*i));
+        let (late, fresh): (Vec<usize>, Vec<usize>) =
+            acceptors.partition(|i| missing(&self.members[*i]));
+        let mut needed = self.replace.majority().saturating_sub(fresh.len());
+        let mut late = late;
+        late.sort_by_key(|i| {
+            let member = &self.members[*i];
+            let far = member.spec.domain != self.domain;
+            (member.suspected, Some(*i) != self.replace.primary, far)
+        });
+        for i in late {
+            let member = &mut self.members[i];
+            let asked = member.probes > 0;
+            let slow = member
+                .probed
+                .is_none_or(|probed| now >= probed + LOOK_PATIENCE);
+            member.wanted |= !asked && needed > 0;
+            if !(asked && slow) {
+                needed = needed.saturating_sub(1);
+            }
+        }
+    }
+
     pub(super) fn send_probes(&mut self, now: Duration, out: &mut Vec<Action>) {
         let gap = self.settings.probe_gap;
         for (i, member) in self.members.iter_mut().enumerate() {
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -4,12 +4,14 @@
 
 use super::*;
 
-/// A lease is renewed when this part of it has passed: two looks may be lost.
-const LEASE_LOOKS: u32 = 3;
+/// Time without a refusal after which one more statement is tried at a member whose
+/// connections were all taken.
+const ROOM_STEP: Duration = Duration::from_millis(250);
+/// Least time between two looks at replicas that are only known to be old.
+const REFRESH_GAP: Duration = Duration::from_millis(400);
 
 impl Group {
     pub(super) fn place(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
-        self.renew_lease(now);
         match request.target {
             Target::Primary | Target::Strict => self.place_primary(request, now, out),
             Target::Replica { max_age } => match request.floor {
@@ -113,13 +115,13 @@
     ) {
         let candidates = self.candidates(now);
         if let Some(member) = choose(&candidates, demand, &self.domain, &mut self.dice) {
-            self.refresh(&candidates, demand);
+            self.refresh(&candidates, member, demand, now);
             return self.enqueue(request, member, now, out);
         }
         let until = request.arrived + self.settings.replica_wait;
         if now < until && !candidates.is_empty() {
             self.waiting.lagging.insert(request.id, (request, until));
-            self.want_all();
+            self.want_for_reads(now);
             return;
         }
         self.place_fallback(request, demand, now, out);
@@ -138,6 +140,7 @@
             self.want_all();
             return self.park(request, now, out);
         }
+        self.want_for_reads(now);
         if let Some(primary) = self.writable() {
             return self.enqueue(request, primary, now, out);
         }
@@ -151,11 +154,26 @@
         self.waiting.parked.insert(request.id, request);
     }
 
-    /// Asks ahead of need when ages come near the bound.
-    pub(super) fn refresh(&mut self, candidates: &[Candidate], demand: Demand) {
+    /// Asks ahead of need when the age of the chosen one comes near the bound.
+    fn refresh(&mut self, candidates: &[Candidate], chosen: usize, demand: Demand, now: Duration) {
         let old = |candidate: &Candidate| candidate.age.is_none_or(|a| a * 2 > demand.max_age);
-        if candidates.iter().any(old) {
-            self.want_all();
+        let chosen = candidates
+            .iter()
+            .find(|candidate| candidate.member == chosen);
+        if chosen.is_some_and(old) {
+            self.want_for_reads(now);
+        }
+    }
+
+    /// Looks at the replicas, and at the primary that tells how old they are.
+    pub(super) fn want_for_reads(&mut self, now: Duration) {
+        let gap = match self.settings.replace.lease.is_zero() {
+            true => Duration::ZERO,
+            false => REFRESH_GAP,
+        };
+        for member in &mut self.members {
+            let rested = member.probed.is_none_or(|probed| now >= probed + gap);
+            member.wanted |= rested;
         }
     }
 
@@ -185,22 +203,13 @@
 
     /// Newest moment at which our term is known not to have been replaced.
     pub(super) fn verified(&self) -> Option<Duration> {
-        let ours = |(i, member): (usize, &Member)| {
-            let (status, began) = member.view.as_ref()?;
-            let vouches = status.promised <= self.replace.term && !self.vouches_not(i);
-            (vouches && self.replace.accepts(i)).then_some(*began)
-        };
+        let ours = |(i, member): (usize, &Member)| member.kept.filter(|_| self.replace.accepts(i));
         let members = self.members.iter().enumerate();
         let mut moments: Vec<Duration> = members.filter_map(ours).collect();
         moments.sort_unstable_by(|a, b| b.cmp(a));
         moments.get(self.replace.majority() - 1).copied()
     }
 
-    /// Whether a member is the primary and reports that it leads no more.
-    fn vouches_not(&self, member: usize) -> bool {
-        Some(member) == self.replace.primary && self.members[member].demoted
-    }
-
     /// Whether the lease on the present term holds: a majority was seen to keep to
     /// it so lately that no promotion can have followed.
     pub(super) fn is_leased(&self, now: Duration) -> bool {
@@ -211,18 +220,6 @@
         !lease.is_zero() && self.verified().is_some_and(|seen| now < seen + margin)
     }
 
-    /// Looks again before the lease runs out, while somebody needs it.
-    pub(super) fn renew_lease(&mut self, now: Duration) {
-        let lease = self.settings.replace.lease;
-        if lease.is_zero() {
-            return;
-        }
-        let seen = self.verified().unwrap_or_default();
-        if now >= seen + lease / LEASE_LOOKS {
-            self.want_all();
-        }
-    }
-
     pub(super) fn enqueue(
         &mut self,
         request: Request,
@@ -266,15 +263,11 @@
     pub(super) fn release(
         &mut self,
         member: usize,
-        began: Duration,
         took: Duration,
-        position: Option<Position>,
         now: Duration,
         out: &mut Vec<Action>,
     ) {
-        if let Some(position) = position {
-            self.answered(member, position, began, now);
-        }
+        self.widen(member, now);
         self.expire_queue(member, now, out);
         let mut next = self.members[member].fair.release(took);
         while let Some(id) = next {
@@ -316,22 +309,63 @@
         });
     }
 
-    /// An ordinary answer tells of a member's position, as a probe would.
+    /// A member refused a connection: what runs there now is what fits.
+    pub(super) fn full(&mut self, member: usize, now: Duration) {
+        let share = self.share();
+        let known = &mut self.members[member];
+        let fits = known.fair.running().saturating_sub(1);
+        known.room = fits.max(share).min(known.room);
+        known.room_changed = now;
+        known.fair.set_capacity(known.room);
+    }
+
+    /// Tries one more statement at once when no refusal came for a while.
+    fn widen(&mut self, member: usize, now: Duration) {
+        let most = self.capacity();
+        let known = &mut self.members[member];
+        if known.room >= most || now < known.room_changed + ROOM_STEP {
+            return;
+        }
+        known.room += 1;
+        known.room_changed = now;
+        known.fair.set_capacity(known.room);
+    }
+
+    /// An ordinary answer tells of a member what a probe would.
     pub(super) fn answered(
         &mut self,
         member: usize,
-        position: Position,
         began: Duration,
+        position: Option<Position>,
+        led: bool,
         now: Duration,
+        out: &mut Vec<Action>,
     ) {
-        if position.term != self.replace.term {
-            return;
+        let primary = Some(member) == self.replace.primary;
+        let known = &mut self.members[member];
+        known.detector.heard(began, now);
+        if primary && led {
+            known.kept = known.kept.max(Some(began));
+        }
+        if let Some(position) = position
+            && position.term == self.replace.term
+        {
+            self.reached(member, began, position);
         }
+        self.settle_leased(now, out);
+    }
+
+    /// A member's log reached a position.
+    fn reached(&mut self, member: usize, began: Duration, position: Position) {
         let known = &mut self.members[member];
         known.applied = known.applied.max(position);
-        known.detector.heard(began, now);
         if Some(member) == self.replace.primary {
             self.history.observe(began, position.index);
+            return;
         }
+        // It received the entry after the primary wrote it; a fenced replica
+        // receives nothing. So it kept to the term when the primary had not yet
+        // come so far.
+        known.kept = known.kept.max(self.history.before(position.index));
     }
 }
--- a/src/decisions/route.rs
+++ b/src/decisions/route.rs
@@ -40,6 +40,12 @@
         self.samples.clear();
     }
 
+    /// Newest moment at which the primary is known to be before `index`.
+    pub fn before(&self, index: u64) -> Option<Duration> {
+        let later = self.samples.partition_point(|sample| sample.1 < index);
+        later.checked_sub(1).map(|i| self.samples[i].0)
+    }
+
     /// Newest moment at which the primary is known to be at or before `index`.
     pub fn moment(&self, index: u64) -> Option<Duration> {
         let newer = self.samples.partition_point(|sample| sample.1 <= index);
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -8,7 +8,9 @@
 
 use super::entry::Entry;
 use super::finding::Finding;
-use super::resource::{Access, Database, Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec};
+use super::resource::{
+    Access, Database, Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec,
+};
 use crate::borders::member::Address;
 
 const DEFAULT_WEIGHT: u64 = 1;
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -258,13 +258,8 @@
                 };
                 let reply = self.grants.remove(&request);
                 let gone = reply.is_none_or(|(_, reply)| reply.send(Ok(grant)).is_err());
-                let now = self.context.now();
-                return gone.then_some(Event::Release {
-                    member,
-                    began: now,
-                    took: self.settings.service,
-                    position: None,
-                });
+                let took = self.settings.service;
+                return gone.then_some(Event::Release { member, took });
             }
             Action::Refuse {
                 id: request,
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -39,10 +39,17 @@
     pub lease: Option<u64>,
     pub setup: Setup,
     pub payload: Bytes,
+    /// Part of a transaction that only a primary runs.
+    pub on_primary: bool,
     pub once: Option<Arc<str>>,
 }
 
 impl Exchange {
+    /// Whether its answer shows that the member still leads.
+    pub fn proves_lead(&self) -> bool {
+        self.effect == Effect::Writes || self.on_primary
+    }
+
     /// The statement for a member that must hold `floor`.
     pub fn task(&self, floor: Option<Position>) -> Task<'_> {
         Task {
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -204,7 +204,6 @@
             group: group.clone(),
             grant,
             began: self.context.now(),
-            position: None,
         })
     }
 
@@ -216,7 +215,7 @@
             match error {
                 ConnectError::Lost(_) => place.tell(Event::Broken { member }),
                 ConnectError::Stranger(_) | ConnectError::Late => place.tell(Event::Look),
-                ConnectError::Full(_) => {}
+                ConnectError::Full(_) => place.tell(Event::Full { member }),
             }
             let fields: [(_, &dyn std::fmt::Display); 3] = [
                 ("group", &place.group),
@@ -283,7 +282,14 @@
         };
         match ended {
             Ok(answer) => {
-                place.position = answer.position.or(place.position);
+                place.tell(Event::Answered {
+                    member: place.grant.member,
+                    began,
+                    position: answer.position,
+                    led: place.grant.primary
+                        && answer.verdict == Verdict::Done
+                        && exchange.proves_lead(),
+                });
                 self.budget.borrow_mut().earn();
                 Ok(answer)
             }
--- a/src/node/place.rs
+++ b/src/node/place.rs
@@ -8,7 +8,6 @@
 use super::message::{Grant, Incarnation, Message};
 use crate::borders::upstream::Upstream;
 use crate::decisions::group::{Event, Target};
-use crate::decisions::position::Position;
 
 /// A place at a member, given back when it is dropped.
 pub struct Place {
@@ -16,7 +15,6 @@
     pub group: Arc<str>,
     pub grant: Grant,
     pub began: Duration,
-    pub position: Option<Position>,
 }
 
 impl Drop for Place {
@@ -24,9 +22,7 @@
         let now = self.context.now();
         let event = Event::Release {
             member: self.grant.member,
-            began: self.began,
             took: now.saturating_sub(self.began),
-            position: self.position,
         };
         self.tell(event);
     }
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -56,6 +56,7 @@
             lease: self.lease(),
             setup: work.setup,
             payload: work.payload,
+            on_primary: work.intent.transaction == Some(Begin::ReadWrite),
             once: None,
         };
         self.serve(&exchange, &scope).await
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -61,11 +61,7 @@
     }
 }
 
-async fn serve(
-    context: Rc<Context>,
-    owner: Rc<Owner>,
-    stream: TcpStream,
-) -> Result<(), LineError> {
+async fn serve(context: Rc<Context>, owner: Rc<Owner>, stream: TcpStream) -> Result<(), LineError> {
     stream.set_nodelay(true)?;
     let mut channel = Channel::new(stream);
     let Ok(hello) = tokio::time::timeout(HELLO_WAIT, channel.read()).await else {
@@ -75,10 +71,20 @@
     let (verb, rest) = word(&hello);
     let (database, _) = word(rest);
     if verb != "CONNECT" || database.is_empty() {
-        return refuse(&mut channel, code::MALFORMED, "expected CONNECT and a database").await;
+        return refuse(
+            &mut channel,
+            code::MALFORMED,
+            "expected CONNECT and a database",
+        )
+        .await;
     }
     if context.callers.get() > context.settings.callers {
-        return refuse(&mut channel, code::OVERLOAD, "this box takes no more callers").await;
+        return refuse(
+            &mut channel,
+            code::OVERLOAD,
+            "this box takes no more callers",
+        )
+        .await;
     }
     if context.database(database).is_none() {
         return refuse(&mut channel, code::NO_DATABASE, "no such database").await;
@@ -90,7 +96,9 @@
 }
 
 async fn refuse(channel: &mut Channel, code: &str, text: &str) -> Result<(), LineError> {
-    channel.write(format!("ERROR {code} {text}\r\n").as_bytes()).await
+    channel
+        .write(format!("ERROR {code} {text}\r\n").as_bytes())
+        .await
 }
 
 /// A prepared statement of the session.
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -63,7 +63,10 @@
 
     /// The same as resources of the product, for `boxes` boxes.
     pub fn declarations(&self, boxes: usize) -> Declarations {
-        let groups = self.services.iter().map(|service| self.group(service, boxes));
+        let groups = self
+            .services
+            .iter()
+            .map(|service| self.group(service, boxes));
         let databases = self.routes.iter().filter_map(database);
         groups.chain(databases).collect()
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -263,11 +263,13 @@
 
     fn put_member(&self, cache: &mut Cache, id: &Arc<str>, version: u64, value: Option<&[u8]>) {
         let suffix = format!(".{id}");
-        let own = |key: &&Arc<str>| {
-            key.starts_with("resource/member/") && key.ends_with(suffix.as_str())
-        };
+        let own =
+            |key: &&Arc<str>| key.starts_with("resource/member/") && key.ends_with(suffix.as_str());
         let before: Vec<Arc<str>> = cache.rows.keys().filter(own).cloned().collect();
-        let declared = match value.map(|bytes| members::declaration(id, bytes)).transpose() {
+        let declared = match value
+            .map(|bytes| members::declaration(id, bytes))
+            .transpose()
+        {
             Ok(declared) => rows_of(declared.into_iter().collect()),
             Err(error) => return self.bad_row(id, &error),
         };
@@ -357,7 +359,10 @@
         let change = |write: &crate::borders::table::Write| Change {
             key: write.key.clone(),
             expect: write.expect,
-            value: write.value.as_ref().map(|value| value.to_string().into_bytes()),
+            value: write
+                .value
+                .as_ref()
+                .map(|value| value.to_string().into_bytes()),
         };
         let changes: Vec<Change> = commit.writes.iter().map(change).collect();
         match self.store.transact(Source::Own.table(), &changes).await {
@@ -398,9 +403,11 @@
         return Verdict::Done(newest.unwrap_or_default());
     }
     let version = |change: &Change| found.get(&change.key).map_or(0, |(version, _)| *version);
-    let other = changes
-        .iter()
-        .find(|change| change.expect.is_some_and(|expect| expect != version(change)));
+    let other = changes.iter().find(|change| {
+        change
+            .expect
+            .is_some_and(|expect| expect != version(change))
+    });
     let key = other.or(changes.first()).map(|change| change.key.clone());
     let key = key.unwrap_or_default();
     let row = found.get(&key).map_or(0, |(version, _)| *version);
--- a/src/platform/words.rs
+++ b/src/platform/words.rs
@@ -7,15 +7,29 @@
 /// A statement of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Statement<'a> {
-    Begin { read_only: bool },
+    Begin {
+        read_only: bool,
+    },
     Commit,
     Rollback,
     Read,
     Write,
-    Set { name: &'a str, value: &'a str },
-    Prepare { name: &'a str, mode: Mode, text: &'a str },
-    Execute { name: &'a str, arguments: &'a str },
-    Close { name: &'a str },
+    Set {
+        name: &'a str,
+        value: &'a str,
+    },
+    Prepare {
+        name: &'a str,
+        mode: Mode,
+        text: &'a str,
+    },
+    Execute {
+        name: &'a str,
+        arguments: &'a str,
+    },
+    Close {
+        name: &'a str,
+    },
 }
 
 /// What a prepared statement does.
--- a/src/postgres/session.rs
+++ b/src/postgres/session.rs
@@ -421,6 +421,7 @@
             trace: "".into(),
             lease: self.core.lease(),
             setup: Setup::default(),
+            on_primary: false,
             payload: Steps {
                 steps: batch.steps,
                 close,
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -19,7 +19,9 @@
 
 use super::faults::{Faults, Gate};
 use super::member::{Batch, Member};
-use crate::borders::member::{Address, Member as Border, MemberError, Members, Order, Status, Stream};
+use crate::borders::member::{
+    Address, Member as Border, MemberError, Members, Order, Status, Stream,
+};
 use crate::declarations::resource::Member as Declared;
 use crate::http::{Client, HttpError};
 
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -801,11 +801,18 @@
         };
         statement.ran = answer.clone();
         let statement = statement.clone();
+        if let Some(ran) = &answer {
+            let answered = Event::Answered {
+                member: statement.member,
+                began,
+                position: Some(ran.position),
+                led: statement.value.is_some(),
+            };
+            self.tell(owner, answered);
+        }
         let release = Event::Release {
             member: statement.member,
-            began,
             took: self.now - began,
-            position: answer.as_ref().map(|ran| ran.position),
         };
         self.tell(owner, release);
         let Some(ran) = answer else {
