--- a/src/borders/upstream.rs
+++ b/src/borders/upstream.rs
@@ -100,6 +100,8 @@
 pub enum UpstreamError {
     #[error("connection lost: {0}")]
     Lost(String),
+    #[error("no answer in time")]
+    Late,
     #[error("the member answered nonsense: {0}")]
     Nonsense(String),
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -7,10 +7,12 @@
 pub mod serve;
 pub mod standin;
 
+use slog::Logger;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::declarations::finding::Finding;
+use crate::events;
 
 /// How a command ended, as the process's exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,10 +35,19 @@
 /// # Errors
 ///
 /// When the signals cannot be listened for.
-fn stopped() -> std::io::Result<watch::Receiver<bool>> {
+fn stopped(log: &Logger) -> std::io::Result<watch::Receiver<bool>> {
+    let log = log.clone();
     let (stop, stopped) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::task::spawn_local(async move {
+        // Settings hold from start to stop: a request to reload changes nothing, and
+        // must not end the process, which is what it does when nobody listens.
+        while hangup.recv().await.is_some() {
+            events::emit(&log, &events::RELOAD, &[]);
+        }
+    });
     tokio::task::spawn_local(async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -17,6 +17,13 @@
     };
     let log = events::logger(settings.log);
     let ports = ports::standin(&settings);
-    node::run::run(settings, Settings::default(), ports, log, stopped()?).await?;
+    node::run::run(
+        settings,
+        Settings::default(),
+        ports,
+        log.clone(),
+        stopped(&log)?,
+    )
+    .await?;
     Ok(Exit::Done)
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -34,7 +34,7 @@
     let mut ports = ports::platform(&file, &run, &log);
     ports.ready = Some(told);
     let decisions = settings::decisions();
-    node::run::run(run, decisions, ports, log, stopped()?).await?;
+    node::run::run(run, decisions, ports, log.clone(), stopped(&log)?).await?;
     Ok(Exit::Done)
 }
 
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -39,6 +39,10 @@
     pub callers: usize,
     /// Time that requests in flight get at a stop.
     pub drain: Duration,
+    /// Retries that each hundred answers earn.
+    pub retry_percent: u64,
+    /// Retries that can be saved up.
+    pub retry_most: u64,
     /// Promotions are ordered under a generation number that is kept in the table.
     pub duty: bool,
 }
@@ -61,6 +65,8 @@
             connect_wait: Duration::from_secs(1),
             callers: 10_000,
             drain: Duration::from_secs(30),
+            retry_percent: 10,
+            retry_most: 20,
             duty: false,
         }
     }
@@ -200,6 +206,8 @@
             connect_wait: reader.milliseconds("connect-wait-ms", defaults.connect_wait),
             callers: reader.number("callers", defaults.callers),
             drain: reader.milliseconds("drain-ms", defaults.drain),
+            retry_percent: defaults.retry_percent,
+            retry_most: defaults.retry_most,
             duty: defaults.duty,
         };
         match reader.findings.is_empty() {
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -8,6 +8,7 @@
 pub mod fair;
 pub mod floors;
 pub mod group;
+pub mod latency;
 pub mod owners;
 pub mod position;
 pub mod replace;
--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -43,7 +43,9 @@
     queued: BTreeMap<Arc<str>, usize>,
     virtual_time: u64,
     sequence: u64,
+    /// Time a place is held.
     service: Duration,
+    run: Option<Duration>,
 }
 
 impl Fair {
@@ -57,6 +59,7 @@
             virtual_time: 0,
             sequence: 0,
             service,
+            run: None,
         }
     }
 
@@ -111,15 +114,23 @@
     /// Expected wait behind `own` of the partner's requests with `active` partners.
     fn expected(&self, own: usize, active: usize) -> Duration {
         let turns = (own + 1) * active;
-        let rounds = turns.div_ceil(self.capacity.max(1)) as u32;
-        self.service * rounds
+        self.service * turns as u32 / self.capacity.max(1) as u32
     }
 
     /// Time kept between the expected start and the deadline: for the statement
     /// itself, and for the wait to turn out longer. An answer after its deadline
     /// is work for nothing.
     fn allowance(&self, wait: Duration) -> Duration {
-        self.service * SERVICES_KEPT + wait / WAIT_SHARE_KEPT
+        self.run() * SERVICES_KEPT + wait / WAIT_SHARE_KEPT
+    }
+
+    /// Time a statement takes, where a place is held for longer than one.
+    pub fn set_run(&mut self, run: Duration) {
+        self.run = Some(run);
+    }
+
+    fn run(&self) -> Duration {
+        self.run.unwrap_or(self.service)
     }
 
     /// A place became free after `took`. Who runs next, if anyone waits.
@@ -156,7 +167,7 @@
     /// Takes out those who can't be served by their deadline any more, to be
     /// answered at once.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
-        let end = now + self.service;
+        let end = now + self.run();
         let late = self.waiting.iter().filter(|(_, w)| w.deadline < end);
         let ids: Vec<u64> = late.map(|(_, waiter)| waiter.id).collect();
         for id in &ids {
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -21,6 +21,7 @@
 use super::detect::Detector;
 use super::detect::baseline::{Baseline, Settings as DetectSettings};
 use super::fair::{Admission, Fair};
+use super::latency::Latency;
 use super::owners::share;
 use super::position::Position;
 use super::replace::{Doubt, Replace, Settings as ReplaceSettings, Step};
@@ -29,7 +30,7 @@
 use crate::declarations::resource::{Durability, Member as MemberSpec};
 use crate::declarations::snapshot::Plan;
 
-pub use message::{Action, Event, Note, Reason, Refusal, Request, Target};
+pub use message::{Action, Event, Note, Reason, Refusal, Request, Target, Via};
 
 /// A report of a term further ahead than this is not believed.
 const MOST_TERMS_AHEAD: u64 = 1 << 20;
@@ -37,6 +38,10 @@
 /// Time after which waits for the lease are looked at again.
 const LEAST_LOOK: Duration = Duration::from_millis(120);
 
+/// An answer that takes this many times as long as the last ones will not come, or
+/// too late.
+const PATIENCE: u32 = 6;
+
 /// Settings of the decisions about a group.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -66,6 +71,13 @@
     /// A member that is missing from the list is still one for this long: lists lag,
     /// and lose members that live while their keeper is away.
     pub missing_grace: Duration,
+    /// What a read on the primary costs more than on a replica, as a wait; none where
+    /// reads go there only when no replica fits.
+    pub primary_cost: Option<Duration>,
+    /// Requests wait for a primary until their time is up, whatever is expected.
+    pub patient: bool,
+    /// Connections kept open without use, as a percentage of this box's share.
+    pub keep: u32,
     /// Statements at a member at once, as a percentage of this box's share of its
     /// connections.
     pub overcommit: u32,
@@ -90,6 +102,9 @@
             lease_margin: Duration::from_millis(50),
             serve_leaving: false,
             missing_grace: Duration::ZERO,
+            primary_cost: None,
+            patient: false,
+            keep: 100,
             overcommit: 100,
         }
     }
@@ -109,14 +124,15 @@
     probed: Option<Duration>,
     wanted: bool,
     fair: Fair,
+    latency: Latency,
     /// It reports that it is a replica.
     demoted: bool,
     /// Newest moment at which it is known to have kept to the present term.
     kept: Option<Duration>,
     /// Statements at once that its connections allow, as far as was found out.
     room: usize,
-    /// When the room was last changed.
-    room_changed: Duration,
+    /// When one more is tried.
+    widen: Duration,
     /// Since when it is missing from the list.
     missing: Option<Duration>,
     /// It is no member any more; its place is kept, since members go by place.
@@ -136,17 +152,26 @@
             probed: None,
             wanted: false,
             fair: Fair::new(capacity, settings.service),
+            latency: Latency::new(settings.service),
             demoted: false,
             kept: None,
             room: capacity,
-            room_changed: now,
+            widen: now,
             missing: None,
             gone: false,
         }
     }
 
-    fn load(&self) -> usize {
-        self.fair.running() + self.fair.waiting()
+    /// Time until it is expected to answer one more statement.
+    fn wait(&self, now: Duration, slots: usize) -> Duration {
+        let load = self.fair.running() + self.fair.waiting();
+        let turns = 1.0 + load as f64 / slots.max(1) as f64;
+        let run = self.latency.mean(now);
+        let queue = match self.fair.has_room() {
+            true => Duration::ZERO,
+            false => run * (self.fair.waiting() as u32 + 1) / self.room.max(1) as u32,
+        };
+        run.mul_f64(turns) + queue
     }
 
     fn status(&self) -> Option<&Status> {
@@ -248,6 +273,16 @@
         group
     }
 
+    /// Time after which a read at a member is better repeated elsewhere.
+    pub fn patience(&self, member: usize, now: Duration) -> Duration {
+        self.members[member].latency.mean(now) * PATIENCE
+    }
+
+    /// Connections to each member that stay open without use.
+    pub fn kept_open(&self) -> usize {
+        (self.share() * self.settings.keep as usize / 100).max(1)
+    }
+
     /// This owner's share of the connections to each member.
     pub fn share(&self) -> usize {
         share(self.plan.group.connections, self.plan.group.owners)
@@ -327,8 +362,8 @@
         });
         let capacity = self.capacity();
         for member in &mut self.members {
-            member.room = capacity;
-            member.fair.set_capacity(capacity);
+            member.room = member.room.min(capacity);
+            member.fair.set_capacity(member.room);
         }
         self.note_members();
     }
@@ -393,6 +428,7 @@
                 led,
             } => self.answered(member, began, position, led, now, &mut out),
             Event::Release { member, took } => self.release(member, took, now, &mut out),
+            Event::Late { member, after } => self.members[member].latency.late(after, now),
             Event::Full { member } => self.full(member, now),
             Event::Look => self.want_all(),
             Event::Behind { member } => {
@@ -439,6 +475,11 @@
                 let steps = self.replace.fenced(member, term, &answer, now);
                 self.take_steps(steps, now, &mut out);
             }
+            Event::Claimed { won } => {
+                let steps = self.replace.claimed(won, now);
+                self.take_steps(steps, now, &mut out);
+            }
+            Event::DutyTaken => self.replace.note_foreign(now),
             Event::Promoted { term, answer } => {
                 let steps = self.replace.promoted(term, &answer, now);
                 self.take_steps(steps, now, &mut out);
@@ -486,7 +527,10 @@
                 _ => due,
             }
         });
-        let ballot = self.settings.replace.ballot;
+        let ballot = match self.settings.patient {
+            true => Duration::from_millis(10),
+            false => self.settings.replace.ballot,
+        };
         let parked = self.waiting.parked.values();
         let parked = parked.map(|request| request.deadline.saturating_sub(ballot));
         let floorless = self.waiting.floorless.values().map(|r| r.deadline);
@@ -499,7 +543,15 @@
         let left = self.leaving.map(|since| since + self.settings.leave_grace);
         let replace = self.replace.wake().into_iter().chain(left);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
-        let all = all.chain(queued).chain(replace).chain(missing).chain(look);
+        let capacity = self.capacity();
+        let narrow = self.members.iter().filter(|m| m.room < capacity && !m.gone);
+        let narrow = narrow.filter(|m| m.fair.waiting() > 0).map(|m| m.widen);
+        let all = all
+            .chain(queued)
+            .chain(replace)
+            .chain(missing)
+            .chain(look)
+            .chain(narrow);
         all.min().unwrap_or(never)
     }
 
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -44,6 +44,8 @@
     pub believed: bool,
     pub arrived: Duration,
     pub deadline: Duration,
+    /// Time within which an answer is worth most.
+    pub aim: Option<Duration>,
 }
 
 /// Why a statement was not run.
@@ -55,6 +57,8 @@
     Replacement,
     /// No majority of the group can be seen from here.
     CutOff,
+    /// It did not run where it was sent, and may not be sent again.
+    Retries,
     /// No member meets the session's floor and the read's staleness.
     Stale,
 }
@@ -66,26 +70,45 @@
             Reason::Overload => "overload",
             Reason::Replacement => "replacement",
             Reason::CutOff => "cut off",
+            Reason::Retries => "out of retries",
             Reason::Stale => "stale",
         }
     }
 }
 
 /// A refusal: not run, and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     pub reason: Reason,
     pub retry_after: Duration,
+    pub via: Via,
+}
+
+/// Which other box may do better.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Via {
+    /// None that is known.
+    #[default]
+    Nobody,
+    /// Any other owner of the group.
+    Owner,
+    /// The one of this name.
+    Named(Arc<str>),
 }
 
 impl Refusal {
-    /// The wait would pass the deadline.
-    pub fn overload(retry_after: Duration) -> Self {
+    pub fn new(reason: Reason, retry_after: Duration) -> Self {
         Self {
-            reason: Reason::Overload,
+            reason,
             retry_after,
+            via: Via::Nobody,
         }
     }
+
+    /// The wait would pass the deadline.
+    pub fn overload(retry_after: Duration) -> Self {
+        Self::new(Reason::Overload, retry_after)
+    }
 }
 
 /// What happens to a group.
@@ -110,6 +133,11 @@
         member: usize,
         took: Duration,
     },
+    /// A member's answer is not waited for any more.
+    Late {
+        member: usize,
+        after: Duration,
+    },
     /// A member takes no more connections.
     Full {
         member: usize,
@@ -150,6 +178,12 @@
         term: u64,
         answer: Result<Status, MemberError>,
     },
+    /// The outcome of a claim to the duty of promoting.
+    Claimed {
+        won: bool,
+    },
+    /// Another box has taken that duty.
+    DutyTaken,
     Promoted {
         term: u64,
         answer: Result<Status, MemberError>,
@@ -191,6 +225,8 @@
     Probe {
         member: usize,
     },
+    /// Take the duty of promoting.
+    Claim,
     Fence {
         member: usize,
         term: u64,
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -24,6 +24,7 @@
         self.want_for_confirmation(now);
         self.wake_lagging(now, out);
         self.unpark(now, out);
+        self.widen(now, out);
         self.expire(now, out);
         self.send_probes(now, out);
     }
@@ -83,6 +84,7 @@
             match step {
                 Step::Ask => out.push(Action::Ask),
                 Step::Look => self.want_all(),
+                Step::Claim => out.push(Action::Claim),
                 Step::Fence { member, term } => {
                     if !noted {
                         out.push(Action::Note(Note::Fencing { term }));
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use super::*;
 
+/// Time kept for a refusal's way back when a request has waited as long as it may.
+const PATIENT_END: Duration = Duration::from_millis(10);
 /// Time without a refusal after which one more statement is tried at a member whose
 /// connections were all taken.
 const ROOM_STEP: Duration = Duration::from_millis(250);
+/// A request that was placed within this time did not wait for a primary.
+const FRESH: Duration = Duration::from_millis(50);
 /// Least time between two looks at replicas that are only known to be old.
 const REFRESH_GAP: Duration = Duration::from_millis(400);
 
@@ -65,16 +71,34 @@
     pub(super) fn hopeless(&self, request: &Request, now: Duration) -> Option<Refusal> {
         let looking = now < self.born + self.settings.detect.period;
         if !looking && !self.sees_majority() {
+            let wait = self.settings.cut_off_retry;
+            return Some(Refusal {
+                via: self.cut_off_via(),
+                ..Refusal::new(Reason::CutOff, wait)
+            });
+        }
+        if let Some(name) = self.replace.reaching().next() {
             return Some(Refusal {
-                reason: Reason::CutOff,
-                retry_after: self.settings.cut_off_retry,
+                via: Via::Named(name.clone()),
+                ..Refusal::new(Reason::CutOff, self.settings.cut_off_retry)
             });
         }
         let remaining = self.replace.remaining(now);
-        (now + remaining > request.deadline).then_some(Refusal {
-            reason: Reason::Replacement,
-            retry_after: remaining,
-        })
+        let needed = match self.settings.patient {
+            true => PATIENT_END,
+            false => remaining,
+        };
+        let late = now + needed > request.deadline;
+        late.then(|| Refusal::new(Reason::Replacement, remaining))
+    }
+
+    /// Few owners may be cut off where others are not. Where every box is an owner,
+    /// asking them in turn would only pass the load on.
+    fn cut_off_via(&self) -> Via {
+        match self.settings.patient {
+            true => Via::Nobody,
+            false => Via::Owner,
+        }
     }
 
     /// Whether the primary is known to have come as far as a floor.
@@ -177,7 +201,22 @@
         }
     }
 
+    /// The primary, where it may relieve slow replicas.
+    fn primary_as_candidate(&self, now: Duration) -> Option<Candidate> {
+        let cost = self.settings.primary_cost?;
+        let primary = self.writable()?;
+        let member = &self.members[primary];
+        Some(Candidate {
+            member: primary,
+            domain: member.spec.domain.clone(),
+            applied: member.applied,
+            age: Some(Duration::ZERO),
+            wait: member.wait(now, self.plan.group.slots as usize) + cost,
+        })
+    }
+
     pub(super) fn candidates(&self, now: Duration) -> Vec<Candidate> {
+        let slots = self.plan.group.slots as usize;
         let verified = self.verified();
         let mut candidates = Vec::new();
         for (i, member) in self.members.iter().enumerate() {
@@ -195,9 +234,10 @@
                 domain: member.spec.domain.clone(),
                 applied: member.applied,
                 age: moment.map(|moment| now.saturating_sub(moment)),
-                load: member.load(),
+                wait: member.wait(now, slots),
             });
         }
+        candidates.extend(self.primary_as_candidate(now));
         candidates
     }
 
@@ -229,8 +269,15 @@
     ) {
         let id = request.id;
         let believed = request.believed;
+        let run = self.members[member].latency.mean(now);
         let fair = &mut self.members[member].fair;
-        let deadline = request.deadline;
+        // Who waited for a primary is late anyhow; all others are worth most in time.
+        let fresh = now < request.arrived + FRESH;
+        let deadline = match request.aim {
+            Some(aim) if fresh => request.deadline.min(request.arrived + aim),
+            _ => request.deadline,
+        };
+        fair.set_run(run);
         match fair.arrive(id, &request.partner, request.weight, now, deadline) {
             Admission::Run => {
                 let term = self.replace.term;
@@ -267,9 +314,13 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) {
-        self.widen(member, now);
         self.expire_queue(member, now, out);
-        let mut next = self.members[member].fair.release(took);
+        let next = self.members[member].fair.release(took);
+        self.fill(member, next, now, out);
+    }
+
+    /// Gives a free place to the first of those whose turn it is that it still fits.
+    fn fill(&mut self, member: usize, mut next: Option<u64>, now: Duration, out: &mut Vec<Action>) {
         while let Some(id) = next {
             let (request, _) = self
                 .waiting
@@ -309,26 +360,36 @@
         });
     }
 
-    /// A member refused a connection: what runs there now is what fits.
+    /// A member refused a connection: what runs there besides is what fits for now.
     pub(super) fn full(&mut self, member: usize, now: Duration) {
-        let share = self.share();
+        let step = self.room_step();
         let known = &mut self.members[member];
         let fits = known.fair.running().saturating_sub(1);
-        known.room = fits.max(share).min(known.room);
-        known.room_changed = now;
+        known.room = fits.min(known.room);
+        known.widen = now + step;
         known.fair.set_capacity(known.room);
     }
 
-    /// Tries one more statement at once when no refusal came for a while.
-    fn widen(&mut self, member: usize, now: Duration) {
+    /// Drawn anew each time, so that boxes do not try in step.
+    fn room_step(&mut self) -> Duration {
+        ROOM_STEP.mul_f64(self.dice.random_range(0.6..1.4))
+    }
+
+    /// Tries one more statement at once where no refusal came for a while.
+    pub(super) fn widen(&mut self, now: Duration, out: &mut Vec<Action>) {
         let most = self.capacity();
-        let known = &mut self.members[member];
-        if known.room >= most || now < known.room_changed + ROOM_STEP {
-            return;
+        for member in 0..self.members.len() {
+            let step = self.room_step();
+            let known = &mut self.members[member];
+            if known.room >= most || now < known.widen {
+                continue;
+            }
+            known.room += 1;
+            known.widen = now + step;
+            known.fair.set_capacity(known.room);
+            let next = known.fair.admit_next();
+            self.fill(member, next, now, out);
         }
-        known.room += 1;
-        known.room_changed = now;
-        known.fair.set_capacity(known.room);
     }
 
     /// An ordinary answer tells of a member what a probe would.
@@ -344,6 +405,7 @@
         let primary = Some(member) == self.replace.primary;
         let known = &mut self.members[member];
         known.detector.heard(began, now);
+        known.latency.answered(now.saturating_sub(began), now);
         if primary && led {
             known.kept = known.kept.max(Some(began));
         }
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -15,6 +15,10 @@
 
 use crate::borders::member::{MemberError, Status, Stream};
 
+/// Questions to the other boxes that must stay without any answer before a box goes
+/// by its own word.
+const ALONE_ASKS: u32 = 6;
+
 /// Times of a replacement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -39,6 +43,28 @@
     pub catch_up: Duration,
     /// A promotion ends all fences, and a replica's fence may be taken back.
     pub fences_end: bool,
+    /// The duty of promoting is taken before members are fenced.
+    pub claims: bool,
+    /// Whose word makes a suspicion sure.
+    pub corroboration: Corroboration,
+}
+
+/// Whose word makes a suspicion sure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Corroboration {
+    /// One box in another failure domain suspects the primary too, and none that
+    /// answers finds it well.
+    Unanimous,
+    /// Most boxes that answer, this one included, suspect it. The others' statements
+    /// go through those that still reach it until then.
+    Majority,
+}
+
+impl Settings {
+    /// Time after which a box that no other answers goes by its own word.
+    fn alone(&self) -> Duration {
+        self.again * ALONE_ASKS
+    }
 }
 
 impl Default for Settings {
@@ -54,6 +80,8 @@
             lease: Duration::ZERO,
             catch_up: Duration::ZERO,
             fences_end: false,
+            claims: false,
+            corroboration: Corroboration::Unanimous,
         }
     }
 }
@@ -65,6 +93,8 @@
     Ask,
     /// Look at every member now.
     Look,
+    /// Take the duty of promoting.
+    Claim,
     Fence {
         member: usize,
         term: u64,
@@ -95,6 +125,14 @@
         asked: Duration,
         replicas: BTreeMap<usize, Stream>,
         peers: BTreeMap<Arc<str>, Opinion>,
+        /// Since when all that a ballot needs is there.
+        sure: Option<Duration>,
+    },
+    /// The duty is being taken.
+    Claiming {
+        since: Duration,
+        /// The primary is only leaving.
+        left: bool,
     },
     Fencing {
         term: u64,
@@ -158,6 +196,8 @@
     avoid: BTreeSet<usize>,
     /// The primary itself reports that it leads no more.
     demoted: bool,
+    /// When another box was seen to take the duty.
+    foreign: Option<Duration>,
 }
 
 impl Replace {
@@ -176,6 +216,7 @@
             doubted: None,
             avoid: BTreeSet::new(),
             demoted: false,
+            foreign: None,
         }
     }
 
@@ -235,6 +276,7 @@
         match self.phase {
             Phase::Steady => "steady",
             Phase::Doubt { .. } => "doubt",
+            Phase::Claiming { .. } => "claiming",
             Phase::Fencing { .. } => "fencing",
             Phase::Waiting { .. } => "waiting for leases",
             Phase::Promoting { .. } => "promoting",
@@ -257,6 +299,7 @@
             Phase::Fencing { since, rest, .. } => {
                 Some(rest.unwrap_or(*since + self.settings.ballot))
             }
+            Phase::Claiming { since, .. } => Some(*since + self.settings.ballot),
             Phase::Promoting { since, .. } => Some(*since + self.settings.promotion),
             Phase::Waiting { until, .. } | Phase::Resting { until } => Some(*until),
         };
@@ -292,6 +335,7 @@
         self.phase = Phase::Steady;
         self.doubted = None;
         self.demoted = false;
+        self.foreign = None;
         self.set_acceptors();
         true
     }
@@ -338,7 +382,13 @@
             .above
             .is_some_and(|since| now >= since + self.patience());
         match &self.phase {
-            Phase::Steady if doubt == Doubt::Left => self.fence_leaving(now),
+            Phase::Steady if doubt == Doubt::Left && self.is_foreign(now) => Vec::new(),
+            Phase::Steady if doubt == Doubt::Left => self.claim(true, now),
+            Phase::Claiming { since, .. } if now >= *since + self.settings.ballot => {
+                self.phase = Phase::Steady;
+                Vec::new()
+            }
+            Phase::Claiming { .. } => Vec::new(),
             Phase::Steady if abandoned && doubt == Doubt::None && self.settings.fences_end => {
                 self.release_abandoned(now)
             }
@@ -382,6 +432,7 @@
             asked: now,
             replicas: BTreeMap::new(),
             peers: BTreeMap::new(),
+            sure: None,
         };
         vec![Step::Ask, Step::Look]
     }
@@ -394,22 +445,30 @@
         }
         let patient = self.settings.stagger * self.rank;
         let again = self.settings.again;
-        // Another box's ballot gets its time where a lost one can be taken back.
-        let foreign = self.settings.fences_end && self.above.is_some() && !abandoned;
-        let corroborated = abandoned || self.corroborated();
+        let corroborated = abandoned || self.corroborated(now);
+        // Another box's ballot gets its time.
+        let foreign = self.is_foreign(now) && !abandoned;
         let majority = self.majority();
         let Phase::Doubt {
             since,
             asked,
             replicas,
+            sure,
             ..
         } = &mut self.phase
         else {
             return Vec::new();
         };
         let reachable = replicas.len() >= majority;
-        if corroborated && reachable && !foreign && now >= *since + patient {
-            return self.fence(now);
+        let start = match self.settings.corroboration {
+            Corroboration::Unanimous => *since,
+            // All boxes may become sure at the same moment.
+            Corroboration::Majority => *sure.get_or_insert(now),
+        };
+        if !corroborated || !reachable {
+            *sure = None;
+        } else if !foreign && now >= start + patient {
+            return self.claim(false, now);
         }
         if now < *asked + again {
             return Vec::new();
@@ -419,16 +478,24 @@
     }
 
     /// Whether someone besides this box finds the primary gone.
-    fn corroborated(&self) -> bool {
+    fn corroborated(&self, now: Duration) -> bool {
         if self.demoted {
             return true;
         }
         let Phase::Doubt {
-            replicas, peers, ..
+            replicas,
+            peers,
+            since,
+            ..
         } = &self.phase
         else {
             return false;
         };
+        if self.settings.corroboration == Corroboration::Majority {
+            let suspecting = peers.values().filter(|peer| peer.suspects).count() + 1;
+            let alone = peers.is_empty() && now < *since + self.settings.alone();
+            return !alone && suspecting * 2 > peers.len() + 1;
+        }
         let live = replicas.values().any(|s| *s == Stream::Live);
         let gone = replicas
             .values()
@@ -438,6 +505,55 @@
         (gone && !live) || (far && !fine)
     }
 
+    /// Whether another box has taken the duty and is to have its time.
+    fn is_foreign(&self, now: Duration) -> bool {
+        let lasts = self.settings.abandoned;
+        self.foreign.is_some_and(|since| now < since + lasts)
+    }
+
+    /// Another box has taken the duty.
+    pub fn note_foreign(&mut self, now: Duration) {
+        if !self.is_deposing() {
+            self.foreign = Some(now);
+        }
+    }
+
+    /// Boxes that find the primary well, as far as they were asked.
+    pub fn reaching(&self) -> impl Iterator<Item = &Arc<str>> {
+        let peers = match &self.phase {
+            Phase::Doubt { peers, .. } => Some(peers),
+            _ => None,
+        };
+        let peers = peers.into_iter().flatten();
+        peers
+            .filter(|(_, peer)| !peer.suspects)
+            .map(|(name, _)| name)
+    }
+
+    fn claim(&mut self, left: bool, now: Duration) -> Vec<Step> {
+        self.phase = Phase::Claiming { since: now, left };
+        match self.settings.claims {
+            true => vec![Step::Claim],
+            false => self.claimed(true, now),
+        }
+    }
+
+    /// Takes the outcome of a claim.
+    pub fn claimed(&mut self, won: bool, now: Duration) -> Vec<Step> {
+        let Phase::Claiming { left, .. } = self.phase else {
+            return Vec::new();
+        };
+        if !won {
+            self.phase = Phase::Steady;
+            self.foreign = Some(now);
+            return Vec::new();
+        }
+        match left {
+            true => self.fence_leaving(now),
+            false => self.fence(now),
+        }
+    }
+
     fn fence(&mut self, now: Duration) -> Vec<Step> {
         let term = self.start_ballot(now, None);
         let ask = |member: &usize| Step::Fence {
@@ -448,7 +564,12 @@
     }
 
     fn start_ballot(&mut self, now: Duration, rest: Option<Duration>) -> u64 {
-        let term = self.highest.max(self.term) + 1;
+        // Where members take one term from several boxes, each has its own.
+        let lane = match self.settings.fences_end {
+            true => u64::from(self.rank),
+            false => 0,
+        };
+        let term = self.highest.max(self.term) + 1 + lane;
         self.highest = term;
         self.phase = Phase::Fencing {
             term,
--- a/src/decisions/route.rs
+++ b/src/decisions/route.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// A replica as the choice sees it.
+/// A member as the choice sees it.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     pub member: usize,
@@ -61,8 +61,8 @@
     pub applied: Position,
     /// None where it can't be told.
     pub age: Option<Duration>,
-    /// Statements it serves or that wait for it.
-    pub load: usize,
+    /// Time until it is expected to answer.
+    pub wait: Duration,
 }
 
 /// What a read demands of a replica.
@@ -79,32 +79,29 @@
     }
 }
 
-/// Picks among the replicas that meet the demand: those of `domain` first, of
-/// these the less loaded of two random ones.
+/// What a way to another failure domain costs, as a wait: one way between domains is
+/// 0.9 to 1.4 ms, and its bytes have a price.
+const FAR: Duration = Duration::from_millis(4);
+
+/// Picks the member that meets the demand and is expected to answer first from
+/// `domain`; one of them at random where several are.
 pub fn choose(
     candidates: &[Candidate],
     demand: Demand,
     domain: &str,
     dice: &mut SmallRng,
 ) -> Option<usize> {
-    let fit: Vec<&Candidate> = candidates.iter().filter(|c| demand.met_by(c)).collect();
-    let near: Vec<&Candidate> = fit
+    let cost = |candidate: &Candidate| match *candidate.domain == *domain {
+        true => candidate.wait,
+        false => candidate.wait + FAR,
+    };
+    let fit = candidates.iter().filter(|c| demand.met_by(c));
+    let fit: Vec<(Duration, usize)> = fit.map(|c| (cost(c), c.member)).collect();
+    let least = fit.iter().map(|(cost, _)| *cost).min()?;
+    let best: Vec<usize> = fit
         .iter()
-        .copied()
-        .filter(|candidate| *candidate.domain == *domain)
+        .filter(|(cost, _)| *cost == least)
+        .map(|(_, member)| *member)
         .collect();
-    let pool = match near.is_empty() {
-        true => fit,
-        false => near,
-    };
-    if pool.is_empty() {
-        return None;
-    }
-    let first = pool[dice.random_range(0..pool.len())];
-    let second = pool[dice.random_range(0..pool.len())];
-    let less = match second.load < first.load {
-        true => second,
-        false => first,
-    };
-    Some(less.member)
+    Some(best[dice.random_range(0..best.len())])
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -12,10 +12,18 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 const IDLE: Duration = Duration::from_secs(20);
+/// Time for a new connection: a few ways there and back, and no lost packet.
+const CONNECT_WAIT: Duration = Duration::from_millis(400);
+/// Rest after which the other end is probed, and time between two probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_TRIES: u32 = 3;
 
 /// Why a call has no body to show.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
+    /// Nothing was sent.
+    #[error("no connection: {0}")]
+    Unsent(String),
     #[error("connection refused or reset: {0}")]
     Broken(String),
     #[error("no answer in time")]
@@ -47,6 +55,11 @@
     pub fn new(from: IpAddr) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_WAIT));
+        // A cut says nothing: without probes a wait for an answer lasts its whole time.
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_TRIES));
         connector.set_local_address(Some(from));
         let inner = Legacy::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
@@ -108,7 +121,10 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
         let broken = |error: &dyn std::fmt::Display| HttpError::Broken(error.to_string());
         let response = self.inner.request(request).await;
-        let response = response.map_err(|error| broken(&error))?;
+        let response = response.map_err(|error| match error.is_connect() {
+            true => HttpError::Unsent(error.to_string()),
+            false => broken(&error),
+        })?;
         let status = response.status();
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| broken(&error))?.to_bytes();
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -29,6 +29,9 @@
 
 pub const RESOURCE: &str = "resource/";
 pub const PRIMARY: &str = "primary/";
+/// Peers are asked when the table has given no answer for this long: when all boxes
+/// start together, the table answers before any peer does.
+const PEER_AFTER: Duration = Duration::from_millis(600);
 
 /// News that one peer tells another: the rows written after `since`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -194,6 +197,8 @@
     snapshot: watch::Sender<Arc<Snapshot>>,
     boxes: watch::Sender<Arc<[Listing]>>,
     table_up: bool,
+    /// When the table was last found to give no answer.
+    down_since: Duration,
     /// Tag of the list of boxes that is known.
     tag: String,
 }
@@ -212,6 +217,7 @@
             snapshot,
             boxes,
             table_up: true,
+            down_since: Duration::ZERO,
             tag: String::new(),
         }
     }
@@ -281,12 +287,17 @@
             }
             Err(_) => {
                 self.note_table(false);
-                self.ask_a_peer().await;
+                if self.context.now() >= self.down_since + PEER_AFTER {
+                    self.ask_a_peer().await;
+                }
             }
         }
     }
 
     fn note_table(&mut self, up: bool) {
+        if self.table_up && !up {
+            self.down_since = self.context.now();
+        }
         if self.table_up != up {
             let kind = match up {
                 true => &events::TABLE_BACK,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -15,9 +15,10 @@
 use super::context::Context;
 use super::message::{Ask, Denial, Dump, Grant, Health, Incarnation, Message, Settle, SettleNeed};
 use super::{duty, peers};
-use crate::borders::member::Member;
+use crate::borders::member::{Member, Order};
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
+use crate::decisions::duty::Duty;
 use crate::decisions::group::{Action, Event, Group, Note, Request, Settings};
 use crate::decisions::owners::Ranking;
 use crate::declarations::snapshot::{Plan, Snapshot};
@@ -39,6 +40,8 @@
     members: Vec<Rc<dyn Member>>,
     watches: Vec<AbortHandle>,
     health: watch::Sender<Health>,
+    /// On whose authority this box promotes.
+    order: Option<Order>,
     wake: Duration,
 }
 
@@ -130,9 +133,15 @@
                 }
             }
             Message::Snapshot(snapshot) => {
-                self.snapshot = snapshot;
+                let before = std::mem::replace(&mut self.snapshot, snapshot);
                 self.own();
                 self.tell_primaries();
+                self.tell_duties(&before);
+            }
+            Message::Ordered { group, order } => {
+                if let Some(owned) = self.groups.get_mut(&group) {
+                    owned.order = order;
+                }
             }
             Message::Boxes(boxes) => {
                 self.ranking = Ranking::new(&boxes);
@@ -173,6 +182,7 @@
             believed: true,
             arrived: self.context.now(),
             deadline: ask.deadline,
+            aim: ask.aim,
         };
         self.handle(&ask.group, Event::Arrive(request));
     }
@@ -254,6 +264,7 @@
                     term,
                     primary: owned.group.primary() == Some(member),
                     believed,
+                    patience: owned.group.patience(member, self.context.now()),
                     health: owned.health.subscribe(),
                 };
                 let reply = self.grants.remove(&request);
@@ -278,6 +289,20 @@
                 }
             }
             Action::Probe { member } => self.probe(id, owned, member),
+            Action::Claim => {
+                let context = self.context.clone();
+                let group = id.clone();
+                let incarnation = owned.incarnation;
+                tokio::task::spawn_local(async move {
+                    let order = duty::order(&context, &group).await;
+                    let won = order.is_some();
+                    let _ = context.decisions.send(Message::Ordered {
+                        group: group.clone(),
+                        order,
+                    });
+                    context.tell(&group, incarnation, Event::Claimed { won });
+                });
+            }
             Action::Fence { member, term } => {
                 let border = owned.members[member].clone();
                 self.spawn(id, async move {
@@ -299,9 +324,8 @@
             }
             Action::Promote { member, term } => {
                 let border = owned.members[member].clone();
-                let (context, group) = (self.context.clone(), id.clone());
+                let order = owned.order.clone().unwrap_or_default();
                 self.spawn(id, async move {
-                    let order = duty::order(&context, &group).await;
                     let answer = border.promote(term, &order).await;
                     Event::Promoted { term, answer }
                 });
@@ -470,7 +494,7 @@
         self.settles
             .retain(|_, (incarnation, _)| live.contains(incarnation));
         let addresses = self.groups.values().flat_map(|owned| {
-            let share = owned.group.share();
+            let share = owned.group.kept_open();
             let members = owned.group.plan.members.iter();
             members.map(move |member| (member.address.sql.clone(), share))
         });
@@ -493,6 +517,7 @@
             members: Vec::new(),
             watches: Vec::new(),
             health: watch::channel(Health::default()).0,
+            order: None,
             wake: now,
         };
         self.groups.insert(id.clone(), owned);
@@ -517,6 +542,25 @@
         }
     }
 
+    /// Tells groups whose duty another box has taken.
+    fn tell_duties(&mut self, before: &Snapshot) {
+        if before.revision == 0 {
+            // What was taken before this box started is over.
+            return;
+        }
+        let own = &self.context.settings.name;
+        let foreign = |group: &Arc<str>, duty: &Duty| {
+            let known = before.duties.get(group).map_or(0, |known| known.revision);
+            duty.holder != *own && known < duty.revision
+        };
+        let duties = self.snapshot.duties.iter();
+        let taken = duties.filter(|(group, duty)| foreign(group, duty));
+        let taken: Vec<Arc<str>> = taken.map(|(group, _)| group.clone()).collect();
+        for group in taken {
+            self.handle(&group, Event::DutyTaken);
+        }
+    }
+
     fn tell_primaries(&mut self) {
         let primaries = self.snapshot.primaries.clone();
         for (id, record) in primaries.iter() {
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -14,47 +14,27 @@
 /// Time for the table's answer: it takes 20 ms on a calm day. Longer, and the box
 /// goes on without it, since members are fenced and callers wait.
 const TABLE_WAIT: Duration = Duration::from_millis(400);
-/// Tries against other boxes' changes.
-const TRIES: u32 = 3;
-/// Time for another box's change to become known here.
-const NEWS_WAIT: Duration = Duration::from_millis(60);
 
-/// The order under which this box promotes a member of `group`.
-pub async fn order(context: &Context, group: &Arc<str>) -> Order {
-    let holder = &context.settings.name;
-    if !context.settings.duty {
-        return Order::default();
-    }
-    let end = context.now() + TABLE_WAIT;
-    let mut duty = next(context, group);
-    for _ in 0..TRIES {
-        duty = next(context, group);
-        if duty.revision > 0 {
-            break;
-        }
-        let left = end.saturating_sub(context.now());
-        let change = commit(group, &duty, context);
-        let committed = tokio::time::timeout(left, context.table.commit(&change));
-        match committed.await {
-            Ok(Ok(Verdict::Done(_))) => break,
-            Ok(Ok(Verdict::Conflict { .. })) => tokio::time::sleep(NEWS_WAIT).await,
-            Ok(Err(error)) => {
-                note(context, group, &duty, &error);
-                break;
-            }
-            Err(late) => {
-                note(context, group, &duty, &late);
-                break;
-            }
-        }
+/// The order under which this box promotes a member of `group`. None when another
+/// box has just taken the duty.
+pub async fn order(context: &Context, group: &Arc<str>) -> Option<Order> {
+    let duty = next(context, group);
+    // Also who holds the duty writes it again, so that of two only one goes on.
+    let change = commit(group, &duty, context);
+    let committed = tokio::time::timeout(TABLE_WAIT, context.table.commit(&change)).await;
+    match committed {
+        Ok(Ok(Verdict::Done(_))) => {}
+        Ok(Ok(Verdict::Conflict { .. })) => return None,
+        Ok(Err(error)) => note(context, group, &duty, &error),
+        Err(late) => note(context, group, &duty, &late),
     }
     let fields: [(_, &dyn std::fmt::Display); 2] =
         [("group", group), ("generation", &duty.generation)];
     events::emit(&context.log, &events::DUTY_TAKEN, &fields);
-    Order {
-        holder: holder.clone(),
+    Some(Order {
+        holder: duty.holder,
         generation: duty.generation,
-    }
+    })
 }
 
 fn next(context: &Context, group: &Arc<str>) -> Duty {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -2,6 +2,7 @@
 //! decides where it runs and what its outcome means. The statement itself is a
 //! payload that only a codec opens.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
     pub patience: Duration,
     /// Time left until the caller must have its answer, where that is bounded.
     pub limit: Option<Duration>,
+    /// Time within which an answer is worth most to the caller.
+    pub aim: Option<Duration>,
     /// Connection held for this session by an earlier exchange.
     pub lease: Option<u64>,
     pub setup: Setup,
@@ -50,6 +53,23 @@
         self.effect == Effect::Writes || self.on_primary
     }
 
+    /// The same when `spent` of its time has passed; none when all has.
+    pub fn after(&self, spent: Duration) -> Option<Cow<'_, Self>> {
+        if spent.is_zero() {
+            return Some(Cow::Borrowed(self));
+        }
+        let limit = self.limit.map(|limit| limit.saturating_sub(spent));
+        if limit.is_some_and(|limit| limit.is_zero()) {
+            return None;
+        }
+        let patience = self.patience.saturating_sub(spent);
+        Some(Cow::Owned(Self {
+            patience,
+            limit,
+            ..self.clone()
+        }))
+    }
+
     /// The statement for a member that must hold `floor`.
     pub fn task(&self, floor: Option<Position>) -> Task<'_> {
         Task {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::borders::member::Order;
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
 use crate::decisions::group::{Event, GroupDump, Refusal, Target};
@@ -35,11 +36,13 @@
     pub primary: bool,
     /// The session's floor was possible.
     pub believed: bool,
+    /// Time after which a read is better repeated elsewhere.
+    pub patience: Duration,
     pub health: watch::Receiver<Health>,
 }
 
 /// Why there is no grant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Denial {
     NotRun(Refusal),
     /// This box does not own the group.
@@ -55,6 +58,7 @@
     pub target: Target,
     pub floor: Option<Position>,
     pub deadline: Duration,
+    pub aim: Option<Duration>,
     pub reply: oneshot::Sender<Result<Grant, Denial>>,
 }
 
@@ -104,6 +108,11 @@
         incarnation: Incarnation,
         event: Event,
     },
+    /// The authority under which this box may promote, none when it has none.
+    Ordered {
+        group: Arc<str>,
+        order: Option<Order>,
+    },
     Snapshot(Arc<Snapshot>),
     Boxes(Arc<[Listing]>),
     Opinion {
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -29,7 +29,7 @@
     let mut sent = false;
     loop {
         let placed = owner
-            .place(&exchange.group, Target::Primary, None, deadline)
+            .place(&exchange.group, Target::Primary, None, deadline, None)
             .await;
         let place = match placed {
             Ok(place) => place,
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -17,7 +17,7 @@
 use crate::borders::upstream::{Answer, ConnectError, Unrun, Upstream, UpstreamError, Verdict};
 use crate::decisions::budget::Budget;
 use crate::decisions::confirm::Outcome;
-use crate::decisions::group::{Event, Reason, Refusal, Target};
+use crate::decisions::group::{Event, Reason, Refusal, Target, Via};
 use crate::decisions::position::Position;
 use crate::events;
 
@@ -25,11 +25,12 @@
 const PAUSE: Duration = Duration::from_millis(10);
 /// A statement on a suspected member is given up after this time.
 const SUSPECT_PATIENCE: Duration = Duration::from_millis(1_500);
-/// A read without an answer is repeated elsewhere after this part of its limit:
-/// two more tries still fit.
+/// A read without an answer is not repeated elsewhere before this part of its limit.
 const READ_TRIES: u32 = 3;
 /// Time for a rollback that nobody waits for; then the connection is closed.
 const ROLL_BACK_WAIT: Duration = Duration::from_secs(1);
+/// What a caller is told to wait when no majority can be seen.
+const CUT_OFF_RETRY: Duration = Duration::from_secs(1);
 /// What a caller is told to wait when no better time is known.
 const LEAST_RETRY: Duration = Duration::from_millis(100);
 
@@ -66,13 +67,15 @@
 
 impl Owner {
     pub fn new(context: Rc<Context>, pool: Rc<Pool>) -> Self {
+        let settings = &context.settings;
+        let budget = Budget::new(settings.retry_percent, settings.retry_most);
         Self {
             context,
             pool,
             leases: RefCell::default(),
             next: Cell::new(1),
             serving: Cell::new(0),
-            budget: RefCell::default(),
+            budget: RefCell::new(budget),
         }
     }
 
@@ -115,7 +118,13 @@
         let arrived = self.context.now();
         loop {
             let place = self
-                .place(&exchange.group, exchange.target, exchange.floor, deadline)
+                .place(
+                    &exchange.group,
+                    exchange.target,
+                    exchange.floor,
+                    deadline,
+                    exchange.aim,
+                )
                 .await?;
             let connection = match self.connect(&place).await {
                 Ok(connection) => connection,
@@ -174,6 +183,7 @@
         target: Target,
         floor: Option<Position>,
         deadline: Duration,
+        aim: Option<Duration>,
     ) -> Result<Place, Failure> {
         let (reply, answer) = oneshot::channel();
         let id = self.next();
@@ -183,6 +193,7 @@
             target,
             floor,
             deadline,
+            aim,
             reply,
         };
         let _ = self.context.decisions.send(Message::Ask(ask));
@@ -231,10 +242,8 @@
     async fn again(&self, deadline: Duration, pause: Duration) -> Result<(), Failure> {
         let late = self.context.now() + pause > deadline;
         if late || !self.budget.borrow_mut().spend() {
-            return Err(Failure::NotRun(Refusal {
-                reason: Reason::Overload,
-                retry_after: pause.max(LEAST_RETRY),
-            }));
+            let wait = pause.max(LEAST_RETRY);
+            return Err(Failure::NotRun(Refusal::new(Reason::Retries, wait)));
         }
         self.context.metrics.retries.add(1, &[]);
         tokio::time::sleep(pause).await;
@@ -264,7 +273,9 @@
         let floor = exchange.floor.filter(|_| !place.grant.primary);
         let task = exchange.task(floor.filter(|_| matches!(target, Target::Replica { .. })));
         let limit = exchange.limit.map(|limit| match exchange.effect {
-            Effect::Reads if exchange.lease.is_none() => limit / READ_TRIES,
+            Effect::Reads if exchange.lease.is_none() => {
+                place.grant.patience.clamp(limit / READ_TRIES, limit)
+            }
             _ => limit,
         });
         let late = async {
@@ -278,7 +289,7 @@
             () = given_up(&mut place.grant) => {
                 Err(UpstreamError::Nonsense("replaced or silent".to_owned()))
             }
-            () = late => Err(UpstreamError::Nonsense("no answer in time".to_owned())),
+            () = late => Err(UpstreamError::Late),
         };
         match ended {
             Ok(answer) => {
@@ -308,10 +319,13 @@
         error: &UpstreamError,
     ) {
         let member = place.grant.member;
-        if let UpstreamError::Lost(_) = error {
-            place.tell(Event::Broken { member });
+        let after = self.context.now() - began;
+        match error {
+            UpstreamError::Lost(_) => place.tell(Event::Broken { member }),
+            UpstreamError::Late => place.tell(Event::Late { member, after }),
+            UpstreamError::Nonsense(_) => {}
         }
-        let after = (self.context.now() - began).as_millis();
+        let after = after.as_millis();
         let fields: [(_, &dyn std::fmt::Display); 5] = [
             ("request", &exchange.trace),
             ("group", &exchange.group),
@@ -382,8 +396,8 @@
             (Outcome::Confirmed, _) => Ok(()),
             (Outcome::Unknown, SettleNeed::Wrote(_)) => Err(self.unknown(exchange)),
             (Outcome::Unknown, SettleNeed::Read { .. }) => Err(Failure::NotRun(Refusal {
-                reason: Reason::CutOff,
-                retry_after: Duration::from_secs(1),
+                via: Via::Owner,
+                ..Refusal::new(Reason::CutOff, CUT_OFF_RETRY)
             })),
         }
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -62,7 +62,7 @@
         call(context, owner, EXCHANGE, exchange, wait).await;
     match answer {
         Ok(served) => served.map_err(ForwardError::Failure),
-        Err(HttpError::Broken(why)) if why.contains("Connect") => Err(ForwardError::Unsent),
+        Err(HttpError::Unsent(_)) => Err(ForwardError::Unsent),
         Err(_) => Err(ForwardError::Lost),
     }
 }
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -53,6 +53,7 @@
             floor: self.floor(work.database, &scope),
             patience: time,
             limit: Some(time),
+            aim: Some(Duration::from_millis(work.database.target_ms)),
             lease: self.lease(),
             setup: work.setup,
             payload: work.payload,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -13,7 +13,7 @@
 use super::peers::{self, ForwardError};
 use crate::borders::roster::Listing;
 use crate::decisions::floors::{Floors, Scope};
-use crate::decisions::group::{Reason, Refusal};
+use crate::decisions::group::{Reason, Refusal, Via};
 use crate::decisions::position::Position;
 use crate::events;
 
@@ -161,25 +161,29 @@
                 Some(address) => self.forward_held(&address, exchange).await,
             };
         }
-        let mut last = Failure::NotRun(Refusal {
-            reason: Reason::CutOff,
-            retry_after: OWNERS_RETRY,
-        });
+        let mut last = Failure::NotRun(Refusal::new(Reason::CutOff, OWNERS_RETRY));
+        let start = self.context.now();
+        let mut via = Via::Owner;
         for owner in self.owners(&exchange.group).iter() {
+            if !goes(&via, owner) {
+                continue;
+            }
+            let spent = self.context.now() - start;
+            let Some(rest) = exchange.after(spent) else {
+                break;
+            };
             let own = owner.name == self.context.settings.name;
             let served = match own {
-                true => self
-                    .owner
-                    .serve(exchange)
-                    .await
-                    .map_err(ForwardError::Failure),
-                false => peers::forward(&self.context, &owner.address, exchange).await,
+                true => self.owner.serve(&rest).await.map_err(ForwardError::Failure),
+                false => peers::forward(&self.context, &owner.address, &rest).await,
             };
             match served {
                 Ok(reply) => return Ok((reply, (!own).then(|| owner.address.clone()))),
                 Err(ForwardError::Unsent) => {}
-                Err(ForwardError::Failure(failure)) if elsewhere(&failure) => last = failure,
-                Err(ForwardError::Failure(failure)) => return Err(failure),
+                Err(ForwardError::Failure(failure)) => {
+                    via = elsewhere(&failure);
+                    last = failure;
+                }
                 Err(ForwardError::Lost) if exchange.effect == Effect::Reads => {
                     last = Failure::ReadLost;
                 }
@@ -248,11 +252,20 @@
     }
 }
 
-/// Whether another owner may do better.
-fn elsewhere(failure: &Failure) -> bool {
+/// Which other owner may do better.
+fn elsewhere(failure: &Failure) -> Via {
     match failure {
-        Failure::NotOwner => true,
-        Failure::NotRun(refusal) => refusal.reason == Reason::CutOff,
-        _ => false,
+        Failure::NotOwner => Via::Owner,
+        Failure::NotRun(refusal) => refusal.via.clone(),
+        _ => Via::Nobody,
+    }
+}
+
+/// Whether an owner is one of those that may do better.
+fn goes(via: &Via, owner: &Listing) -> bool {
+    match via {
+        Via::Nobody => false,
+        Via::Owner => true,
+        Via::Named(name) => *name == owner.name,
     }
 }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -115,6 +115,7 @@
 fn lost(error: UpstreamError) -> MemberError {
     match error {
         UpstreamError::Lost(_) => MemberError::Broken,
+        UpstreamError::Late => MemberError::Silent,
         UpstreamError::Nonsense(why) => MemberError::Nonsense(why),
     }
 }
@@ -174,7 +175,8 @@
 
     async fn promote(&self, term: u64, order: &Order) -> Result<Status, MemberError> {
         let before = self.status().await?;
-        if before.promised > term {
+        // A restart forgets the fence, and another box's replaces it.
+        if before.promised != term {
             return Err(MemberError::Fenced {
                 promised: before.promised,
             });
--- a/src/platform/failure.rs
+++ b/src/platform/failure.rs
@@ -41,7 +41,7 @@
 fn code_of(refusal: &Refusal) -> &'static str {
     match refusal.reason {
         Reason::Overload => code::OVERLOAD,
-        Reason::Replacement | Reason::CutOff => code::RETRY,
+        Reason::Retries | Reason::Replacement | Reason::CutOff => code::RETRY,
         Reason::Stale => code::LAGGING,
     }
 }
@@ -49,6 +49,7 @@
 fn not_run(refusal: &Refusal) -> String {
     let why = match refusal.reason {
         Reason::Overload => "the wait would be too long",
+        Reason::Retries => "it did not get through",
         Reason::Replacement => "the primary is being replaced",
         Reason::CutOff => "too few members can be reached",
         Reason::Stale => "no replica is fresh enough",
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -23,7 +23,10 @@
 const CALLERS_PERCENT: u64 = 75;
 /// Time that a new connection to a member may take: 12 ms on the sites, and a lost
 /// packet is sent again after a second.
-const CONNECT_WAIT: Duration = Duration::from_millis(700);
+const CONNECT_WAIT: Duration = Duration::from_millis(400);
+/// A cut makes every statement of a second be placed again, once or twice.
+const RETRY_PERCENT: u64 = 20;
+const RETRY_MOST: u64 = 100;
 
 /// The fields that are used.
 #[derive(Clone, Debug, Deserialize)]
@@ -111,6 +114,8 @@
             drain: grace.saturating_sub(KILL_MARGIN),
             // Every box hears of changes from the store itself.
             fanout: 0,
+            retry_percent: RETRY_PERCENT,
+            retry_most: RETRY_MOST,
             duty: true,
             ..Run::default()
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -4,7 +4,7 @@
 
 use crate::decisions::detect::baseline::Settings as Detect;
 use crate::decisions::group::Settings;
-use crate::decisions::replace::Settings as Replace;
+use crate::decisions::replace::{Corroboration, Settings as Replace};
 
 /// Settings for members that take no fence as primaries and whose statements may
 /// wait behind 24 others. Figures in docs/DESIGN.md, "On the users' platform".
@@ -21,6 +21,8 @@
             lease: Duration::from_millis(800),
             catch_up: Duration::from_millis(30),
             fences_end: true,
+            claims: true,
+            corroboration: Corroboration::Majority,
             ..Replace::default()
         },
         detect: Detect {
@@ -37,7 +39,10 @@
         replica_wait: Duration::ZERO,
         serve_leaving: true,
         missing_grace: Duration::from_secs(3),
-        overcommit: 250,
+        primary_cost: Some(Duration::from_millis(25)),
+        patient: true,
+        keep: 50,
+        overcommit: 100,
         ..Settings::default()
     }
 }
--- a/src/postgres/failure.rs
+++ b/src/postgres/failure.rs
@@ -28,10 +28,7 @@
 pub fn report(failure: &Failure) -> Report {
     match failure {
         Failure::NotRun(refusal) => not_run(refusal),
-        Failure::NotOwner => not_run(&Refusal {
-            reason: Reason::CutOff,
-            retry_after: OWNER_RETRY,
-        }),
+        Failure::NotOwner => not_run(&Refusal::new(Reason::CutOff, OWNER_RETRY)),
         Failure::Unknown => Report::error(
             state::UNKNOWN,
             "the outcome is unknown: the statement may have run or not",
@@ -52,6 +49,7 @@
 fn not_run(refusal: &Refusal) -> Report {
     let why = match refusal.reason {
         Reason::Overload => "the expected wait passes its deadline",
+        Reason::Retries => "it did not get through",
         Reason::Replacement => "the primary is being replaced",
         Reason::CutOff => "no majority of the group can be seen from here",
         Reason::Stale => "no member that can be reached is fresh enough for this session",
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -131,7 +131,7 @@
             .client
             .post(&self.address.control, "/control", body, wait);
         let bytes = sent.await.map_err(|error| match error {
-            HttpError::Broken(_) => MemberError::Broken,
+            HttpError::Unsent(_) | HttpError::Broken(_) => MemberError::Broken,
             HttpError::Late => MemberError::Silent,
             HttpError::Status { code, .. } => MemberError::Nonsense(format!("status {code}")),
         })?;
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -453,6 +453,7 @@
             believed: true,
             arrived: self.now,
             deadline: self.now + ms(3_000),
+            aim: None,
         };
         self.at(
             self.now,
@@ -547,7 +548,7 @@
                 self.call(owner, member, Call::Follow(term, primary));
             }
             // Its members keep their fences.
-            Action::Release { .. } => {}
+            Action::Release { .. } | Action::Claim => {}
             Action::Ask => self.ask(owner),
             Action::Record { .. } => self.counts.replacements += 1,
             Action::Note(_) => {}
