fix: replicas that were fenced receive again after a promotion

Also: statements at once are bounded by the members' slots (six times 24 waited before 3 slots), and a member that has no time narrows what is sent to it. Ruled out: latencies by member (reads chose right; there was nothing to choose).

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -38,6 +38,9 @@
 /// Time after which waits for the lease are looked at again.
 const LEAST_LOOK: Duration = Duration::from_millis(120);
 
+/// Statements at a member at once that a box may have in any case: one that holds a
+/// transaction, and another.
+const LEAST_AT_ONCE: usize = 2;
 /// An answer that takes this many times as long as the last ones will not come, or
 /// too late.
 const PATIENCE: u32 = 6;
@@ -78,9 +81,9 @@
     pub patient: bool,
     /// Connections kept open without use, as a percentage of this box's share.
     pub keep: u32,
-    /// Statements at a member at once, as a percentage of this box's share of its
-    /// connections.
-    pub overcommit: u32,
+    /// Statements at a member at once, from all boxes, for each of its slots; none
+    /// where connections alone bound them.
+    pub turns: Option<u32>,
 }
 
 impl Default for Settings {
@@ -105,7 +108,7 @@
             primary_cost: None,
             patient: false,
             keep: 100,
-            overcommit: 100,
+            turns: None,
         }
     }
 }
@@ -249,7 +252,6 @@
         now: Duration,
     ) -> Self {
         let capacity = share(plan.group.connections, plan.group.owners);
-        let capacity = (capacity * settings.overcommit as usize / 100).max(1);
         let member = |spec: &MemberSpec| Member::new(spec.clone(), capacity, &settings, now);
         let members: Vec<Member> = plan.members.iter().map(member).collect();
         let mut group = Self {
@@ -270,6 +272,11 @@
         };
         group.note_members();
         group.set_periods();
+        let capacity = group.capacity();
+        for member in &mut group.members {
+            member.room = capacity;
+            member.fair.set_capacity(capacity);
+        }
         group
     }
 
@@ -326,10 +333,15 @@
         }
     }
 
-    /// Statements that may be at a member at once.
+    /// Statements that this box may have at a member at once: no more than its share
+    /// of the connections, and of what keeps the member's slots busy.
     fn capacity(&self) -> usize {
-        let percent = self.settings.overcommit as usize;
-        (self.share() * percent / 100).max(1)
+        let Some(turns) = self.settings.turns else {
+            return self.share();
+        };
+        let group = &self.plan.group;
+        let useful = (group.slots * turns).div_ceil(group.owners.max(1)) as usize;
+        self.share().min(useful.max(LEAST_AT_ONCE))
     }
 
     /// Takes a new plan. Members keep their places; new ones get places of their own.
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -171,7 +171,8 @@
         let member = lease.place.grant.member;
         match why {
             Unrun::Lagging => lease.place.tell(Event::Behind { member }),
-            Unrun::NotPrimary | Unrun::Busy | Unrun::NotPrepared => lease.place.tell(Event::Look),
+            Unrun::Busy => lease.place.tell(Event::Full { member }),
+            Unrun::NotPrimary | Unrun::NotPrepared => lease.place.tell(Event::Look),
         }
         self.pool.put(&lease.place.grant.spec, lease.connection);
     }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -200,7 +200,12 @@
     }
 
     async fn follow(&self, term: u64, _: &Address) -> Result<Status, MemberError> {
-        self.ask(&format!("STEPDOWN {term}")).await
+        let status = self.ask(&format!("STEPDOWN {term}")).await?;
+        if status.promised > status.log.term {
+            // A promotion ends the fence of the winner only.
+            return self.ask("RESUME").await;
+        }
+        Ok(status)
     }
 
     async fn release(&self) -> Result<(), MemberError> {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -26,8 +26,8 @@
             ..Replace::default()
         },
         detect: Detect {
-            period: Duration::from_millis(500),
-            interval: Duration::from_millis(200),
+            period: Duration::from_millis(400),
+            interval: Duration::from_millis(150),
             tries: 3,
         },
         relaxed: 8,
@@ -42,7 +42,7 @@
         primary_cost: Some(Duration::from_millis(25)),
         patient: true,
         keep: 50,
-        overcommit: 100,
+        turns: Some(5),
         ..Settings::default()
     }
 }
