perf: leases are revoked before a promotion; cut-off boxes send callers elsewhere

Now: boxes revoke on request, the wait remains where one does not answer; a late answer starts the detector's probes; a box that reaches a majority of no group is not ready and closes idle sessions; a fence names the term it ends. Ruled out: shorter leases (500, 650 ms: no better, more looks).

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -84,7 +84,9 @@
 pub trait Member {
     async fn status(&self) -> Result<Status, MemberError>;
     /// Takes `term` if it is strictly above the member's promised term.
-    async fn fence(&self, term: u64) -> Result<Status, MemberError>;
+    /// `replaced` is the term that the ballot is to end; a member that has gone on to
+    /// a later one is not fenced.
+    async fn fence(&self, term: u64, replaced: u64) -> Result<Status, MemberError>;
     /// Makes the member primary of `term`, which it must have promised.
     async fn promote(&self, term: u64, order: &Order) -> Result<Status, MemberError>;
     async fn follow(&self, term: u64, primary: &Address) -> Result<Status, MemberError>;
--- a/src/borders/upstream.rs
+++ b/src/borders/upstream.rs
@@ -30,6 +30,14 @@
     ReadOnly,
 }
 
+/// The opening of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opening {
+    pub begin: Begin,
+    /// The caller's id of it, in the codec's words.
+    pub id: Arc<str>,
+}
+
 /// A prepared statement under the name that all boxes give it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Prepared {
@@ -49,7 +57,7 @@
     /// The statement that the payload executes.
     pub prepared: Option<Prepared>,
     /// The transaction that this statement opens.
-    pub begin: Option<Begin>,
+    pub opening: Option<Opening>,
 }
 
 /// One statement for a connection.
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -213,6 +213,10 @@
     leaving: Option<Duration>,
     /// It has had all the time that a leaving primary gets.
     overstayed: bool,
+    /// What was seen up to then does not count for the lease.
+    revoked: Duration,
+    /// Those who promote know of this box.
+    listed: bool,
     crowd: u32,
 }
 
@@ -267,6 +271,8 @@
             born: now,
             leaving: None,
             overstayed: false,
+            revoked: Duration::ZERO,
+            listed: false,
             crowd: 1,
             plan,
         };
@@ -417,6 +423,11 @@
         self.requeue(now, out);
     }
 
+    /// Whether this owner, which has seen a primary before, reaches no majority.
+    pub fn is_cut_off(&self) -> bool {
+        self.replace.primary.is_some() && !self.sees_majority()
+    }
+
     /// Whether this owner finds the primary suspect, for a peer who asks.
     pub fn suspects(&self, term: u64) -> bool {
         match self.replace.primary {
@@ -440,9 +451,16 @@
                 led,
             } => self.answered(member, began, position, led, now, &mut out),
             Event::Release { member, took } => self.release(member, took, now, &mut out),
-            Event::Late { member, after } => self.members[member].latency.late(after, now),
+            Event::Late { member, after } => {
+                self.members[member].latency.late(after, now);
+                self.members[member].detector.hurry(now);
+            }
             Event::Full { member } => self.full(member, now),
             Event::Look => self.want_all(),
+            Event::Unreached { member } => {
+                self.members[member].wanted = true;
+                self.members[member].detector.hurry(now);
+            }
             Event::Behind { member } => {
                 self.members[member].applied = Position::ZERO;
                 self.members[member].wanted = true;
@@ -492,6 +510,12 @@
                 self.take_steps(steps, now, &mut out);
             }
             Event::DutyTaken => self.replace.note_foreign(now),
+            Event::Revoke => self.revoke(now),
+            Event::Revoked { term } => {
+                let steps = self.replace.revoked(term, now);
+                self.take_steps(steps, now, &mut out);
+            }
+            Event::Listed { listed } => self.listed = listed,
             Event::Promoted { term, answer } => {
                 let steps = self.replace.promoted(term, &answer, now);
                 self.take_steps(steps, now, &mut out);
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -142,6 +142,10 @@
     Full {
         member: usize,
     },
+    /// A connection was not made in time.
+    Unreached {
+        member: usize,
+    },
     /// A connection could not be made or was lost.
     Broken {
         member: usize,
@@ -184,6 +188,16 @@
     },
     /// Another box has taken that duty.
     DutyTaken,
+    /// Another box has fenced a majority: what was seen before counts no more.
+    Revoke,
+    /// All other boxes have given up their leases for the ballot of this term.
+    Revoked {
+        term: u64,
+    },
+    /// Whether those who promote know of this box, so that it may use leases.
+    Listed {
+        listed: bool,
+    },
     Promoted {
         term: u64,
         answer: Result<Status, MemberError>,
@@ -227,6 +241,11 @@
     },
     /// Take the duty of promoting.
     Claim,
+    /// Have the other boxes give up their leases; the ballot's term comes back with
+    /// [`Event::Revoked`] when all have.
+    Revoke {
+        term: u64,
+    },
     Fence {
         member: usize,
         term: u64,
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -55,7 +55,7 @@
         known.demoted = status.role == Role::Replica;
         let leads = Some(member) != self.replace.primary || !known.demoted;
         if status.promised <= self.replace.term && leads {
-            known.kept = known.kept.max(Some(began));
+            self.keep(member, began);
         }
         if Some(member) == self.replace.primary {
             let demoted = status.role == Role::Replica;
@@ -82,6 +82,22 @@
         self.want_for_confirmation(now);
     }
 
+    /// A member is known to have kept to the present term at a moment.
+    pub(super) fn keep(&mut self, member: usize, moment: Duration) {
+        if moment > self.revoked {
+            let known = &mut self.members[member];
+            known.kept = known.kept.max(Some(moment));
+        }
+    }
+
+    /// Gives up the lease: only what is seen from now on counts.
+    pub(super) fn revoke(&mut self, now: Duration) {
+        self.revoked = now;
+        for member in &mut self.members {
+            member.kept = None;
+        }
+    }
+
     /// Ends the waits that need no more than the lease.
     pub(super) fn settle_leased(&mut self, now: Duration, out: &mut Vec<Action>) {
         if self.is_leased(now) {
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -74,6 +74,10 @@
             }));
         }
         if fresh {
+            // What hit one may have hit the others: look before their turn.
+            for member in &mut self.members {
+                member.detector.hurry(now);
+            }
             self.requeue(now, out);
         }
     }
@@ -85,6 +89,10 @@
                 Step::Ask => out.push(Action::Ask),
                 Step::Look => self.want_all(),
                 Step::Claim => out.push(Action::Claim),
+                Step::Revoke { term } => {
+                    self.revoke(now);
+                    out.push(Action::Revoke { term });
+                }
                 Step::Fence { member, term } => {
                     if !noted {
                         out.push(Action::Note(Note::Fencing { term }));
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -257,7 +257,8 @@
         let Some(margin) = lease.checked_sub(self.settings.lease_margin) else {
             return false;
         };
-        !lease.is_zero() && self.verified().is_some_and(|seen| now < seen + margin)
+        let may = !lease.is_zero() && self.listed;
+        may && self.verified().is_some_and(|seen| now < seen + margin)
     }
 
     pub(super) fn enqueue(
@@ -407,7 +408,7 @@
         known.detector.heard(began, now);
         known.latency.answered(now.saturating_sub(began), now);
         if primary && led {
-            known.kept = known.kept.max(Some(began));
+            self.keep(member, began);
         }
         if let Some(position) = position
             && position.term == self.replace.term
@@ -428,6 +429,8 @@
         // It received the entry after the primary wrote it; a fenced replica
         // receives nothing. So it kept to the term when the primary had not yet
         // come so far.
-        known.kept = known.kept.max(self.history.before(position.index));
+        if let Some(moment) = self.history.before(position.index) {
+            self.keep(member, moment);
+        }
     }
 }
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -99,6 +99,10 @@
         member: usize,
         term: u64,
     },
+    /// Have all boxes give up their leases on the old term.
+    Revoke {
+        term: u64,
+    },
     /// Take back a fence that leads to nothing.
     Release {
         member: usize,
@@ -674,7 +678,15 @@
         };
         match self.settings.lease.is_zero() {
             true => self.promote(now),
-            false => Vec::new(),
+            false => vec![Step::Revoke { term }],
+        }
+    }
+
+    /// No box has a lease on the term before `term` any more.
+    pub fn revoked(&mut self, term: u64, now: Duration) -> Vec<Step> {
+        match &self.phase {
+            Phase::Waiting { term: waits, .. } if *waits == term => self.promote(now),
+            _ => Vec::new(),
         }
     }
 
--- a/src/decisions/setup.rs
+++ b/src/decisions/setup.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use crate::borders::upstream::{Begin, Prepared, Setup, Values};
+use crate::borders::upstream::{Opening, Prepared, Setup, Values};
 
 /// Statements kept prepared on one connection; above it all are dropped.
 const MOST_PREPARED: usize = 500;
@@ -19,7 +19,7 @@
         value: Arc<str>,
     },
     Prepare(Prepared),
-    Begin(Begin),
+    Open(Opening),
 }
 
 /// What a connection carries from earlier statements.
@@ -54,7 +54,7 @@
         {
             steps.push(Step::Prepare(prepared.clone()));
         }
-        steps.extend(setup.begin.map(Step::Begin));
+        steps.extend(setup.opening.clone().map(Step::Open));
         steps
     }
 
@@ -68,7 +68,7 @@
             Step::Prepare(prepared) => {
                 self.prepared.insert(prepared.name.clone());
             }
-            Step::Begin(_) => {}
+            Step::Open(_) => {}
         }
     }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -34,6 +34,8 @@
     SOURCE_DOWN = 205, Warning, "a table of the store gives no answer";
     SOURCE_BACK = 206, Info, "a table of the store answers";
     NOT_LISTED = 207, Warning, "the list of boxes could not be changed";
+    CUT_OFF = 208, Warning, "cut off: a majority of no group is reached";
+    REJOINED = 209, Info, "a majority of some group is reached again";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -58,6 +58,7 @@
         .route(peers::EXCHANGE, post(exchange))
         .route(peers::ABANDON, post(abandon))
         .route(peers::OPINION, post(opinion))
+        .route(peers::REVOKE, post(revoke))
         .route(peers::NEWS, post(news))
         .route(peers::SCAN, post(scan))
         .route(peers::BOXES, post(boxes))
@@ -108,6 +109,14 @@
     Ok(packed(&answer.await.ok().flatten()))
 }
 
+async fn revoke(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let group = unpacked(&body)?;
+    let (reply, done) = oneshot::channel();
+    let _ = api.decisions.send(Message::Revoke { group, reply });
+    done.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(packed(&()))
+}
+
 async fn news(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let news: News = unpacked(&body)?;
     let _ = api.keeper.send(configuration::Request::News(news));
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -45,8 +45,8 @@
     pub owned: watch::Sender<HashMap<Arc<str>, usize>>,
     /// Callers connected now.
     pub callers: Cell<usize>,
-    /// When the box began to leave.
-    pub left: Cell<Option<Duration>>,
+    /// When the box began to leave, or was cut off: callers are better served elsewhere.
+    pub away: watch::Sender<Option<Duration>>,
 }
 
 /// Counts a caller for as long as it is connected.
@@ -75,14 +75,23 @@
         self.snapshot.borrow().databases.get(name).cloned()
     }
 
-    /// Returns when this box has been leaving for so long.
-    pub async fn left_for(&self, rest: Duration) {
-        let mut leaving = self.leaving.clone();
-        if leaving.wait_for(|leaving| *leaving).await.is_err() {
-            return std::future::pending().await;
+    /// Returns when callers have been better served elsewhere for so long.
+    pub async fn away_for(&self, rest: Duration) {
+        let mut away = self.away.subscribe();
+        loop {
+            let since = *away.borrow_and_update();
+            let changed = away.changed();
+            let Some(since) = since else {
+                if changed.await.is_err() {
+                    return std::future::pending().await;
+                }
+                continue;
+            };
+            let left = (since + rest).saturating_sub(self.now());
+            if tokio::time::timeout(left, changed).await.is_err() {
+                return;
+            }
         }
-        let since = self.left.get().unwrap_or_else(|| self.now());
-        tokio::time::sleep((since + rest).saturating_sub(self.now())).await;
     }
 
     /// Time without a statement after which a group's open transaction is ended.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -28,6 +28,9 @@
 /// A box that owns more groups looks at each of them less often: the traffic for
 /// control stays within its budget, detection takes longer.
 const GROUPS_AT_FULL_RATE: u32 = 6;
+/// Time in which a change of the list of boxes has reached all who read it while the
+/// table answers: news takes milliseconds, a forgotten history about a second.
+const LISTED_REST: Duration = Duration::from_millis(2_500);
 const LEAST_SLEEP: Duration = Duration::from_millis(1);
 const MOST_SLEEP: Duration = Duration::from_secs(1);
 
@@ -64,6 +67,9 @@
     settles: HashMap<u64, (Incarnation, oneshot::Sender<Outcome>)>,
     snapshot: Arc<Snapshot>,
     ranking: Ranking,
+    /// When every box may be taken to know this one from the list.
+    listed: Option<Duration>,
+    knows_boxes: bool,
     next: u64,
 }
 
@@ -82,6 +88,8 @@
             settles: HashMap::new(),
             snapshot: Arc::default(),
             ranking: Ranking::default(),
+            listed: None,
+            knows_boxes: false,
             next: 1,
         }
     }
@@ -101,6 +109,30 @@
                 () = tokio::time::sleep(sleep.clamp(LEAST_SLEEP, MOST_SLEEP)) => {}
             }
             self.tick();
+            self.note_cut_off();
+        }
+    }
+
+    /// A box that reaches a majority of no group is cut off with its failure domain.
+    fn note_cut_off(&mut self) {
+        if *self.context.leaving.borrow() {
+            return;
+        }
+        let cut_off = !self.groups.is_empty() && self.groups.values().all(|o| o.group.is_cut_off());
+        let now = self.context.now();
+        let changed = self.context.away.send_if_modified(|away| {
+            let changed = away.is_some() != cut_off;
+            if changed {
+                *away = cut_off.then_some(now);
+            }
+            changed
+        });
+        if changed {
+            let kind = match cut_off {
+                true => &events::CUT_OFF,
+                false => &events::REJOINED,
+            };
+            events::emit(&self.context.log, kind, &[]);
         }
     }
 
@@ -145,8 +177,15 @@
             }
             Message::Boxes(boxes) => {
                 self.ranking = Ranking::new(&boxes);
+                self.note_listed(&boxes);
                 self.own();
+                self.tell_listed();
+            }
+            Message::Revoke { group, reply } => {
+                self.handle(&group, Event::Revoke);
+                let _ = reply.send(());
             }
+            Message::Listed => self.tell_listed(),
             Message::Opinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
                 let _ = reply.send(owned.map(|owned| owned.group.suspects(term)));
@@ -169,8 +208,15 @@
             let _ = ask.reply.send(Err(Denial::NotOwner));
             return;
         };
-        let partner = owned.group.plan.group.partner.clone();
-        let weight = self.snapshot.partners.get(&partner).map_or(1, |p| p.weight);
+        let (partner, weight) = match ask.flow {
+            Some(flow) => (flow.name, flow.weight),
+            None => {
+                let partner = owned.group.plan.group.partner.clone();
+                let declared = self.snapshot.partners.get(&partner);
+                let weight = declared.map_or(1, |partner| partner.weight);
+                (partner, weight)
+            }
+        };
         let id = ask.id;
         self.grants.insert(id, (owned.incarnation, ask.reply));
         let request = Request {
@@ -289,6 +335,7 @@
                 }
             }
             Action::Probe { member } => self.probe(id, owned, member),
+            Action::Revoke { term } => self.revoke(id, owned, term),
             Action::Claim => {
                 let context = self.context.clone();
                 let group = id.clone();
@@ -304,9 +351,10 @@
                 });
             }
             Action::Fence { member, term } => {
+                let replaced = owned.group.term();
                 let border = owned.members[member].clone();
                 self.spawn(id, async move {
-                    let answer = border.fence(term).await;
+                    let answer = border.fence(term, replaced).await;
                     Event::Fenced {
                         member,
                         term,
@@ -412,6 +460,27 @@
         }
     }
 
+    /// Has all other boxes give up their leases. Where one does not answer, or the
+    /// list may be old, the wait goes on to its end.
+    fn revoke(&self, id: &Arc<str>, owned: &Owned, term: u64) {
+        let own = &self.context.settings.name;
+        let owners = group_owners(&owned.group.plan, &self.ranking);
+        let others = owners.into_iter().filter(|listing| listing.name != *own);
+        let asked = others.map(|listing| {
+            peers::revoke(self.context.clone(), listing.address.clone(), id.clone())
+        });
+        let asked: Vec<_> = asked.collect();
+        let (context, group) = (self.context.clone(), id.clone());
+        let incarnation = owned.incarnation;
+        tokio::task::spawn_local(async move {
+            let listed = context.table.head().await.is_ok();
+            let given_up = futures::future::join_all(asked).await;
+            if listed && given_up.into_iter().all(|done| done) {
+                context.tell(&group, incarnation, Event::Revoked { term });
+            }
+        });
+    }
+
     fn note(&self, id: &Arc<str>, group: &Group, note: &Note) {
         let name = |member: usize| group.plan.members[member].name.clone();
         let log = &self.context.log;
@@ -522,6 +591,8 @@
         };
         self.groups.insert(id.clone(), owned);
         self.join_new(&id);
+        let listed = self.listed.is_some_and(|since| now >= since);
+        self.handle(&id, Event::Listed { listed });
     }
 
     /// Makes the borders of members that have none yet.
@@ -542,6 +613,37 @@
         }
     }
 
+    /// Notes since when the list of boxes has named this one.
+    fn note_listed(&mut self, boxes: &[Listing]) {
+        let own = &self.context.settings.name;
+        let listed = boxes.iter().any(|listing| listing.name == *own);
+        let first = !std::mem::replace(&mut self.knows_boxes, true);
+        let now = self.context.now();
+        self.listed = match (listed, self.listed) {
+            (false, _) => None,
+            (true, Some(since)) => Some(since),
+            // It stood there before this process started.
+            (true, None) if first => Some(Duration::ZERO),
+            (true, None) => Some(now + LISTED_REST),
+        };
+        if let Some(until) = self.listed.filter(|until| *until > now) {
+            let decisions = self.context.decisions.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(until - now).await;
+                let _ = decisions.send(Message::Listed);
+            });
+        }
+    }
+
+    fn tell_listed(&mut self) {
+        let now = self.context.now();
+        let listed = self.listed.is_some_and(|since| now >= since);
+        let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
+        for group in groups {
+            self.handle(&group, Event::Listed { listed });
+        }
+    }
+
     /// Tells groups whose duty another box has taken.
     fn tell_duties(&mut self, before: &Snapshot) {
         if before.revision == 0 {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -21,6 +21,13 @@
     Writes,
 }
 
+/// Statements that share a place in queues.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flow {
+    pub name: Arc<str>,
+    pub weight: u32,
+}
+
 /// A request of an entry box to an owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Exchange {
@@ -36,6 +43,9 @@
     pub patience: Duration,
     /// Time left until the caller must have its answer, where that is bounded.
     pub limit: Option<Duration>,
+    /// Whose statements it is queued with, and their weight against the others'; the
+    /// group's partner where there is none.
+    pub flow: Option<Flow>,
     /// Time within which an answer is worth most to the caller.
     pub aim: Option<Duration>,
     /// Connection held for this session by an earlier exchange.
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::exchange::Flow;
 use crate::borders::member::Order;
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
@@ -59,6 +60,7 @@
     pub floor: Option<Position>,
     pub deadline: Duration,
     pub aim: Option<Duration>,
+    pub flow: Option<Flow>,
     pub reply: oneshot::Sender<Result<Grant, Denial>>,
 }
 
@@ -115,6 +117,13 @@
     },
     Snapshot(Arc<Snapshot>),
     Boxes(Arc<[Listing]>),
+    /// Another box has fenced a majority of the group.
+    Revoke {
+        group: Arc<str>,
+        reply: oneshot::Sender<()>,
+    },
+    /// Enough time has passed since this box was listed.
+    Listed,
     Opinion {
         group: Arc<str>,
         term: u64,
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -28,9 +28,7 @@
 ) -> Result<Reply, Failure> {
     let mut sent = false;
     loop {
-        let placed = owner
-            .place(&exchange.group, Target::Primary, None, deadline, None)
-            .await;
+        let placed = owner.place(exchange, Target::Primary, deadline).await;
         let place = match placed {
             Ok(place) => place,
             // Not run is only true while no attempt was sent.
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -117,15 +117,7 @@
     async fn fresh(&self, exchange: &Exchange, deadline: Duration) -> Result<Reply, Failure> {
         let arrived = self.context.now();
         loop {
-            let place = self
-                .place(
-                    &exchange.group,
-                    exchange.target,
-                    exchange.floor,
-                    deadline,
-                    exchange.aim,
-                )
-                .await?;
+            let place = self.place(exchange, exchange.target, deadline).await?;
             let connection = match self.connect(&place).await {
                 Ok(connection) => connection,
                 Err(retry_after) => {
@@ -180,21 +172,21 @@
     /// Asks the loop for a place at a member.
     pub async fn place(
         &self,
-        group: &Arc<str>,
+        exchange: &Exchange,
         target: Target,
-        floor: Option<Position>,
         deadline: Duration,
-        aim: Option<Duration>,
     ) -> Result<Place, Failure> {
+        let group = &exchange.group;
         let (reply, answer) = oneshot::channel();
         let id = self.next();
         let ask = Ask {
             id,
             group: group.clone(),
             target,
-            floor,
+            floor: exchange.floor,
             deadline,
-            aim,
+            aim: exchange.aim,
+            flow: exchange.flow.clone(),
             reply,
         };
         let _ = self.context.decisions.send(Message::Ask(ask));
@@ -226,7 +218,8 @@
             let member = place.grant.member;
             match error {
                 ConnectError::Lost(_) => place.tell(Event::Broken { member }),
-                ConnectError::Stranger(_) | ConnectError::Late => place.tell(Event::Look),
+                ConnectError::Late => place.tell(Event::Unreached { member }),
+                ConnectError::Stranger(_) => place.tell(Event::Look),
                 ConnectError::Full(_) => place.tell(Event::Full { member }),
             }
             let fields: [(_, &dyn std::fmt::Display); 3] = [
@@ -446,7 +439,7 @@
         let grant = &lease.place.grant;
         let server = server(grant);
         let believed = grant.believed;
-        let opened = exchange.setup.begin.is_some();
+        let opened = exchange.setup.opening.is_some();
         if opened && let Some(need) = read_need(&lease.place, lease.target, since, None) {
             let (incarnation, member) = (grant.incarnation, grant.member);
             let settled = self.settle(&exchange.group, incarnation, member, need, deadline);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -18,6 +18,7 @@
 pub const EXCHANGE: &str = "/peer/exchange";
 pub const ABANDON: &str = "/peer/abandon";
 pub const OPINION: &str = "/peer/opinion";
+pub const REVOKE: &str = "/peer/revoke";
 pub const NEWS: &str = "/peer/news";
 pub const SCAN: &str = "/peer/scan";
 pub const BOXES: &str = "/peer/boxes";
@@ -85,6 +86,12 @@
     answer.ok().flatten()
 }
 
+/// Has a box give up its lease on a group. Whether it did.
+pub async fn revoke(context: Rc<Context>, peer: Arc<str>, group: Arc<str>) -> bool {
+    let done: Result<(), _> = call(&context, &peer, REVOKE, &group, SMALL_WAIT).await;
+    done.is_ok()
+}
+
 pub async fn tell(context: Rc<Context>, peer: Arc<str>, news: News) {
     let _: Result<(), _> = call(&context, &peer, NEWS, &news, SMALL_WAIT).await;
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -34,6 +34,10 @@
 const COMMIT_TRIES: u32 = 5;
 const COMMIT_PAUSE: Duration = Duration::from_millis(200);
 const REAP: Duration = Duration::from_secs(1);
+/// Time between two looks whether the table answers.
+const ENTER_LOOK: Duration = Duration::from_millis(50);
+/// Time for the list at the end.
+const LEAVE_WAIT: Duration = Duration::from_millis(300);
 /// Time between two tries to be listed.
 const ENTER_AGAIN: Duration = Duration::from_millis(800);
 
@@ -101,11 +105,6 @@
         roster,
         ready,
     } = ports;
-    let tell_ready = |is: bool| {
-        if let Some(ready) = &ready {
-            ready.send_replace(is);
-        }
-    };
     let context = Rc::new(Context {
         metrics: Metrics::default(),
         clock,
@@ -122,7 +121,7 @@
         idle: Cell::new(0),
         owned: watch::channel(HashMap::new()).0,
         callers: Cell::new(0),
-        left: Cell::new(None),
+        away: watch::channel(None).0,
         settings,
         log,
     });
@@ -157,18 +156,19 @@
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     }
     events::emit(log, &events::READY, &[("box", name)]);
-    tell_ready(true);
+    if let Some(ready) = ready {
+        tokio::task::spawn_local(tell_ready(context.clone(), ready));
+    }
     let serving = {
         let (context, owner) = (context.clone(), owner.clone());
         tokio::task::spawn_local(async move { entry.serve(context, owner, callers).await })
     };
     let _ = stop.wait_for(|stop| *stop).await;
-    tell_ready(false);
-    context.left.set(Some(context.now()));
+    context.away.send_replace(Some(context.now()));
     let _ = leaving_tx.send(true);
-    tokio::task::spawn_local(leave(context.clone()));
     events::emit(log, &events::DRAINING, &[("box", name)]);
     drain(&context, &owner).await;
+    leave(context.clone()).await;
     serving.abort();
     for task in background {
         task.abort();
@@ -196,6 +196,17 @@
     let _ = api::serve(api, listener).await;
 }
 
+/// Says that the box takes callers, except while they are better served elsewhere.
+async fn tell_ready(context: Rc<Context>, ready: watch::Sender<bool>) {
+    let mut away = context.away.subscribe();
+    loop {
+        ready.send_replace(away.borrow_and_update().is_none());
+        if away.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Puts this box on the list, where boxes list themselves, until it is there.
 async fn enter(context: Rc<Context>) {
     let listing = Listing {
@@ -204,6 +215,10 @@
         domain: context.settings.domain.clone(),
         leaving: false,
     };
+    // The list as it stood before this start tells whether others know this box.
+    while context.table.head().await.is_err() {
+        tokio::time::sleep(ENTER_LOOK).await;
+    }
     while let Err(error) = context.roster.enter(&listing).await {
         events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
         tokio::time::sleep(ENTER_AGAIN).await;
@@ -211,8 +226,13 @@
 }
 
 async fn leave(context: Rc<Context>) {
-    if let Err(error) = context.roster.leave(&context.settings.name).await {
-        events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
+    let left = context.roster.leave(&context.settings.name);
+    match tokio::time::timeout(LEAVE_WAIT, left).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => {
+            events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
+        }
+        Err(late) => events::emit(&context.log, &events::NOT_LISTED, &[("error", &late)]),
     }
 }
 
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use super::exchange::{Effect, Exchange, Failure, Reply};
+use super::exchange::{Effect, Exchange, Failure, Flow, Reply};
 use super::session::Session;
 use crate::borders::upstream::{Begin, Setup};
 use crate::decisions::floors::Scope;
@@ -18,6 +18,9 @@
 /// Part of a statement's time kept for the way back to its caller.
 const WAY_BACK: Duration = Duration::from_millis(40);
 
+/// Priorities from here on weigh the same; each one before weighs twice as much.
+const LAST_PRIORITY: u64 = 4;
+
 /// What a statement is meant to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Intent {
@@ -53,6 +56,7 @@
             floor: self.floor(work.database, &scope),
             patience: time,
             limit: Some(time),
+            flow: Some(flow(work.database)),
             aim: Some(Duration::from_millis(work.database.target_ms)),
             lease: self.lease(),
             setup: work.setup,
@@ -72,6 +76,15 @@
     }
 }
 
+/// Databases of one group share its members by priority.
+fn flow(database: &Database) -> Flow {
+    let last = LAST_PRIORITY.min(database.priority);
+    Flow {
+        name: database.name.clone(),
+        weight: 1 << (LAST_PRIORITY - last),
+    }
+}
+
 fn target(database: &Database, intent: &Intent) -> Target {
     let reads = match intent.transaction {
         // It may come to write, so it runs on the primary from the start.
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -13,7 +13,7 @@
 use super::failure::{self, code};
 use super::line::{Channel, LineError};
 use super::words::{Mode, Statement, position_text, word};
-use crate::borders::upstream::{Begin, Prepared, Setup, Status, Values};
+use crate::borders::upstream::{Begin, Opening, Prepared, Setup, Status, Values};
 use crate::decisions::position::Position;
 use crate::declarations::resource::Database;
 use crate::events;
@@ -26,8 +26,8 @@
 
 /// Time in which a caller must have said which database it wants.
 const HELLO_WAIT: Duration = Duration::from_secs(10);
-/// A leaving box closes idle sessions after this time: by then the balancer sends
-/// no new ones here, so that they come back elsewhere.
+/// A box that leaves, or is cut off, closes idle sessions after this time: by then the
+/// balancer sends no new ones here, so that they come back elsewhere.
 const LEAVE_IDLE: Duration = Duration::from_millis(2_300);
 
 /// Takes callers that speak lines.
@@ -112,8 +112,8 @@
 struct Open {
     database: Arc<Database>,
     begin: Begin,
-    /// No member knows of it yet.
-    unsent: bool,
+    /// What no member has been told yet.
+    unsent: Option<Opening>,
     wrote: bool,
 }
 
@@ -159,7 +159,7 @@
 
     async fn run(&mut self) -> Result<(), LineError> {
         loop {
-            let left = self.context.left_for(LEAVE_IDLE);
+            let left = self.context.away_for(LEAVE_IDLE);
             let idle = self.open.is_none();
             let line = tokio::select! {
                 biased;
@@ -222,7 +222,7 @@
             return Ok(self.in_failed(statement));
         }
         let outcome = match statement {
-            Statement::Begin { read_only } => self.begin(read_only),
+            Statement::Begin { read_only } => self.begin(id, read_only),
             Statement::Commit => return self.commit(id, text).await,
             Statement::Rollback => self.roll_back(),
             Statement::Set { name, value } => {
@@ -269,7 +269,7 @@
     }
 
     /// Opens a transaction. No connection is taken before its first statement.
-    fn begin(&mut self, read_only: bool) -> Outcome {
+    fn begin(&mut self, id: &str, read_only: bool) -> Outcome {
         if self.open.is_some() {
             return Outcome::malformed("a transaction is open already");
         }
@@ -283,7 +283,10 @@
         self.open = Some(Open {
             database,
             begin,
-            unsent: true,
+            unsent: Some(Opening {
+                begin,
+                id: id.into(),
+            }),
             wrote: false,
         });
         Outcome::Done
@@ -353,7 +356,7 @@
             return Ok(no_database());
         };
         let begin = self.open.as_ref().map(|open| open.begin);
-        let unsent = self.open.as_ref().is_some_and(|open| open.unsent);
+        let opening = self.open.as_ref().and_then(|open| open.unsent.clone());
         let work = Work {
             database: &database,
             intent: Intent {
@@ -365,7 +368,7 @@
             setup: Setup {
                 values: self.values.clone(),
                 prepared,
-                begin: begin.filter(|_| unsent),
+                opening,
             },
             payload: Bytes::from(format!("{id} {text}")),
         };
@@ -388,7 +391,7 @@
         let Some(open) = &mut self.open else {
             return outcome;
         };
-        open.unsent = false;
+        open.unsent = None;
         open.wrote |= effect == Effect::Writes;
         let error = matches!(outcome, Outcome::Error(..));
         if commits {
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -154,8 +154,12 @@
         self.ask("STATUS").await
     }
 
-    async fn fence(&self, term: u64) -> Result<Status, MemberError> {
+    async fn fence(&self, term: u64, replaced: u64) -> Result<Status, MemberError> {
         let known = self.status().await?;
+        if known.log.term > replaced {
+            let promised = known.promised;
+            return Err(MemberError::Fenced { promised });
+        }
         let text = match known.role {
             Role::Primary => format!("STEPDOWN {term}"),
             Role::Replica => format!("PAUSE {term}"),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -26,11 +26,11 @@
             ..Replace::default()
         },
         detect: Detect {
-            period: Duration::from_millis(400),
+            period: Duration::from_millis(800),
             interval: Duration::from_millis(150),
             tries: 3,
         },
-        relaxed: 8,
+        relaxed: 4,
         leave_grace: Duration::from_millis(100),
         leave_most: Duration::from_millis(4_500),
         probe_gap: Duration::from_millis(20),
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -424,6 +424,9 @@
     }
 
     async fn enter(&self, listing: &Listing) -> Result<(), TableError> {
+        if self.cache.borrow().boxes.get(&listing.name) == Some(listing) {
+            return Ok(());
+        }
         let value = serde_json::to_vec(listing).expect("a listing is plain data");
         self.list(&listing.name, Some(value)).await
     }
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -138,10 +138,16 @@
             Step::Reset => "RESET".to_owned(),
             Step::Set { name, value } => format!("SET {name} {value}"),
             Step::Prepare(prepared) => format!("PREPARE {} {}", prepared.name, prepared.text),
-            Step::Begin(Begin::ReadWrite) => format!("{floor}BEGIN"),
-            Step::Begin(Begin::ReadOnly) => format!("{floor}BEGIN READ"),
+            Step::Open(opening) => match opening.begin {
+                Begin::ReadWrite => format!("{floor}BEGIN"),
+                Begin::ReadOnly => format!("{floor}BEGIN READ"),
+            },
         };
-        self.send(OWN, &text).await?;
+        let id = match step {
+            Step::Open(opening) => &*opening.id,
+            _ => OWN,
+        };
+        self.send(id, &text).await?;
         let reply = self.answer().await?;
         if reply.error.is_some() {
             return Ok(Some(reply));
@@ -180,7 +186,7 @@
                 if let Some(refused) = self.prepare(&step, &floor).await? {
                     return Ok(self.typed(refused));
                 }
-                begun |= matches!(step, Step::Begin(_));
+                begun |= matches!(step, Step::Open(_));
             }
         }
         let payload = std::str::from_utf8(task.payload)
--- a/src/postgres/session.rs
+++ b/src/postgres/session.rs
@@ -418,6 +418,7 @@
             floor: self.core.floors.of(&scope),
             patience: Duration::from_millis(plan.group.deadline_ms),
             limit: None,
+            flow: None,
             aim: None,
             trace: "".into(),
             lease: self.core.lease(),
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -158,7 +158,7 @@
         self.status_of(&Request::Status).await
     }
 
-    async fn fence(&self, term: u64) -> Result<Status, MemberError> {
+    async fn fence(&self, term: u64, _: u64) -> Result<Status, MemberError> {
         self.status_of(&Request::Fence { term }).await
     }
 
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -548,7 +548,7 @@
                 self.call(owner, member, Call::Follow(term, primary));
             }
             // Its members keep their fences.
-            Action::Release { .. } | Action::Claim => {}
+            Action::Release { .. } | Action::Claim | Action::Revoke { .. } => {}
             Action::Ask => self.ask(owner),
             Action::Record { .. } => self.counts.replacements += 1,
             Action::Note(_) => {}
