fix: a change is fetched although another source was read further

Cause: the sources of the store become known in any order, but the keeper fetched only when the newest version had grown: a manifest read after the members at a later version was never put in force. Stand-ins for the store and for members that speak lines, with tests over real processes.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -394,6 +394,9 @@
     }
 
     fn note_members(&mut self) {
+        let lasts = self.settings.replace.fences_end;
+        let alone = self.plan.group.durability == Durability::Primary;
+        self.replace.set_prefer_staying(lasts && alone);
         let leaving = self.present().filter(|i| self.members[*i].spec.leaving);
         self.replace
             .set_members(self.present().collect(), leaving.collect());
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -43,6 +43,9 @@
     pub catch_up: Duration,
     /// A promotion ends all fences, and a replica's fence may be taken back.
     pub fences_end: bool,
+    /// A member that stays is promoted rather than one that leaves, also where the
+    /// latter's log is greater: what only the primary is known to hold may be lost.
+    pub prefer_staying: bool,
     /// The duty of promoting is taken before members are fenced.
     pub claims: bool,
     /// Whose word makes a suspicion sure.
@@ -80,6 +83,7 @@
             lease: Duration::ZERO,
             catch_up: Duration::ZERO,
             fences_end: false,
+            prefer_staying: false,
             claims: false,
             corroboration: Corroboration::Unanimous,
         }
@@ -224,6 +228,11 @@
         }
     }
 
+    /// Whether a leaving member may be passed over although its log is greater.
+    pub fn set_prefer_staying(&mut self, prefer: bool) {
+        self.settings.prefer_staying = prefer;
+    }
+
     /// Names the members there are, and those of them that are declared to leave.
     pub fn set_members(&mut self, members: BTreeSet<usize>, leaving: BTreeSet<usize>) {
         self.members = members;
@@ -698,7 +707,12 @@
         let term = *term;
         let mut avoid = self.avoid.clone();
         avoid.extend(self.primary);
-        let winner = winner(granted, &avoid, self.majority());
+        let stays = |member: &usize| !avoid.contains(member);
+        let majority = match self.settings.prefer_staying && granted.keys().any(stays) {
+            true => 1,
+            false => self.majority(),
+        };
+        let winner = winner(granted, &avoid, majority);
         self.phase = Phase::Promoting {
             term,
             winner,
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,6 +1,7 @@
 //! Numbered log events. `docs/EVENTS.md` is their catalogue; a test compares both.
 
 use std::fmt::Display;
+use std::io::{self, Write};
 
 use slog::{Drain, KV, Level, Logger, Record, Serializer, o};
 
@@ -87,7 +88,34 @@
     None,
 }
 
-/// The process's logger, writing to standard error.
+/// Lines that may wait for a slow reader; more are dropped and counted.
+const MOST_WAITING: usize = 2_048;
+
+/// Keeps a line together until it is whole: the serializer writes it in pieces, and a
+/// reader must never see two lines mixed.
+struct WholeLines<W: Write> {
+    line: Vec<u8>,
+    out: W,
+}
+
+impl<W: Write> Write for WholeLines<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if bytes.last() == Some(&b'\n') {
+            self.out.write_all(&self.line)?;
+            self.line.clear();
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.out.flush()
+    }
+}
+
+/// The process's logger. JSON goes to standard output through a bounded queue: what a
+/// slow reader does not take is dropped, and a line says how much. Text for a person
+/// goes to standard error.
 pub fn logger(format: Format) -> Logger {
     match format {
         Format::None => Logger::root(slog::Discard, o!()),
@@ -97,8 +125,16 @@
             Logger::root(drain, o!())
         }
         Format::Json => {
-            let drain = slog_json::Json::default(std::io::stderr());
-            let drain = std::sync::Mutex::new(drain).fuse();
+            let lines = WholeLines {
+                line: Vec::new(),
+                out: io::stdout(),
+            };
+            let drain = slog_json::Json::default(lines).fuse();
+            let drain = slog_async::Async::new(drain)
+                .chan_size(MOST_WAITING)
+                .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+                .build()
+                .fuse();
             Logger::root(drain, o!())
         }
     }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -280,7 +280,9 @@
         match self.context.table.head().await {
             Ok(head) => {
                 self.note_table(true);
-                if head > self.store.revision() {
+                // Without an order a row may be new although the head is not.
+                let ordered = self.context.table.is_ordered();
+                if head > self.store.revision() || !ordered {
                     self.fetch().await;
                 }
                 self.read_boxes().await;
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -45,6 +45,9 @@
     name: Arc<str>,
     /// Connections that a member takes from all boxes together.
     max_connections: Option<u64>,
+    /// Replicas that hold a write before its member answers it.
+    #[serde(default)]
+    sync_replicas: u64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -75,8 +78,11 @@
         let fields = json!({
             "partner": PARTNER,
             "name": service.name,
-            // A member answers a write when as many hold it as its service asks for.
-            "durability": "primary",
+            // Where no replica needs to hold a write, a replacement may lose it.
+            "durability": match holds_alone(service) {
+                true => "primary",
+                false => "majority",
+            },
             "connections": service.max_connections,
             "owners": boxes,
             "idle_ms": self.limits.tx_idle_ms,
@@ -85,6 +91,11 @@
     }
 }
 
+/// Whether a write is acknowledged when the primary alone holds it.
+fn holds_alone(service: &Service) -> bool {
+    service.sync_replicas == 0
+}
+
 fn database(route: &Route) -> Option<(Key, Value)> {
     let name = route.hostname.clone()?;
     let fields = json!({
--- /dev/null
+++ b/tests/platform/boxes.rs
@@ -0,0 +1,148 @@
+//! Boxes as real processes.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Where a box listens, and what it is told.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub name: String,
+    pub zone: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+    pub store: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// An IP number that no other box of any test has.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let process = std::process::id();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let nets = (process % 200) as u8;
+    Ipv4Addr::new(
+        127,
+        30 + nets,
+        (number / 250) as u8,
+        (number % 250) as u8 + 1,
+    )
+}
+
+impl Place {
+    pub fn new(name: &str, zone: &str, store: SocketAddr) -> Self {
+        let own_ip = own_ip();
+        let at = |port: u16| SocketAddr::from((own_ip, port));
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            front: at(5432),
+            ready: at(8080),
+            control: at(8432),
+            store,
+            seeds: Vec::new(),
+        }
+    }
+
+    /// The settings file's text, with fields that nobody knows.
+    pub fn file(&self) -> String {
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|s| format!("  - \"{s}\"\n"))
+            .collect();
+        let seeds = match seeds.is_empty() {
+            true => " []\n".to_owned(),
+            false => format!("\n{}", seeds.concat()),
+        };
+        format!(
+            "node_name: \"{}\"\nip: \"{}\"\nzone: \"{}\"\nlisten_addrs:\n  front: \"{}\"\n  ready: \"{}\"\n  control: \"{}\"\ninternal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}limits:\n  max_fds: 1000\n  new_limit: 3\nbounds:\n  grace_s: 4\nplatform:\n  address: \"{}\"\ncloud_api:\n  address: \"{}\"\nnew_field: [1, 2]\n",
+            self.name,
+            self.front.ip(),
+            self.zone,
+            self.front,
+            self.ready,
+            self.control,
+            self.store,
+            self.store
+        )
+    }
+}
+
+/// A running box; killed when dropped.
+pub struct Box_ {
+    pub place: Place,
+    child: Child,
+    file: PathBuf,
+}
+
+impl Box_ {
+    pub fn start(place: Place) -> Self {
+        let folder = std::env::temp_dir();
+        let file = folder.join(format!(
+            "larkfall-{}-{}.yaml",
+            std::process::id(),
+            place.front
+        ));
+        std::fs::write(&file, place.file()).expect("a settings file can be written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_larkfall"));
+        command.arg("serve").env("LARKFALL_NODE_FILE", &file);
+        let child = command.stdout(Stdio::null()).spawn().expect("a box starts");
+        Self { place, child, file }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("the box runs");
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        status_of(self.place.ready, "/v1/readyz").await == Some(200)
+    }
+
+    pub async fn wait_ready(&self) {
+        while !self.is_ready().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// The box's own state, as JSON text.
+    pub async fn dump(&self) -> String {
+        get(self.place.control, "/dump").await.unwrap_or_default()
+    }
+}
+
+impl Drop for Box_ {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: box\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.ok()?;
+    Some(text)
+}
+
+async fn status_of(address: SocketAddr, path: &str) -> Option<u16> {
+    let text = get(address, path).await?;
+    text.split(' ').nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/tests/platform/hostile.rs
@@ -0,0 +1,150 @@
+//! Bad input, from callers, the store, the settings and members: nothing is lost, and
+//! no box ends.
+
+use std::process::Command;
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use super::boxes::Place;
+use super::client::Client;
+use super::member::{self, Switch};
+use super::world::{STRICT, World};
+
+async fn still_serves(world: &mut World) {
+    let mut client = world.client(0, STRICT, "after").await;
+    let answer = client.run("READ farm").await.unwrap();
+    expect_that!(answer.error, none());
+    expect_that!(world.boxes[0].is_running(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn callers_that_break_the_protocol_are_told_and_harm_nobody() {
+    let mut world = World::start(1).await;
+    let front = world.boxes[0].place.front;
+    let mut early = Client::raw(front, "a").await.unwrap();
+    early.send("QUERY 1 READ farm").await.unwrap();
+    expect_that!(early.line().await.unwrap(), starts_with("ERROR MALFORMED"));
+    let mut unknown = world.client(0, STRICT, "b").await;
+    unknown.send("DANCE now").await.unwrap();
+    expect_that!(
+        unknown.line().await.unwrap(),
+        starts_with("ERROR MALFORMED")
+    );
+    let mut missing = world.client(0, STRICT, "c").await;
+    for text in [
+        "READ",
+        "PREPARE p",
+        "PREPARE p SING q",
+        "EXECUTE",
+        "COMMIT now",
+        "",
+        "SET",
+    ] {
+        let answer = missing.run(text).await.unwrap();
+        expect_that!(answer.error, some(eq("MALFORMED")));
+        expect_that!(answer.state, eq("I"));
+    }
+    for text in ["COMMIT", "ROLLBACK"] {
+        expect_that!(
+            missing.run(text).await.unwrap().error,
+            some(eq("MALFORMED"))
+        );
+    }
+    let mut long = world.client(0, STRICT, "d").await;
+    let sent = long.send(&"x".repeat(3 * 1024 * 1024)).await;
+    // The box may hang up before all of it is sent.
+    let told = match sent {
+        Ok(()) => long.line().await,
+        Err(error) => Err(error),
+    };
+    if let Ok(line) = told {
+        expect_that!(line, starts_with("ERROR MALFORMED"));
+    }
+    let mut half = Client::raw(front, "e").await.unwrap();
+    half.send("CONNECT").await.unwrap();
+    expect_that!(half.line().await.unwrap(), starts_with("ERROR MALFORMED"));
+    still_serves(&mut world).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn pipelined_statements_are_answered_in_order() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    let texts = ["WRITE farm 1", "READ farm", "WRITE farm 2", "READ farm"];
+    for (i, text) in texts.iter().enumerate() {
+        // Ids that are used again change nothing.
+        client
+            .send(&format!("QUERY same-{} {text}", i % 2))
+            .await
+            .unwrap();
+    }
+    let mut rows = Vec::new();
+    for _ in texts {
+        rows.extend(client.answer().await.unwrap().rows);
+    }
+    expect_that!(rows, elements_are![eq("1 []"), eq("2 []")]);
+}
+
+#[gtest]
+#[tokio::test]
+async fn rows_of_the_store_that_make_no_sense_change_nothing() {
+    let mut world = World::start(1).await;
+    world
+        .store
+        .put_raw("op", "config", Some("not base64!".to_owned()));
+    world
+        .store
+        .put_raw("servers", "i-7", Some("bm9uc2Vuc2U=".to_owned()));
+    world.store.put("servers", "i-8", &json!({"backend": 5}));
+    world.store.put("op", "config", &json!(["no", "manifest"]));
+    world
+        .store
+        .put_raw("larkfall", "box/x", Some("eyJ4IjoxfQ==".to_owned()));
+    still_serves(&mut world).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_member_that_answers_for_another_id_gets_no_statement() {
+    let mut world = World::start(1).await;
+    let switch = Switch::default();
+    let address = member::start(world.group.clone(), "i-other", 12, switch.clone()).await;
+    let entry = json!({
+        "backend": "db1", "address": address.to_string(), "zone": "zone-0", "state": "ready",
+    });
+    world.store.put("servers", "i-9", &entry);
+    for _ in 0..20 {
+        still_serves(&mut world).await;
+    }
+    let asked = switch.asked.lock().expect("no panic under the lock");
+    expect_that!(*asked, is_empty());
+}
+
+#[gtest]
+fn settings_with_mistakes_are_refused_with_their_place() {
+    let place = Place::new("box", "zone-0", "127.0.0.1:1".parse().expect("an address"));
+    let text = place.file();
+    let cases = [
+        (text.replace("node_name", "other_name"), "node_name"),
+        (text.replace("grace_s: 4", "grace_s: soon"), "grace_s"),
+        (text.replace("ip: \"127.", "ip: \"here."), "ip"),
+        ("{ not yaml".to_owned(), "settings"),
+    ];
+    for (i, (text, _)) in cases.iter().enumerate() {
+        let file = std::env::temp_dir().join(format!("larkfall-bad-{}-{i}", std::process::id()));
+        std::fs::write(&file, text).expect("a file can be written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_larkfall"));
+        let command = command.arg("serve").env("LARKFALL_NODE_FILE", &file);
+        let output = command.output().expect("the program runs");
+        std::fs::remove_file(&file).expect("the file is there");
+        expect_that!(output.status.code(), some(eq(2)));
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(told, contains_substring("larkfall-bad-"));
+    }
+    let mut none = Command::new(env!("CARGO_BIN_EXE_larkfall"));
+    let output = none.arg("serve").env_remove("LARKFALL_NODE_FILE").output();
+    expect_that!(output.expect("the program runs").status.code(), some(eq(2)));
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,14 @@
+//! Tests of boxes on the users' platform: real processes in front of small stand-ins
+//! for the platform's store and for members that speak lines.
+
+mod boxes;
+mod client;
+mod group;
+mod member;
+mod store;
+mod world;
+
+mod hostile;
+mod replacement;
+mod restarts;
+mod sessions;
--- /dev/null
+++ b/tests/platform/replacement.rs
@@ -0,0 +1,132 @@
+//! Primaries that fail, leave or are cut off.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::store::Fault;
+use super::world::{OWN, STRICT, World};
+
+#[gtest]
+#[tokio::test]
+async fn a_crashed_primary_is_replaced_once_and_all_replicas_receive_again() {
+    let world = World::start(3).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm before").await.unwrap();
+    world.crash("i-0");
+    let codes = world
+        .write_until_done(&mut client, "WRITE farm after")
+        .await;
+    for code in &codes {
+        expect_that!(code, any![eq("RETRY"), eq("UNKNOWN"), eq("OVERLOAD")]);
+    }
+    let primary = world.group.primary();
+    expect_that!(primary, not(eq("i-0")));
+    let log = world.group.log(&primary);
+    expect_that!(log[0].data, eq("before"));
+    let orders = world.store.orders();
+    let generations: BTreeSet<u64> = orders.iter().map(|order| order.generation).collect();
+    let holders: BTreeSet<&str> = orders.iter().map(|order| &*order.holder).collect();
+    expect_that!(generations.len(), eq(1));
+    expect_that!(holders.len(), eq(1));
+    // The fence of a promotion's loser is taken back.
+    while !world.group.held().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_old_primary_that_lives_on_acknowledges_nothing_more() {
+    let world = World::start(3).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm 0").await.unwrap();
+    world.switch("i-0").frozen.store(true, Ordering::SeqCst);
+    world.write_until_done(&mut client, "WRITE farm 1").await;
+    expect_that!(world.group.primary(), not(eq("i-0")));
+    world.switch("i-0").frozen.store(false, Ordering::SeqCst);
+    // It wakes as the primary of the old term; no box takes its word.
+    let mut other = world.client(1, STRICT, "b").await;
+    for round in 2..30 {
+        let answer = other.run(&format!("WRITE farm {round}")).await.unwrap();
+        if answer.error.is_none() {
+            let primary = world.group.primary();
+            let ids: Vec<String> = world
+                .group
+                .log(&primary)
+                .iter()
+                .map(|e| e.id.clone())
+                .collect();
+            expect_that!(ids, contains(eq(&other.last())));
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_primary_is_replaced_while_the_store_is_away() {
+    let world = World::start(3).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm before").await.unwrap();
+    world.store.set_fault(Fault::Busy);
+    world.crash("i-0");
+    world
+        .write_until_done(&mut client, "WRITE farm after")
+        .await;
+    let orders = world.store.orders();
+    let used: BTreeSet<(u64, &str)> = orders.iter().map(|o| (o.generation, &*o.holder)).collect();
+    let generations: BTreeSet<u64> = used.iter().map(|(generation, _)| *generation).collect();
+    // No two boxes ever use one number.
+    expect_that!(generations.len(), eq(used.len()));
+    world.store.set_fault(Fault::None);
+    let primary = world.group.primary();
+    world.crash(&primary);
+    // One member is left of three: no majority may acknowledge.
+    let answer = client.run("WRITE farm alone").await.unwrap();
+    expect_that!(answer.error, some(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_leaving_primary_hands_over_what_it_acknowledged() {
+    let world = World::start(2).await;
+    let mut client = world.client(0, OWN, "a").await;
+    for round in 0..10 {
+        client.run(&format!("WRITE farm {round}")).await.unwrap();
+    }
+    world.drain("i-0");
+    let mut acknowledged = Vec::new();
+    while world.group.primary() == "i-0" {
+        let answer = client.run("WRITE farm more").await.unwrap();
+        if answer.error.is_none() {
+            acknowledged.push(client.last());
+        }
+    }
+    world.write_until_done(&mut client, "WRITE farm last").await;
+    let log = world.group.log(&world.group.primary());
+    let ids: BTreeSet<String> = log.iter().map(|entry| entry.id.clone()).collect();
+    for id in &acknowledged {
+        expect_that!(ids, contains(eq(id)));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_member_that_goes_and_another_that_comes_keep_the_group_serving() {
+    let world = World::start(2).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm before").await.unwrap();
+    // An entry that lapses while its member lives comes back.
+    world.store.put_raw("servers", "i-2", None);
+    for _ in 0..20 {
+        let answer = client.run("READ farm").await.unwrap();
+        expect_that!(answer.error, none());
+    }
+    world.drain("i-2");
+    for round in 0..20 {
+        let answer = client.run(&format!("WRITE farm {round}")).await.unwrap();
+        expect_that!(answer.error, none());
+    }
+}
--- /dev/null
+++ b/tests/platform/restarts.rs
@@ -0,0 +1,111 @@
+//! Boxes that start, stop and reload; stores that are away.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use nix::sys::signal::Signal;
+
+use super::boxes::{Box_, Place};
+use super::store::Fault;
+use super::world::{STRICT, World, manifest};
+
+#[gtest]
+#[tokio::test]
+async fn a_reload_signal_ends_nothing() {
+    let mut world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    for _ in 0..3 {
+        world.boxes[0].signal(Signal::SIGHUP);
+        let answer = client.run("READ farm").await.unwrap();
+        expect_that!(answer.error, none());
+    }
+    expect_that!(world.boxes[0].is_running(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stop_lets_open_transactions_end_and_takes_callers_until_they_are_sent_elsewhere() {
+    let mut world = World::start(2).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    for text in ["BEGIN", "WRITE farm kept"] {
+        client.run(text).await.unwrap();
+    }
+    let mut idle = world.client(0, STRICT, "b").await;
+    world.boxes[0].signal(Signal::SIGTERM);
+    while world.boxes[0].is_ready().await {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The balancer may still send somebody.
+    let mut late = world.client(0, STRICT, "c").await;
+    expect_that!(late.run("READ farm").await.unwrap().error, none());
+    let done = client.run("COMMIT").await.unwrap();
+    expect_that!(done.digest, some(eq("commit.i-0")));
+    expect_that!(idle.line().await.err(), some(eq("closed")));
+    while world.boxes[0].is_running() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_box_that_starts_while_the_store_is_away_learns_from_its_peers() {
+    let mut world = World::start(2).await;
+    world.store.set_fault(Fault::Busy);
+    let mut place = Place::new("box-9", "zone-0", world.store_address);
+    place.seeds = vec![world.boxes[0].place.control];
+    world.boxes.push(Box_::start(place));
+    world.boxes[2].wait_ready().await;
+    let mut client = world.client(2, STRICT, "a").await;
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error.is_none() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_forgotten_history_and_lost_answers_of_the_store_lose_no_change() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    world.store.forget_history();
+    world.store.set_fault(Fault::Silent);
+    let mut next = manifest(20, 3_000);
+    let routes = next["routes"].as_array_mut().expect("routes");
+    routes.retain(|route| route["hostname"] != STRICT);
+    world.store.put("op", "config", &next);
+    expect_that!(client.run("READ farm").await.unwrap().error, none());
+    world.store.set_fault(Fault::None);
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error == Some("NODB".to_owned()) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn all_boxes_killed_at_once_come_back_and_serve() {
+    let mut world = World::start(3).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm kept").await.unwrap();
+    let places: Vec<Place> = world.boxes.iter().map(|b| b.place.clone()).collect();
+    world.boxes.clear();
+    world.boxes = places.into_iter().map(Box_::start).collect();
+    for started in &world.boxes {
+        started.wait_ready().await;
+    }
+    let mut client = world.client(1, STRICT, "b").await;
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error.is_none() {
+            expect_that!(answer.rows, elements_are![eq("kept []")]);
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/platform/sessions.rs
@@ -0,0 +1,235 @@
+//! Whole sessions: reads, writes, transactions, values, prepared names.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::client::Client;
+use super::world::{BOUNDED, OWN, STRICT, World, manifest};
+
+#[gtest]
+#[tokio::test]
+async fn a_statement_goes_to_a_member_and_its_answer_back_unchanged() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    let wrote = client.run("WRITE farm two  blanks").await.unwrap();
+    expect_that!(wrote.digest, some(eq("write.i-0")));
+    expect_that!(wrote.state, eq("I"));
+    let read = client.run("READ farm").await.unwrap();
+    expect_that!(read.rows, elements_are![eq("two  blanks []")]);
+    expect_that!(world.group.log("i-0")[0].id, eq("a-1"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_database_that_is_not_there_is_refused_by_name() {
+    let world = World::start(1).await;
+    let front = world.boxes[0].place.front;
+    let refused = Client::connect(front, "nowhere", "a").await;
+    expect_that!(refused.err(), some(starts_with("ERROR NODB")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_session_reads_its_own_writes_and_others_may_read_from_replicas() {
+    let world = World::start(2).await;
+    for (_, _, switch) in &world.members {
+        switch.lag_ms.store(150, Ordering::SeqCst);
+    }
+    let mut client = world.client(0, OWN, "a").await;
+    for round in 0..20 {
+        client.run(&format!("WRITE farm {round}")).await.unwrap();
+        let read = client.run("READ farm").await.unwrap();
+        expect_that!(read.rows, elements_are![eq(&format!("{round} []"))]);
+    }
+    let mut panel = world.client(1, BOUNDED, "b").await;
+    let reads = || -> u64 {
+        let replicas = world.members[1..].iter();
+        replicas
+            .map(|(_, _, s)| s.reads.load(Ordering::SeqCst))
+            .sum()
+    };
+    let before = reads();
+    while reads() == before {
+        panel.run("READ farm").await.unwrap();
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn transactions_stay_on_one_connection_and_roll_back_whole() {
+    let world = World::start(1).await;
+    let mut first = world.client(0, STRICT, "a").await;
+    let mut second = world.client(0, STRICT, "b").await;
+    for text in ["BEGIN", "WRITE farm mine"] {
+        expect_that!(first.run(text).await.unwrap().state, eq("T"));
+    }
+    let seen = second.run("READ farm").await.unwrap();
+    expect_that!(seen.rows, elements_are![eq("none []")]);
+    expect_that!(
+        first.run("READ farm").await.unwrap().rows,
+        elements_are![eq("mine []")]
+    );
+    expect_that!(first.run("ROLLBACK").await.unwrap().state, eq("I"));
+    expect_that!(
+        second.run("READ farm").await.unwrap().rows,
+        elements_are![eq("none []")]
+    );
+    for text in ["BEGIN", "WRITE farm kept"] {
+        first.run(text).await.unwrap();
+    }
+    let done = first.run("COMMIT").await.unwrap();
+    expect_that!(done.digest, some(eq("commit.i-0")));
+    expect_that!(
+        second.run("READ farm").await.unwrap().rows,
+        elements_are![eq("kept []")]
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_empty_transaction_is_committed_by_a_member() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("BEGIN").await.unwrap();
+    let done = client.run("COMMIT").await.unwrap();
+    expect_that!(done.digest, some(eq("commit.i-0")));
+    expect_that!(done.state, eq("I"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn values_and_prepared_names_of_callers_never_mix() {
+    let world = World::start(1).await;
+    let mut first = world.client(0, STRICT, "a").await;
+    let mut second = world.client(0, STRICT, "b").await;
+    first.run("SET lang es").await.unwrap();
+    second.run("SET zone casa").await.unwrap();
+    first.run("PREPARE s1 WRITE q1").await.unwrap();
+    second.run("PREPARE s1 READ q2").await.unwrap();
+    for round in 0..5 {
+        let wrote = first
+            .run(&format!("EXECUTE s1 farm {round}"))
+            .await
+            .unwrap();
+        expect_that!(wrote.digest, some(eq("write.i-0")));
+        let read = second.run("EXECUTE s1 farm").await.unwrap();
+        expect_that!(
+            read.rows,
+            elements_are![eq(&format!("q1:{round} [zone=casa]"))]
+        );
+        let read = first.run("READ farm").await.unwrap();
+        expect_that!(
+            read.rows,
+            elements_are![eq(&format!("q1:{round} [lang=es]"))]
+        );
+    }
+    second.run("CLOSE s1").await.unwrap();
+    let gone = second.run("EXECUTE s1 farm").await.unwrap();
+    expect_that!(gone.error, some(eq("NOSTMT")));
+    let mut third = world.client(0, STRICT, "c").await;
+    let read = third.run("READ farm").await.unwrap();
+    expect_that!(read.rows, elements_are![eq("q1:4 []")]);
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_transaction_that_rests_too_long_is_aborted() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    for text in ["BEGIN", "WRITE farm lost"] {
+        client.run(text).await.unwrap();
+    }
+    // The member's connection is rolled back when the rest is over.
+    let rolled_back = || {
+        let asked = world.members[0]
+            .2
+            .asked
+            .lock()
+            .expect("no panic under the lock");
+        asked.iter().any(|text| text == "ROLLBACK")
+    };
+    while !rolled_back() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let late = client.run("WRITE farm more").await.unwrap();
+    expect_that!(late.error, some(eq("ABORTED")));
+    expect_that!(late.state, eq("E"));
+    let other = client.run("READ farm").await.unwrap();
+    expect_that!(other.error, some(eq("MALFORMED")));
+    expect_that!(
+        client.run("COMMIT").await.unwrap().error,
+        some(eq("ABORTED"))
+    );
+    expect_that!(
+        client.run("READ farm").await.unwrap().rows,
+        elements_are![eq("none []")]
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_of_a_write_is_unknown_and_of_a_read_is_repeated() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("WRITE farm before").await.unwrap();
+    let primary = world.switch("i-0");
+    primary.lose_answers.store(1, Ordering::SeqCst);
+    let write = client.run("WRITE farm after").await.unwrap();
+    expect_that!(write.error, some(eq("UNKNOWN")));
+    expect_that!(write.state, eq("I"));
+    let mut panel = world.client(0, BOUNDED, "b").await;
+    for (_, _, switch) in &world.members {
+        switch.break_rows.store(1, Ordering::SeqCst);
+    }
+    let read = panel.run("READ farm").await.unwrap();
+    expect_that!(read.error, none());
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_changed_manifest_is_in_force_and_a_removed_database_is_refused() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    let mut next = manifest(9, 3_000);
+    let routes = next["routes"].as_array_mut().expect("routes");
+    routes.retain(|route| route["hostname"] != STRICT);
+    routes[0]["hostname"] = "fresh".into();
+    world.store.put("op", "config", &next);
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error.is_some() {
+            expect_that!(answer.error, some(eq("NODB")));
+            break;
+        }
+    }
+    let front = world.boxes[0].place.front;
+    expect_that!(Client::connect(front, "fresh", "b").await.is_ok(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn members_never_see_more_connections_than_they_take() {
+    let world = World::start(3).await;
+    let mut tasks = Vec::new();
+    for i in 0..30 {
+        let mut client = world.client(i % 3, OWN, "many").await;
+        tasks.push(tokio::spawn(async move {
+            let mut served = 0;
+            for round in 0..10 {
+                let answer = client.run(&format!("WRITE farm {round}")).await;
+                served += usize::from(answer.is_ok_and(|answer| answer.error.is_none()));
+            }
+            served
+        }));
+    }
+    let mut served = 0;
+    for task in tasks {
+        served += task.await.expect("no panic");
+    }
+    expect_that!(served, gt(0));
+    for (_, _, switch) in &world.members {
+        expect_that!(switch.most.load(Ordering::SeqCst), le(12));
+    }
+}
--- /dev/null
+++ b/tests/platform/store.rs
@@ -0,0 +1,281 @@
+//! A stand-in for the platform's store and for the place that takes promotions.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use axum::extract::{Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use super::group::Group;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Answers 503.
+    Busy,
+    /// Answers nobody.
+    Silent,
+    /// Does what is asked and answers nothing.
+    LosesAnswers,
+}
+
+#[derive(Default)]
+struct Rows {
+    version: u64,
+    /// By table and key; none for a removed row.
+    rows: BTreeMap<(String, String), (u64, Option<String>)>,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    fault: Fault,
+}
+
+/// A promotion as it was ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub group: String,
+    pub member: String,
+    pub holder: String,
+    pub generation: u64,
+}
+
+/// The store and the promotions, shared with the test.
+#[derive(Clone, Default)]
+pub struct Store {
+    rows: Arc<Mutex<Rows>>,
+    changed: Arc<Notify>,
+    groups: Arc<Mutex<HashMap<String, Group>>>,
+    orders: Arc<Mutex<Vec<Order>>>,
+}
+
+impl Store {
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().expect("no panic under the lock")
+    }
+
+    /// Starts to serve; returns the address.
+    pub async fn start(&self) -> SocketAddr {
+        let router = Router::new()
+            .route("/v1/rows-get", get(read))
+            .route("/v1/rows-feed", get(feed))
+            .route("/v1/rows-tx", post(transact))
+            .route("/promote", post(promote))
+            .with_state(self.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        address
+    }
+
+    pub fn add_group(&self, group: Group) {
+        let mut groups = self.groups.lock().expect("no panic under the lock");
+        groups.insert(group.name.clone(), group);
+    }
+
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().expect("no panic under the lock").clone()
+    }
+
+    pub fn set_fault(&self, fault: Fault) {
+        self.rows().fault = fault;
+        self.changed.notify_waiters();
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_raw(table, key, Some(BASE64.encode(value.to_string())));
+    }
+
+    /// Puts a value that need be no base64, or removes the row.
+    pub fn put_raw(&self, table: &str, key: &str, value: Option<String>) {
+        let mut rows = self.rows();
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows
+            .insert((table.to_owned(), key.to_owned()), (version, value));
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all changes up to now.
+    pub fn forget_history(&self) {
+        let mut rows = self.rows();
+        rows.forgotten = rows.version;
+        rows.version += 1;
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits as long as the store is silent; an answer in its place where there is one.
+    async fn gate(&self) -> Option<Response> {
+        loop {
+            let changed = self.changed.notified();
+            match self.rows().fault {
+                Fault::Busy => return Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+                Fault::Silent => {}
+                Fault::None | Fault::LosesAnswers => return None,
+            }
+            changed.await;
+        }
+    }
+
+    async fn answer(&self, response: Response) -> Response {
+        loop {
+            let changed = self.changed.notified();
+            if self.rows().fault != Fault::LosesAnswers {
+                return response;
+            }
+            changed.await;
+        }
+    }
+}
+
+fn row(key: &str, (version, value): &(u64, Option<String>)) -> Value {
+    match value {
+        Some(value) => json!({"tls_key": key, "value": value, "schema_version": version}),
+        None => json!({"tls_key": key, "deleted": true, "schema_version": version}),
+    }
+}
+
+#[derive(Deserialize)]
+struct Asked {
+    table: String,
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn read(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
+    if let Some(refusal) = store.gate().await {
+        return refusal;
+    }
+    let rows = store.rows();
+    let found = rows.rows.iter();
+    let found = found.filter(|((table, _), (_, value))| *table == asked.table && value.is_some());
+    let found: Vec<Value> = found.map(|((_, key), known)| row(key, known)).collect();
+    Json(json!({"rows": found, "has_more": false, "schema_version": rows.version})).into_response()
+}
+
+async fn feed(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
+    let end = tokio::time::Instant::now() + Duration::from_millis(asked.wait_ms);
+    loop {
+        if let Some(refusal) = store.gate().await {
+            return refusal;
+        }
+        let changed = store.changed.notified();
+        let (found, version) = {
+            let rows = store.rows();
+            if asked.after < rows.forgotten {
+                return StatusCode::GONE.into_response();
+            }
+            let newer = rows.rows.iter().filter(|((table, _), (version, _))| {
+                *table == asked.table && *version > asked.after
+            });
+            let found: Vec<Value> = newer.map(|((_, key), known)| row(key, known)).collect();
+            (found, rows.version)
+        };
+        let late = tokio::time::Instant::now() >= end;
+        if !found.is_empty() || late {
+            return Json(json!({"rows": found, "schema_version": version})).into_response();
+        }
+        let _ = tokio::time::timeout_at(end, changed).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct Named {
+    table: String,
+    tls_key: String,
+    #[serde(default)]
+    value: Option<String>,
+    #[serde(default)]
+    schema_version: u64,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    expected_revision: Vec<Named>,
+    puts: Vec<Named>,
+    remove: Vec<Named>,
+}
+
+async fn transact(State(store): State<Store>, Json(asked): Json<Transaction>) -> Response {
+    if let Some(refusal) = store.gate().await {
+        return refusal;
+    }
+    let done = commit(&store, asked);
+    store.changed.notify_waiters();
+    store.answer(done).await
+}
+
+fn commit(store: &Store, asked: Transaction) -> Response {
+    let mut rows = store.rows();
+    let mut conflicts = Vec::new();
+    for named in &asked.expected_revision {
+        let key = (named.table.clone(), named.tls_key.clone());
+        let known = rows.rows.get(&key).filter(|(_, value)| value.is_some());
+        let found = known.map_or(0, |(version, _)| *version);
+        if found != named.schema_version {
+            conflicts.extend(known.map(|known| row(&named.tls_key, known)));
+            if known.is_none() {
+                conflicts.push(json!({"tls_key": named.tls_key, "deleted": true}));
+            }
+        }
+    }
+    if !conflicts.is_empty() {
+        let body = Json(json!({"rows": conflicts}));
+        return (StatusCode::PRECONDITION_FAILED, body).into_response();
+    }
+    rows.version += 1;
+    let version = rows.version;
+    for named in asked.puts.into_iter().chain(asked.remove) {
+        rows.rows
+            .insert((named.table, named.tls_key), (version, named.value));
+    }
+    Json(json!({"schema_version": version, "now_ms": 0})).into_response()
+}
+
+#[derive(Deserialize)]
+struct Promotion {
+    backend: String,
+    id: String,
+}
+
+async fn promote(
+    State(store): State<Store>,
+    headers: HeaderMap,
+    Json(asked): Json<Promotion>,
+) -> StatusCode {
+    let text = |name: &str| {
+        let value = headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let order = Order {
+        group: asked.backend.clone(),
+        member: asked.id.clone(),
+        holder: text("x-duty-holder"),
+        generation: text("x-fencing-token").parse().unwrap_or_default(),
+    };
+    store
+        .orders
+        .lock()
+        .expect("no panic under the lock")
+        .push(order);
+    let groups = store.groups.lock().expect("no panic under the lock");
+    match groups.get(&asked.backend) {
+        Some(group) if group.promote(&asked.id) => StatusCode::OK,
+        _ => StatusCode::CONFLICT,
+    }
+}
--- /dev/null
+++ b/tests/platform/world.rs
@@ -0,0 +1,154 @@
+//! A group of three members, a store, and some boxes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::boxes::{Box_, Place};
+use super::client::Client;
+use super::group::Group;
+use super::member::{self, Switch};
+use super::store::Store;
+
+/// Databases that callers name, by what their reads must see.
+pub const STRICT: &str = "sales.example";
+pub const OWN: &str = "plots";
+pub const BOUNDED: &str = "panel";
+
+const GROUP: &str = "db1";
+const CONNECTIONS: usize = 12;
+
+/// Everything around the boxes under test.
+pub struct World {
+    pub store: Store,
+    pub store_address: SocketAddr,
+    pub group: Group,
+    pub members: Vec<(String, SocketAddr, Switch)>,
+    pub boxes: Vec<Box_>,
+}
+
+pub fn manifest(version: u64, timeout_ms: u64) -> Value {
+    let route = |host: &str, kind: &str| {
+        json!({
+            "name": format!("r-{host}"), "hostname": host, "path_prefix": "/", "type": kind,
+            "timeout_ms": timeout_ms, "target_latency_ms": 250, "priority": 1,
+            "backend": GROUP, "max_attempts": 2, "max_staleness_ms": 2_500,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route(STRICT, "primary"), route(OWN, "own_writes"), route(BOUNDED, "bounded"),
+            {"name": "r-none", "path_prefix": "/", "type": "primary", "backend": GROUP}],
+        "services": [{"name": GROUP, "max_connections": CONNECTIONS, "sync_replicas": 0}],
+        "limits": {"tx_idle_ms": 1_500, "idle_timeout_ms": 15_000},
+    })
+}
+
+impl World {
+    /// Starts the stand-ins and `boxes` boxes, and waits until all are ready.
+    pub async fn start(boxes: usize) -> Self {
+        let mut world = Self::without_boxes().await;
+        for i in 0..boxes {
+            world.add_box(i);
+        }
+        for started in &world.boxes {
+            started.wait_ready().await;
+        }
+        world.wait_primary().await;
+        world
+    }
+
+    pub async fn without_boxes() -> Self {
+        let store = Store::default();
+        let store_address = store.start().await;
+        let ids: Vec<String> = (0..3).map(|i| format!("i-{i}")).collect();
+        let group = Group::new(GROUP, &ids);
+        store.add_group(group.clone());
+        store.put("op", "config", &manifest(3, 3_000));
+        let mut members = Vec::new();
+        for (i, id) in ids.iter().enumerate() {
+            let switch = Switch::default();
+            let address = member::start(group.clone(), id, CONNECTIONS, switch.clone()).await;
+            store.put("servers", id, &entry(i, address, "ready"));
+            members.push((id.clone(), address, switch));
+        }
+        let following = group.clone();
+        tokio::spawn(async move {
+            loop {
+                following.replicate();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        Self {
+            store,
+            store_address,
+            group,
+            members,
+            boxes: Vec::new(),
+        }
+    }
+
+    pub fn add_box(&mut self, i: usize) {
+        let zone = format!("zone-{}", i % 3);
+        let place = Place::new(&format!("box-{i}"), &zone, self.store_address);
+        self.boxes.push(Box_::start(place));
+    }
+
+    /// Waits until every box has seen the primary.
+    pub async fn wait_primary(&self) {
+        for started in &self.boxes {
+            while !started.dump().await.contains("\"primary\":\"") {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    pub async fn client(&self, i: usize, database: &str, name: &'static str) -> Client {
+        let front = self.boxes[i].place.front;
+        Client::connect(front, database, name)
+            .await
+            .expect("a ready box takes callers")
+    }
+
+    pub fn switch(&self, id: &str) -> &Switch {
+        let found = self.members.iter().find(|(known, _, _)| known == id);
+        &found.expect("a member").2
+    }
+
+    /// Ends a member as a crash does.
+    pub fn crash(&self, id: &str) {
+        self.group.set_up(id, false);
+        self.switch(id).crash();
+    }
+
+    /// Says that a member is leaving.
+    pub fn drain(&self, id: &str) {
+        let i = self.members.iter().position(|(known, _, _)| known == id);
+        let i = i.expect("a member");
+        let address = self.members[i].1;
+        self.store
+            .put("servers", id, &entry(i, address, "draining"));
+    }
+
+    /// Writes until it is acknowledged; the codes of what was not.
+    pub async fn write_until_done(&self, client: &mut Client, text: &str) -> Vec<String> {
+        let mut codes = Vec::new();
+        loop {
+            let answer = client.run(text).await.expect("the session goes on");
+            match answer.error {
+                None => return codes,
+                Some(code) => codes.push(code),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn entry(i: usize, address: SocketAddr, state: &str) -> Value {
+    json!({
+        "backend": GROUP, "address": address.to_string(), "zone": format!("zone-{i}"),
+        "version": "v1", "capacity": 3, "state": state, "cold_remaining_ms": 0,
+        "db_role": "replica", "sequence": 1,
+    })
+}
