fix: a leaving primary hands over also when only one member stays

Cause: the handover needed a majority besides the primary, which takes its own fence here; with another member leaving too it waited until neither could serve (unit test lease::who_stays_is_promoted_rather_than_who_leaves failed first). With it: unit tests of the lease, the ballot, members that change, setups, generations.

--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -45,7 +45,12 @@
             .members
             .iter()
             .filter(|m| !m.gone && !m.spec.leaving && !m.suspected);
-        if others.count() < self.replace.majority() {
+        // A primary that serves to the end takes the fence itself, and counts.
+        let needed = match self.settings.serve_leaving {
+            true => 1,
+            false => self.replace.majority(),
+        };
+        if others.count() < needed {
             // Nobody to hand over to: better a leaving primary than none.
             return false;
         }
--- /dev/null
+++ b/tests/unit/lease.rs
@@ -0,0 +1,482 @@
+//! The lease that stands for a fence which a primary does not take: decisions of one
+//! group with the settings of the users' platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use larkfall::borders::member::{Address, MemberError, Role, Status, Stream};
+use larkfall::decisions::confirm::Outcome;
+use larkfall::decisions::group::{Action, Event, Group, Reason, Request, Settings, Target, Via};
+use larkfall::decisions::position::Position;
+use larkfall::declarations::resource::{Durability, Group as Declared, Member};
+use larkfall::declarations::snapshot::Plan;
+use larkfall::platform::settings::decisions;
+
+use super::fake::ms;
+
+fn member(i: usize, leaving: bool) -> Member {
+    let address: Arc<str> = format!("127.0.0.1:{i}").into();
+    Member {
+        partner: "p".into(),
+        group: "g".into(),
+        name: format!("m{i}").into(),
+        address: Address {
+            sql: address.clone(),
+            control: address,
+        },
+        domain: format!("d{i}").into(),
+        leaving,
+    }
+}
+
+fn plan(members: Vec<Member>) -> Arc<Plan> {
+    Arc::new(Plan {
+        id: "p/g".into(),
+        group: Declared {
+            partner: "p".into(),
+            name: "g".into(),
+            durability: Durability::Primary,
+            slots: 3,
+            connections: 24,
+            owners: 3,
+            deadline_ms: 1_000,
+            max_age_ms: 500,
+            idle_ms: None,
+        },
+        members,
+        reads: Vec::new(),
+        onces: Vec::new(),
+    })
+}
+
+fn settings() -> Settings {
+    decisions()
+}
+
+fn status(role: Role, term: u64, promised: u64, index: u64) -> Status {
+    Status {
+        promised,
+        role,
+        log: Position::new(term, index),
+        applied: Position::new(term, index),
+        stream: Stream::None,
+    }
+}
+
+/// One group at one box, and what it asked to be done.
+struct Bench {
+    group: Group,
+    now: Duration,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    /// A group whose members were all looked at, with `rank` among its owners.
+    fn new(rank: u32) -> Self {
+        let members = (0..3).map(|i| member(i, false)).collect();
+        let group = Group::new(plan(members), "d0".into(), rank, settings(), 1, ms(0));
+        let mut bench = Self {
+            group,
+            now: ms(10),
+            actions: Vec::new(),
+        };
+        bench.group.set_rank(rank, 1);
+        bench.tell(Event::Listed { listed: true });
+        bench.look();
+        bench
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.actions.extend(self.group.handle(event, self.now));
+    }
+
+    fn report(&mut self, member: usize, status: Status) {
+        let began = self.now;
+        self.now += ms(1);
+        self.tell(Event::Status {
+            member,
+            began,
+            answer: Ok(status),
+        });
+    }
+
+    /// All members answer as in calm times.
+    fn look(&mut self) {
+        self.report(0, status(Role::Primary, 1, 1, 10));
+        self.report(1, status(Role::Replica, 1, 1, 10));
+        self.report(2, status(Role::Replica, 1, 1, 10));
+    }
+
+    /// Lets time pass in steps.
+    fn pass(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now += ms(5);
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn write(&mut self, id: u64) {
+        let position = Position::new(1, 11);
+        let deadline = self.now + ms(700);
+        self.tell(Event::Wrote {
+            id,
+            member: 0,
+            position,
+            deadline,
+        });
+    }
+
+    fn outcome(&self, wanted: u64) -> Option<Outcome> {
+        self.actions.iter().find_map(|action| match action {
+            Action::Settle { id, outcome } if *id == wanted => Some(*outcome),
+            _ => None,
+        })
+    }
+
+    fn asked(&self, wanted: impl Fn(&Action) -> bool) -> usize {
+        self.actions.iter().filter(|action| wanted(action)).count()
+    }
+
+    /// The primary breaks, the others agree, and the duty is won.
+    fn ballot(&mut self) {
+        self.tell(Event::Broken { member: 0 });
+        for name in ["b1", "b2"] {
+            self.tell(Event::Opinion {
+                from: name.into(),
+                near: false,
+                suspects: true,
+            });
+        }
+        self.report(1, status(Role::Replica, 1, 1, 10));
+        self.report(2, status(Role::Replica, 1, 1, 10));
+        self.pass(ms(20));
+        self.tell(Event::Claimed { won: true });
+    }
+
+    /// The ballot's term, from the fences that were asked for.
+    fn term(&self) -> u64 {
+        let fence = self.actions.iter().rev().find_map(|action| match action {
+            Action::Fence { term, .. } => Some(*term),
+            _ => None,
+        });
+        fence.expect("members were fenced")
+    }
+
+    fn grant(&mut self, member: usize, index: u64) {
+        let term = self.term();
+        self.tell(Event::Fenced {
+            member,
+            term,
+            answer: Ok(status(Role::Replica, 1, term, index)),
+        });
+    }
+}
+
+fn promotes(action: &Action) -> bool {
+    matches!(action, Action::Promote { .. })
+}
+
+#[gtest]
+fn a_write_is_acknowledged_at_once_under_the_lease_and_waits_without() {
+    let mut bench = Bench::new(0);
+    bench.write(1);
+    expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+    bench.now += ms(2_000);
+    bench.write(2);
+    expect_that!(bench.outcome(2), none());
+    bench.look();
+    expect_that!(bench.outcome(2), some(eq(Outcome::Confirmed)));
+}
+
+#[gtest]
+fn a_fenced_majority_acknowledges_nothing() {
+    let mut bench = Bench::new(0);
+    bench.now += ms(2_000);
+    bench.write(1);
+    bench.report(1, status(Role::Replica, 1, 5, 10));
+    expect_that!(bench.outcome(1), some(eq(Outcome::Unknown)));
+}
+
+#[gtest]
+fn ordinary_answers_renew_the_lease() {
+    let mut bench = Bench::new(0);
+    for round in 0..40 {
+        bench.now += ms(100);
+        let (began, now) = (bench.now, bench.now);
+        bench.tell(Event::Answered {
+            member: 0,
+            began,
+            position: Some(Position::new(1, 11 + round)),
+            led: true,
+        });
+        bench.now = now + ms(50);
+        let began = bench.now;
+        bench.tell(Event::Answered {
+            member: 1,
+            began,
+            position: Some(Position::new(1, 11 + round)),
+            led: false,
+        });
+    }
+    bench.write(1);
+    expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+}
+
+#[gtest]
+fn a_replica_that_shows_nothing_new_does_not_renew_the_lease() {
+    let mut bench = Bench::new(0);
+    for _ in 0..40 {
+        bench.now += ms(100);
+        let began = bench.now;
+        bench.tell(Event::Answered {
+            member: 1,
+            began,
+            position: Some(Position::new(1, 10)),
+            led: false,
+        });
+    }
+    bench.write(1);
+    expect_that!(bench.outcome(1), none());
+}
+
+#[gtest]
+fn a_box_that_others_do_not_know_uses_no_lease() {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Listed { listed: false });
+    bench.write(1);
+    expect_that!(bench.outcome(1), none());
+}
+
+#[gtest]
+fn a_promotion_waits_for_the_lease_and_not_longer_than_it_must() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 12);
+    bench.grant(2, 10);
+    expect_that!(bench.asked(|a| matches!(a, Action::Revoke { .. })), eq(1));
+    expect_that!(bench.asked(promotes), eq(0));
+    let lease = settings().replace.lease;
+    bench.pass(lease - ms(20));
+    expect_that!(bench.asked(promotes), eq(0));
+    bench.pass(ms(40));
+    let term = bench.term();
+    expect_that!(
+        bench.actions,
+        contains(eq(&Action::Promote { member: 1, term }))
+    );
+
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 10);
+    bench.grant(2, 12);
+    let term = bench.term();
+    bench.tell(Event::Revoked { term });
+    expect_that!(
+        bench.actions,
+        contains(eq(&Action::Promote { member: 2, term }))
+    );
+}
+
+#[gtest]
+fn a_revoked_lease_counts_nothing_that_was_seen_before() {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Revoke);
+    bench.write(1);
+    expect_that!(bench.outcome(1), none());
+}
+
+#[gtest]
+fn boxes_of_different_rank_fence_with_different_terms() {
+    let mut terms = Vec::new();
+    for rank in 0..4 {
+        let mut bench = Bench::new(rank);
+        bench.ballot();
+        bench.pass(ms(1_200));
+        bench.tell(Event::Claimed { won: true });
+        terms.push(bench.term());
+    }
+    terms.dedup();
+    expect_that!(terms.len(), eq(4));
+}
+
+#[gtest]
+fn a_box_that_lost_the_duty_gives_the_other_its_time() {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Broken { member: 0 });
+    bench.tell(Event::Opinion {
+        from: "b1".into(),
+        near: false,
+        suspects: true,
+    });
+    bench.report(1, status(Role::Replica, 1, 1, 10));
+    bench.report(2, status(Role::Replica, 1, 1, 10));
+    bench.pass(ms(20));
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(1));
+    bench.tell(Event::Claimed { won: false });
+    bench.pass(ms(1_000));
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(1));
+    expect_that!(bench.asked(|a| matches!(a, Action::Fence { .. })), eq(0));
+}
+
+#[gtest]
+fn a_primary_that_most_boxes_reach_is_not_replaced_and_they_are_named() {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Broken { member: 0 });
+    for (name, suspects) in [("b1", false), ("b2", false), ("b3", true)] {
+        bench.tell(Event::Opinion {
+            from: name.into(),
+            near: false,
+            suspects,
+        });
+    }
+    bench.report(1, status(Role::Replica, 1, 1, 10));
+    bench.report(2, status(Role::Replica, 1, 1, 10));
+    let now = bench.now;
+    bench.tell(Event::Arrive(Request {
+        id: 7,
+        partner: "p".into(),
+        weight: 1,
+        target: Target::Primary,
+        floor: Some(Position::ZERO),
+        believed: true,
+        arrived: now,
+        deadline: now + ms(700),
+        aim: None,
+    }));
+    let refusal = bench.actions.iter().find_map(|action| match action {
+        Action::Refuse { id: 7, refusal } => Some(refusal.clone()),
+        _ => None,
+    });
+    let refusal = refusal.expect("it is sent elsewhere");
+    expect_that!(refusal.reason, eq(Reason::CutOff));
+    expect_that!(refusal.via, eq(&Via::Named("b1".into())));
+    bench.pass(ms(500));
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(0));
+}
+
+#[gtest]
+fn a_lost_ballot_takes_its_fences_back() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 10);
+    let term = bench.term();
+    for member in [0, 2] {
+        let answer = Err(MemberError::Silent);
+        bench.tell(Event::Fenced {
+            member,
+            term,
+            answer,
+        });
+    }
+    expect_that!(bench.actions, contains(eq(&Action::Release { member: 1 })));
+}
+
+#[gtest]
+fn a_fence_that_somebody_left_behind_is_taken_back() {
+    let mut bench = Bench::new(0);
+    for _ in 0..90 {
+        bench.now += ms(50);
+        bench.report(0, status(Role::Primary, 1, 1, 10));
+        bench.report(1, status(Role::Replica, 1, 9, 10));
+        bench.report(2, status(Role::Replica, 1, 1, 10));
+    }
+    expect_that!(bench.actions, contains(eq(&Action::Release { member: 1 })));
+    expect_that!(bench.asked(|a| matches!(a, Action::Fence { .. })), eq(0));
+}
+
+#[gtest]
+fn who_stays_is_promoted_rather_than_who_leaves() {
+    let mut bench = Bench::new(0);
+    let members = vec![member(0, true), member(1, true), member(2, false)];
+    let now = bench.now;
+    bench.group.set_plan(plan(members), now);
+    bench.pass(ms(200));
+    bench.tell(Event::Claimed { won: true });
+    bench.pass(ms(60));
+    bench.grant(0, 12);
+    bench.grant(1, 12);
+    bench.grant(2, 11);
+    let term = bench.term();
+    bench.tell(Event::Revoked { term });
+    expect_that!(
+        bench.actions,
+        contains(eq(&Action::Promote { member: 2, term }))
+    );
+}
+
+#[gtest]
+fn members_keep_their_places_while_others_come_and_go() {
+    let mut bench = Bench::new(0);
+    let kept = vec![member(0, false), member(1, false), member(3, false)];
+    let now = bench.now;
+    bench.group.set_plan(plan(kept.clone()), now);
+    expect_that!(bench.group.primary(), some(eq(0)));
+    expect_that!(bench.group.plan.members.len(), eq(4));
+    // A member that is only missing from the list is one for a while.
+    expect_that!(bench.group.present().collect::<Vec<_>>(), eq(&[0, 1, 2, 3]));
+    bench.pass(settings().missing_grace + ms(10));
+    expect_that!(bench.group.present().collect::<Vec<_>>(), eq(&[0, 1, 3]));
+    bench.report(3, status(Role::Replica, 1, 1, 10));
+    bench.write(1);
+    bench.look();
+    expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+}
+
+#[gtest]
+fn who_stops_waiting_leaves_the_queue() {
+    let mut bench = Bench::new(0);
+    for id in 10..20 {
+        let now = bench.now;
+        bench.tell(Event::Arrive(Request {
+            id,
+            partner: "p".into(),
+            weight: 1,
+            target: Target::Primary,
+            floor: None,
+            believed: true,
+            arrived: now,
+            deadline: now + ms(700),
+            aim: None,
+        }));
+    }
+    let running = |bench: &Bench| bench.asked(|a| matches!(a, Action::Assign { .. }));
+    let before = running(&bench);
+    for id in 10 + before as u64..20 {
+        bench.tell(Event::Withdraw { id });
+    }
+    let took = ms(10);
+    bench.tell(Event::Release { member: 0, took });
+    expect_that!(running(&bench), eq(before));
+}
+
+#[gtest]
+fn a_member_that_takes_no_more_connections_gets_less_and_slowly_more() {
+    let mut bench = Bench::new(0);
+    let arrive = |bench: &mut Bench, id: u64| {
+        let now = bench.now;
+        bench.tell(Event::Arrive(Request {
+            id,
+            partner: "p".into(),
+            weight: 1,
+            target: Target::Primary,
+            floor: None,
+            believed: true,
+            arrived: now,
+            deadline: now + ms(700),
+            aim: None,
+        }));
+    };
+    arrive(&mut bench, 1);
+    bench.tell(Event::Full { member: 0 });
+    let took = ms(10);
+    bench.tell(Event::Release { member: 0, took });
+    arrive(&mut bench, 2);
+    let assigned = |bench: &Bench, id: u64| {
+        bench.asked(|a| matches!(a, Action::Assign { id: found, .. } if *found == id))
+    };
+    expect_that!(assigned(&bench, 2), eq(0));
+    bench.pass(ms(400));
+    expect_that!(assigned(&bench, 2), eq(1));
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -7,6 +7,8 @@
 mod fake;
 mod floors;
 mod group;
+mod lease;
 mod owners;
 mod randomised;
 mod settings;
+mod setup;
--- /dev/null
+++ b/tests/unit/setup.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use larkfall::borders::upstream::{Begin, Opening, Prepared, Setup};
+use larkfall::decisions::duty::{Duty, taken};
+use larkfall::decisions::latency::Latency;
+use larkfall::decisions::setup::{Fitting, Step};
+
+fn setup(values: &[(&str, &str)], prepared: Option<&str>) -> Setup {
+    let values = values
+        .iter()
+        .map(|(name, value)| (Arc::from(*name), Arc::from(*value)));
+    Setup {
+        values: Arc::new(values.collect::<BTreeMap<_, _>>()),
+        prepared: prepared.map(|name| Prepared {
+            name: name.into(),
+            text: "READ q".into(),
+        }),
+        opening: None,
+    }
+}
+
+fn fitted(setup: &Setup) -> Fitting {
+    let mut fitting = Fitting::default();
+    for step in fitting.steps(setup) {
+        fitting.done(&step);
+    }
+    fitting
+}
+
+#[gtest]
+fn a_connection_is_brought_to_the_sessions_values_and_no_others() {
+    let first = setup(&[("lang", "es")], Some("p1"));
+    let fitting = fitted(&first);
+    expect_that!(fitting.steps(&first), is_empty());
+    let more = setup(&[("lang", "es"), ("zone", "a")], Some("p1"));
+    expect_that!(fitting.steps(&more).len(), eq(1));
+    let other = setup(&[("zone", "a")], Some("p1"));
+    let steps = fitting.steps(&other);
+    expect_that!(steps[0], eq(&Step::Reset));
+    // A reset drops what was prepared.
+    expect_that!(steps.len(), eq(3));
+}
+
+#[gtest]
+fn a_transaction_opens_last() {
+    let mut with_begin = setup(&[("lang", "es")], Some("p1"));
+    with_begin.opening = Some(Opening {
+        begin: Begin::ReadOnly,
+        id: "7".into(),
+    });
+    let steps = Fitting::default().steps(&with_begin);
+    expect_that!(steps.last(), some(matches_pattern!(Step::Open(_))));
+}
+
+#[gtest]
+fn a_statement_that_a_member_forgot_is_prepared_again() {
+    let first = setup(&[], Some("p1"));
+    let mut fitting = fitted(&first);
+    fitting.forget(first.prepared.as_ref().expect("prepared"));
+    expect_that!(fitting.steps(&first).len(), eq(1));
+}
+
+#[gtest]
+fn generations_rise_with_each_holder_and_are_never_shared() {
+    let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    let first = taken(None, &a);
+    expect_that!(taken(Some(&first), &a), eq(&first));
+    let second = taken(Some(&first), &b);
+    expect_that!(second.generation, gt(first.generation));
+    let third = taken(Some(&second), &a);
+    expect_that!(third.generation, gt(second.generation));
+    // Two boxes that go on from the same number without the table.
+    let known = Duty {
+        holder: "c".into(),
+        ..first
+    };
+    let alone = taken(Some(&known), &a).generation;
+    expect_that!(taken(Some(&known), &b).generation, not(eq(alone)));
+}
+
+#[gtest]
+fn a_slow_member_is_tried_again_after_a_while() {
+    let at = Duration::from_millis;
+    let mut latency = Latency::new(at(15));
+    latency.late(at(500), at(1_000));
+    expect_that!(latency.mean(at(1_000)), eq(at(500)));
+    expect_that!(latency.mean(at(2_000)), lt(at(260)));
+    expect_that!(latency.mean(at(12_000)), lt(at(20)));
+    for i in 0..40 {
+        latency.answered(at(10), at(12_000 + i));
+    }
+    expect_that!(latency.mean(at(12_040)), lt(at(12)));
+}
