feat: as many owners as connections allow; peers that do not answer go last

Cause: every box owned every group, so at 71 boxes before 53 connections a member each box held one. Owners are now counted from the connections (two an owner); the others forward, in their own failure domain first. Only ten owners are asked for an opinion. On sites of 8 and 9 boxes every box still owns all. Also: answers, queue and members as histograms; a request given up on says how long it waited; docs.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -22,7 +22,7 @@
 use super::detect::baseline::{Baseline, Settings as DetectSettings};
 use super::fair::{Admission, Fair};
 use super::latency::Latency;
-use super::owners::share;
+use super::owners::{LEAST_SHARE, share};
 use super::position::Position;
 use super::replace::{Doubt, Replace, Settings as ReplaceSettings, Step};
 use super::route::{Candidate, Demand, History, choose};
@@ -38,9 +38,6 @@
 /// Time after which waits for the lease are looked at again.
 const LEAST_LOOK: Duration = Duration::from_millis(120);
 
-/// Statements at a member at once that a box may have in any case: one that holds a
-/// transaction, and another.
-const LEAST_AT_ONCE: usize = 2;
 /// An answer that takes this many times as long as the last ones will not come, or
 /// too late.
 const PATIENCE: u32 = 6;
@@ -217,6 +214,8 @@
     revoked: Duration,
     /// Those who promote know of this box.
     listed: bool,
+    /// Boxes that own the group.
+    owners: u32,
     crowd: u32,
 }
 
@@ -255,7 +254,8 @@
         seed: u64,
         now: Duration,
     ) -> Self {
-        let capacity = share(plan.group.connections, plan.group.owners);
+        let owners = plan.group.owners.max(1);
+        let capacity = share(plan.group.connections, owners);
         let member = |spec: &MemberSpec| Member::new(spec.clone(), capacity, &settings, now);
         let members: Vec<Member> = plan.members.iter().map(member).collect();
         let mut group = Self {
@@ -273,16 +273,13 @@
             overstayed: false,
             revoked: Duration::ZERO,
             listed: false,
+            owners,
             crowd: 1,
             plan,
         };
         group.note_members();
         group.set_periods();
-        let capacity = group.capacity();
-        for member in &mut group.members {
-            member.room = capacity;
-            member.fair.set_capacity(capacity);
-        }
+        group.set_owners(owners);
         group
     }
 
@@ -298,7 +295,7 @@
 
     /// This owner's share of the connections to each member.
     pub fn share(&self) -> usize {
-        share(self.plan.group.connections, self.plan.group.owners)
+        share(self.plan.group.connections, self.owners)
     }
 
     pub fn term(&self) -> u64 {
@@ -346,8 +343,8 @@
             return self.share();
         };
         let group = &self.plan.group;
-        let useful = (group.slots * turns).div_ceil(group.owners.max(1)) as usize;
-        self.share().min(useful.max(LEAST_AT_ONCE))
+        let useful = (group.slots * turns).div_ceil(self.owners.max(1)) as usize;
+        self.share().min(useful.max(LEAST_SHARE))
     }
 
     /// Takes a new plan. Members keep their places; new ones get places of their own.
@@ -378,12 +375,24 @@
             members,
             ..Plan::clone(&plan)
         });
+        self.set_rooms();
+        self.note_members();
+    }
+
+    /// Says among how many boxes the connections are shared.
+    pub fn set_owners(&mut self, owners: u32) {
+        self.owners = owners;
+        self.set_rooms();
+    }
+
+    /// Each member's room is what this box may have there; where a refusal had
+    /// narrowed it, it widens again by itself.
+    fn set_rooms(&mut self) {
         let capacity = self.capacity();
         for member in &mut self.members {
-            member.room = member.room.min(capacity);
-            member.fair.set_capacity(member.room);
+            member.room = capacity;
+            member.fair.set_capacity(capacity);
         }
-        self.note_members();
     }
 
     /// Members that are still there, by place.
--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -18,6 +18,15 @@
 }
 
 impl Ranking {
+    /// Boxes that may own.
+    pub fn len(&self) -> usize {
+        self.boxes.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.boxes.is_empty()
+    }
+
     /// Leaving boxes own nothing.
     pub fn new(boxes: &[Listing]) -> Self {
         let present = boxes.iter().filter(|listing| !listing.leaving);
@@ -65,6 +74,20 @@
     }
 }
 
+/// How many boxes own a group: as many as are declared, or where none are, as many as
+/// its members' connections allow when each has the fewest that serve.
+pub fn count(declared: u32, connections: u32, boxes: usize) -> usize {
+    if declared > 0 {
+        return declared as usize;
+    }
+    let most = share(connections, 1) / LEAST_SHARE;
+    most.clamp(1, boxes.max(1))
+}
+
+/// Connections to a member that an owner needs: one that holds a transaction, and
+/// another.
+pub const LEAST_SHARE: usize = 2;
+
 /// Connections to one member that each owner may hold.
 ///
 /// A tenth is kept in reserve for the moments when two lists of boxes differ.
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -228,7 +228,7 @@
         durability,
         slots: reader.number("slots", DEFAULT_SLOTS, 1, 1000) as u32,
         connections: reader.number("connections", DEFAULT_CONNECTIONS, 1, 10_000) as u32,
-        owners: reader.number("owners", DEFAULT_OWNERS, 1, 100) as u32,
+        owners: reader.number("owners", DEFAULT_OWNERS, 0, 1_000) as u32,
         deadline_ms: reader.number("deadline_ms", DEFAULT_DEADLINE_MS, 1, 600_000),
         max_age_ms: reader.number("max_age_ms", DEFAULT_MAX_AGE_MS, 0, 86_400_000),
         idle_ms: reader.optional_number("idle_ms", 1, 86_400_000),
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -110,7 +110,7 @@
     pub slots: u32,
     /// Connections a member takes from all boxes together.
     pub connections: u32,
-    /// Boxes that hold connections to the members.
+    /// Boxes that hold connections to the members; 0: as many as these allow.
     pub owners: u32,
     /// Milliseconds after which a statement that did not start is refused.
     pub deadline_ms: u64,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,9 +1,14 @@
 //! Metrics by `opentelemetry`, read over HTTP in Prometheus' text format.
 
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::decisions::floors::Scope;
+
 /// The counters of a box.
 pub struct Metrics {
     registry: Registry,
@@ -17,6 +22,12 @@
     pub forwarded: Counter<u64>,
     pub replacements: Counter<u64>,
     pub probes: Counter<u64>,
+    /// Time from a statement's arrival to its answer, by declared kind and outcome.
+    pub answer_ms: Histogram<f64>,
+    /// Time that statements waited for a place at a member.
+    pub queue_ms: Histogram<f64>,
+    /// Time that members took.
+    pub member_ms: Histogram<f64>,
     pub confirmation_ms: Histogram<f64>,
 }
 
@@ -40,6 +51,9 @@
             forwarded: counter("larkfall_forwarded"),
             replacements: counter("larkfall_replacements"),
             probes: counter("larkfall_probes"),
+            answer_ms: meter.f64_histogram("larkfall_answer_ms").build(),
+            queue_ms: meter.f64_histogram("larkfall_queue_ms").build(),
+            member_ms: meter.f64_histogram("larkfall_member_ms").build(),
             confirmation_ms: meter.f64_histogram("larkfall_confirmation_ms").build(),
             registry,
             _provider: provider,
@@ -48,6 +62,16 @@
 }
 
 impl Metrics {
+    /// A statement was answered after `took`.
+    pub fn answered(&self, outcome: &'static str, scope: &Scope, took: Duration) {
+        let kind = scope.declared.as_deref().unwrap_or("none").to_owned();
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.answer_ms.record(took.as_secs_f64() * 1_000.0, &labels);
+    }
+
     /// All metrics in Prometheus' text format.
     pub fn text(&self) -> String {
         render(&self.registry)
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -1,6 +1,6 @@
 //! What is handed down to every part of a box.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,6 +21,10 @@
 use crate::http::Client;
 use crate::metrics::Metrics;
 
+/// Time for which a peer that did not answer is asked last: a restart takes one or two
+/// seconds, a cut several.
+const SHUN: Duration = Duration::from_secs(2);
+
 /// One per box, shared by all its tasks.
 pub struct Context {
     pub settings: Run,
@@ -43,6 +47,8 @@
     pub idle: Cell<usize>,
     /// This box's share of the connections to each member of its groups, by address.
     pub owned: watch::Sender<HashMap<Arc<str>, usize>>,
+    /// Peers that did not answer, and until when they are asked last.
+    pub shunned: RefCell<HashMap<Arc<str>, Duration>>,
     /// Callers connected now.
     pub callers: Cell<usize>,
     /// When the box began to leave, or was cut off: callers are better served elsewhere.
@@ -70,6 +76,17 @@
         self.clock.now()
     }
 
+    /// A peer did not answer: others go first for a while.
+    pub fn shun(&self, peer: &Arc<str>) {
+        let until = self.now() + SHUN;
+        self.shunned.borrow_mut().insert(peer.clone(), until);
+    }
+
+    pub fn is_shunned(&self, peer: &str) -> bool {
+        let until = self.shunned.borrow().get(peer).copied();
+        until.is_some_and(|until| self.now() < until)
+    }
+
     /// The database that callers name so.
     pub fn database(&self, name: &str) -> Option<Arc<Database>> {
         self.snapshot.borrow().databases.get(name).cloned()
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -20,7 +20,7 @@
 use crate::decisions::confirm::Outcome;
 use crate::decisions::duty::Duty;
 use crate::decisions::group::{Action, Event, Group, Note, Request, Settings};
-use crate::decisions::owners::Ranking;
+use crate::decisions::owners::{self, Ranking};
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
 
@@ -28,6 +28,9 @@
 /// A box that owns more groups looks at each of them less often: the traffic for
 /// control stays within its budget, detection takes longer.
 const GROUPS_AT_FULL_RATE: u32 = 6;
+/// Owners that are asked what they think of a primary: enough for a majority's word
+/// from every failure domain, and not all of dozens.
+const MOST_ASKED: usize = 10;
 /// Time in which a change of the list of boxes has reached all who read it while the
 /// table answers: news takes milliseconds, a forgotten history about a second.
 const LISTED_REST: Duration = Duration::from_millis(2_500);
@@ -437,10 +440,10 @@
     fn ask_peers(&self, id: &Arc<str>, owned: &Owned) {
         let plan = &owned.group.plan;
         let term = owned.group.term();
-        for listing in group_owners(plan, &self.ranking) {
-            if listing.name == self.context.settings.name {
-                continue;
-            }
+        let own = &self.context.settings.name;
+        let owners = group_owners(plan, &self.ranking).into_iter();
+        let others = owners.filter(|listing| listing.name != *own);
+        for listing in others.take(MOST_ASKED) {
             let near = listing.domain == self.context.settings.domain;
             let asked = peers::opinion(self.context.clone(), listing.clone(), id.clone(), term);
             let from = listing.name.clone();
@@ -523,22 +526,24 @@
 
     fn own(&mut self) {
         let name = self.context.settings.name.clone();
-        let mut mine: BTreeMap<Arc<str>, (Arc<Plan>, u32)> = BTreeMap::new();
+        let mut mine: BTreeMap<Arc<str>, (Arc<Plan>, u32, u32)> = BTreeMap::new();
         for (id, plan) in &self.snapshot.groups {
             let chosen = group_owners(plan, &self.ranking);
             let rank = chosen.iter().position(|listing| listing.name == name);
             if let Some(rank) = rank
                 && !plan.members.is_empty()
             {
-                mine.insert(id.clone(), (plan.clone(), rank as u32));
+                let owners = chosen.len() as u32;
+                mine.insert(id.clone(), (plan.clone(), rank as u32, owners));
             }
         }
         self.groups.retain(|id, _| mine.contains_key(id));
         let crowd = (mine.len() as u32).div_ceil(GROUPS_AT_FULL_RATE).max(1);
-        for (id, (plan, rank)) in mine {
+        for (id, (plan, rank, owners)) in mine {
             match self.groups.get_mut(&id) {
                 Some(owned) => {
                     owned.group.set_rank(rank, crowd);
+                    owned.group.set_owners(owners);
                     if owned.plan != plan {
                         owned.plan = plan.clone();
                         owned.group.set_plan(plan, self.context.now());
@@ -547,7 +552,7 @@
                     // What changed may have made something due.
                     self.handle(&id, Event::Tick);
                 }
-                None => self.start(id, plan, rank, crowd),
+                None => self.start(id, plan, (rank, owners), crowd),
             }
         }
         self.dismiss();
@@ -571,7 +576,13 @@
         self.context.owned.send_replace(addresses);
     }
 
-    fn start(&mut self, id: Arc<str>, plan: Arc<Plan>, rank: u32, crowd: u32) {
+    fn start(
+        &mut self,
+        id: Arc<str>,
+        plan: Arc<Plan>,
+        (rank, owners): (u32, u32),
+        crowd: u32,
+    ) {
         let now = self.context.now();
         let incarnation = self.next;
         self.next += 1;
@@ -579,6 +590,7 @@
         let domain = self.context.settings.domain.clone();
         let mut group = Group::new(plan.clone(), domain, rank, self.settings, seed, now);
         group.set_rank(rank, crowd);
+        group.set_owners(owners);
         let owned = Owned {
             incarnation,
             plan,
@@ -678,7 +690,9 @@
 /// Boxes that own a group, best first.
 pub fn group_owners<'a>(plan: &Plan, ranking: &'a Ranking) -> Vec<&'a Listing> {
     let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
-    ranking.owners(&plan.id, plan.group.owners as usize, &domains)
+    let group = &plan.group;
+    let count = owners::count(group.owners, group.connections, ranking.len());
+    ranking.owners(&plan.id, count, &domains)
 }
 
 /// Tells the group whenever a member's process is seen to be gone.
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -134,6 +134,14 @@
 }
 
 impl Failure {
+    /// Time after which another try may do better; zero where that is not for us to say.
+    pub fn retry_after(&self) -> Duration {
+        match self {
+            Failure::NotRun(refusal) => refusal.retry_after,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// One word for logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -196,8 +196,11 @@
             id,
             answered: false,
         };
+        let asked = self.context.now();
         let granted = answer.await;
         waiting.answered = true;
+        let waited = (self.context.now() - asked).as_secs_f64() * 1_000.0;
+        self.context.metrics.queue_ms.record(waited, &[]);
         let grant = granted.map_err(|_| Failure::NotOwner)?;
         let grant = grant.map_err(|denial| match denial {
             Denial::NotRun(refusal) => Failure::NotRun(refusal),
@@ -296,6 +299,8 @@
                         && exchange.proves_lead(),
                 });
                 self.budget.borrow_mut().earn();
+                let took = (self.context.now() - began).as_secs_f64() * 1_000.0;
+                self.context.metrics.member_ms.record(took, &[]);
                 Ok(answer)
             }
             Err(error) => {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -9,7 +9,7 @@
 
 use super::configuration::{News, PRIMARY, Question};
 use super::context::Context;
-use super::exchange::{Exchange, Failure, Reply};
+use super::exchange::{Effect, Exchange, Failure, Reply};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Scan, Verdict, Write};
 use crate::declarations::snapshot::Primary;
@@ -24,6 +24,8 @@
 pub const BOXES: &str = "/peer/boxes";
 
 const SMALL_WAIT: Duration = Duration::from_millis(500);
+/// A forwarded read gets this part of its time before another owner is asked.
+const READ_TRIES: u32 = 2;
 const EXCHANGE_WAIT: Duration = Duration::from_secs(600);
 const RECORD_PAUSE: Duration = Duration::from_millis(500);
 const RECORD_TRIES: u32 = 120;
@@ -59,6 +61,11 @@
 ) -> Result<Reply, ForwardError> {
     context.metrics.forwarded.add(1, &[]);
     let wait = exchange.limit.unwrap_or(EXCHANGE_WAIT);
+    let wait = match exchange.effect {
+        // A read may be asked for elsewhere.
+        Effect::Reads if exchange.lease.is_none() => wait / READ_TRIES,
+        _ => wait,
+    };
     let answer: Result<Result<Reply, Failure>, HttpError> =
         call(context, owner, EXCHANGE, exchange, wait).await;
     match answer {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,6 +1,6 @@
 //! Puts a box together and runs it until it is told to stop.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -120,6 +120,7 @@
         routes: Routes::default(),
         idle: Cell::new(0),
         owned: watch::channel(HashMap::new()).0,
+        shunned: RefCell::default(),
         callers: Cell::new(0),
         away: watch::channel(None).0,
         settings,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -108,13 +108,18 @@
 
     /// Has an exchange served and keeps the session's state by its outcome.
     pub async fn serve(&mut self, exchange: &Exchange, scope: &Scope) -> Result<Reply, Failure> {
-        match self.attempt(exchange).await {
+        let start = self.context.now();
+        let served = self.attempt(exchange).await;
+        let took = self.context.now() - start;
+        let outcome = served.as_ref().map_or_else(Failure::reason, |_| "served");
+        self.context.metrics.answered(outcome, scope, took);
+        match served {
             Ok((reply, owner)) => {
                 self.took(&reply, owner, exchange, scope);
                 Ok(reply)
             }
             Err(failure) => {
-                self.failed(&failure, exchange);
+                self.failed(&failure, exchange, took);
                 Err(failure)
             }
         }
@@ -134,7 +139,7 @@
         }
     }
 
-    fn failed(&mut self, failure: &Failure, exchange: &Exchange) {
+    fn failed(&mut self, failure: &Failure, exchange: &Exchange, took: Duration) {
         if let Failure::NotRun(_) = failure {
             self.context.metrics.not_run.add(1, &[]);
         }
@@ -143,11 +148,14 @@
             self.status = Status::Idle;
         }
         self.give_up();
-        let fields: [(_, &dyn std::fmt::Display); 4] = [
+        let retry_after = failure.retry_after().as_millis();
+        let fields: [(_, &dyn std::fmt::Display); 6] = [
             ("request", &exchange.trace),
             ("group", &exchange.group),
             ("target", &exchange.target),
             ("why", &failure.reason()),
+            ("waited_ms", &took.as_millis()),
+            ("retry_ms", &retry_after),
         ];
         events::emit(&self.context.log, &events::GIVEN_UP, &fields);
     }
@@ -164,7 +172,11 @@
         let mut last = Failure::NotRun(Refusal::new(Reason::CutOff, OWNERS_RETRY));
         let start = self.context.now();
         let mut via = Via::Owner;
-        for owner in self.owners(&exchange.group).iter() {
+        let owners = self.owners(&exchange.group);
+        let (late, first): (Vec<&Listing>, Vec<&Listing>) = owners
+            .iter()
+            .partition(|owner| self.context.is_shunned(&owner.address));
+        for owner in first.into_iter().chain(late) {
             if !goes(&via, owner) {
                 continue;
             }
@@ -179,16 +191,20 @@
             };
             match served {
                 Ok(reply) => return Ok((reply, (!own).then(|| owner.address.clone()))),
-                Err(ForwardError::Unsent) => {}
+                Err(ForwardError::Unsent) => self.context.shun(&owner.address),
                 Err(ForwardError::Failure(failure)) => {
                     via = elsewhere(&failure);
                     last = failure;
                 }
                 Err(ForwardError::Lost) if exchange.effect == Effect::Reads => {
+                    self.context.shun(&owner.address);
                     last = Failure::ReadLost;
                 }
                 Err(ForwardError::Lost) if exchange.once.is_some() => last = Failure::Unknown,
-                Err(ForwardError::Lost) => return Err(Failure::Unknown),
+                Err(ForwardError::Lost) => {
+                    self.context.shun(&owner.address);
+                    return Err(Failure::Unknown);
+                }
             }
         }
         Err(last)
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -64,17 +64,14 @@
         serde_json::from_slice(bytes)
     }
 
-    /// The same as resources of the product, for `boxes` boxes.
-    pub fn declarations(&self, boxes: usize) -> Declarations {
-        let groups = self
-            .services
-            .iter()
-            .map(|service| self.group(service, boxes));
+    /// The same as resources of the product.
+    pub fn declarations(&self) -> Declarations {
+        let groups = self.services.iter().map(|service| self.group(service));
         let databases = self.routes.iter().filter_map(database);
         groups.chain(databases).collect()
     }
 
-    fn group(&self, service: &Service, boxes: usize) -> (Key, Value) {
+    fn group(&self, service: &Service) -> (Key, Value) {
         let fields = json!({
             "partner": PARTNER,
             "name": service.name,
@@ -84,7 +81,8 @@
                 false => "majority",
             },
             "connections": service.max_connections,
-            "owners": boxes,
+            // As many boxes as the connections allow.
+            "owners": 0,
             "idle_ms": self.limits.tx_idle_ms,
         });
         (key(Kind::Group, service.name.clone()), given(fields))
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -246,7 +246,7 @@
             Ok(manifest) => manifest,
             Err(error) => return self.bad_row(MANIFEST, &error),
         };
-        let declared = manifest.declarations(cache.boxes.len().max(1));
+        let declared = manifest.declarations();
         let member = |key: &&Arc<str>| key.starts_with("resource/member/");
         let product = |key: &&Arc<str>| key.starts_with(RESOURCE) && !member(key);
         let before: Vec<Arc<str>> = cache.rows.keys().filter(product).cloned().collect();
@@ -292,8 +292,7 @@
                 Ok(listing) => cache.boxes.extend(listing.map(|l| (Arc::from(name), l))),
                 Err(error) => self.bad_row(key, &error),
             }
-            // Each box's share of the connections depends on how many there are.
-            return self.put_manifest(cache);
+            return;
         }
         match value.map(serde_json::from_slice::<Value>).transpose() {
             Ok(value) => set(cache, key.clone(), version, value),
@@ -313,7 +312,7 @@
     if known.is_some_and(|row| row.value == value) {
         return;
     }
-    // Shares may change a declaration under the same version of the manifest.
+    // Two rows of the store may declare one row of the product in turn.
     let revision = known.map_or(revision, |row| revision.max(row.revision + 1));
     cache.fresh.insert(key.clone());
     let row = Row {
