--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -57,6 +57,14 @@
         members.filter(trusted).count() >= self.replace.majority()
     }
 
+    /// Whether a majority is seen, or may be: a member that was not heard of yet may
+    /// only have no connection to spare for a moment.
+    fn may_see_majority(&self) -> bool {
+        let hoped = |(i, member): &(usize, &Member)| self.replace.accepts(*i) && !member.suspected;
+        let members = self.members.iter().enumerate();
+        members.filter(hoped).count() >= self.replace.majority()
+    }
+
     /// Holds a request for a primary while one is to be expected in time.
     pub(super) fn park(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
         if let Some(refusal) = self.hopeless(&request, now) {
@@ -70,7 +78,7 @@
     /// Why waiting for a primary makes no sense for this request.
     pub(super) fn hopeless(&self, request: &Request, now: Duration) -> Option<Refusal> {
         let looking = now < self.born + self.settings.detect.period;
-        if !looking && !self.sees_majority() {
+        if !looking && !self.may_see_majority() {
             let wait = self.settings.cut_off_retry;
             return Some(Refusal {
                 via: self.cut_off_via(),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -32,8 +32,8 @@
 /// from every failure domain, and not all of dozens.
 const MOST_ASKED: usize = 10;
 /// Time in which a change of the list of boxes has reached all who read it while the
-/// table answers: news takes milliseconds, a forgotten history about a second.
-const LISTED_REST: Duration = Duration::from_millis(2_500);
+/// table answers: news rests for two seconds, a forgotten history for about one.
+const LISTED_REST: Duration = Duration::from_secs(5);
 const LEAST_SLEEP: Duration = Duration::from_millis(1);
 const MOST_SLEEP: Duration = Duration::from_secs(1);
 
@@ -576,13 +576,7 @@
         self.context.owned.send_replace(addresses);
     }
 
-    fn start(
-        &mut self,
-        id: Arc<str>,
-        plan: Arc<Plan>,
-        (rank, owners): (u32, u32),
-        crowd: u32,
-    ) {
+    fn start(&mut self, id: Arc<str>, plan: Arc<Plan>, (rank, owners): (u32, u32), crowd: u32) {
         let now = self.context.now();
         let incarnation = self.next;
         self.next += 1;
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -64,6 +64,18 @@
     }
 }
 
+impl Source {
+    /// Rest after news, in which further changes gather: each call has its price, and
+    /// when all boxes or members start, every one of them changes a row.
+    fn rest(self) -> Duration {
+        match self {
+            Source::Operator => Duration::from_millis(200),
+            Source::Members => Duration::from_millis(400),
+            Source::Own => Duration::from_secs(2),
+        }
+    }
+}
+
 /// What is known of the store.
 #[derive(Default)]
 struct Cache {
@@ -125,8 +137,12 @@
                         self.read.set(self.read.get() + 1);
                     }
                     let version = rows.schema_version;
+                    let news = !rows.rows.is_empty() && after.is_some();
                     self.take(source, rows, after.is_none());
                     after = Some(version.max(after.unwrap_or_default()));
+                    if news {
+                        tokio::time::sleep(source.rest()).await;
+                    }
                 }
                 Err(StoreError::HistoryGone) => {
                     after = None;
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -480,3 +480,45 @@
     bench.pass(ms(400));
     expect_that!(assigned(&bench, 2), eq(1));
 }
+
+#[gtest]
+fn a_box_that_has_not_heard_of_its_members_yet_lets_requests_wait() {
+    let members = (0..3).map(|i| member(i, false)).collect();
+    let group = Group::new(plan(members), "d0".into(), 0, settings(), 1, ms(0));
+    let mut bench = Bench {
+        group,
+        now: ms(10),
+        actions: Vec::new(),
+    };
+    // Members have no connection to spare: they live, and tell nothing.
+    for _ in 0..20 {
+        bench.now += ms(100);
+        let began = bench.now;
+        for member in 0..3 {
+            bench.tell(Event::Status {
+                member,
+                began,
+                answer: Err(MemberError::Busy),
+            });
+        }
+    }
+    let now = bench.now;
+    bench.tell(Event::Arrive(Request {
+        id: 1,
+        partner: "p".into(),
+        weight: 1,
+        target: Target::Primary,
+        floor: None,
+        believed: true,
+        arrived: now,
+        deadline: now + ms(700),
+        aim: None,
+    }));
+    expect_that!(bench.asked(|a| matches!(a, Action::Refuse { .. })), eq(0));
+    bench.report(0, status(Role::Primary, 1, 1, 10));
+    bench.report(1, status(Role::Replica, 1, 1, 10));
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Assign { id: 1, .. })),
+        eq(1)
+    );
+}
