--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -75,15 +75,22 @@
 }
 
 /// How many boxes own a group: as many as are declared, or where none are, as many as
-/// its members' connections allow when each has the fewest that serve.
-pub fn count(declared: u32, connections: u32, boxes: usize) -> usize {
+/// its members' connections allow when each has the fewest that serve, and no more
+/// than keep the members' slots busy. Each owner looks at the members, and the fewer
+/// share the statements, the more their answers tell.
+pub fn count(declared: u32, connections: u32, slots: u32, boxes: usize) -> usize {
     if declared > 0 {
         return declared as usize;
     }
-    let most = share(connections, 1) / LEAST_SHARE;
-    most.clamp(1, boxes.max(1))
+    let allowed = share(connections, 1) / LEAST_SHARE;
+    let useful = (slots * OWNERS_PER_SLOT) as usize;
+    allowed.min(useful).clamp(1, boxes.max(1))
 }
 
+/// Owners for each slot of a member: each brings two statements at most, and most are
+/// idle at any moment.
+const OWNERS_PER_SLOT: u32 = 4;
+
 /// Connections to a member that an owner needs: one that holds a transaction, and
 /// another.
 pub const LEAST_SHARE: usize = 2;
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -685,7 +685,7 @@
 pub fn group_owners<'a>(plan: &Plan, ranking: &'a Ranking) -> Vec<&'a Listing> {
     let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
     let group = &plan.group;
-    let count = owners::count(group.owners, group.connections, ranking.len());
+    let count = owners::count(group.owners, group.connections, group.slots, ranking.len());
     ranking.owners(&plan.id, count, &domains)
 }
 
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -57,8 +57,8 @@
     /// when it ends, so it is shorter where news is urgent; each costs a call.
     fn wait(self) -> Duration {
         match self {
-            Source::Operator => Duration::from_secs(6),
-            Source::Members => Duration::from_secs(9),
+            Source::Operator => Duration::from_secs(8),
+            Source::Members => Duration::from_secs(12),
             Source::Own => Duration::from_secs(25),
         }
     }
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -104,6 +104,13 @@
         kill(pid, signal).expect("the box runs");
     }
 
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
@@ -126,9 +133,7 @@
 
 impl Drop for Box_ {
     fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         let _ = std::fs::remove_file(&self.file);
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod group;
 mod member;
+mod proxy;
 mod store;
 mod world;
 
@@ -12,3 +13,4 @@
 mod replacement;
 mod restarts;
 mod sessions;
+mod soak;
--- /dev/null
+++ b/tests/platform/proxy.rs
@@ -0,0 +1,103 @@
+//! A loopback proxy that harms connections from outside the processes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What the proxy does to all its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Harm {
+    #[default]
+    None,
+    /// Each piece waits so many milliseconds.
+    Delay(u64),
+    /// Nothing passes either way; it is kept and passes later.
+    Silent,
+    /// Answers do not pass; they are kept and pass later.
+    OneWay,
+    /// Connections are closed, and new ones too.
+    Reset,
+}
+
+/// A proxy before one address.
+#[derive(Clone)]
+pub struct Proxy {
+    pub address: SocketAddr,
+    harm: Arc<Mutex<watch::Sender<Harm>>>,
+}
+
+impl Proxy {
+    pub async fn start(upstream: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let (harm, seen) = watch::channel(Harm::None);
+        tokio::spawn(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                let seen = seen.clone();
+                tokio::spawn(async move {
+                    let _ = carry(caller, upstream, seen).await;
+                });
+            }
+        });
+        Self {
+            address,
+            harm: Arc::new(Mutex::new(harm)),
+        }
+    }
+
+    pub fn set(&self, harm: Harm) {
+        let sender = self.harm.lock().expect("no panic under the lock");
+        sender.send_replace(harm);
+    }
+}
+
+async fn carry(
+    caller: TcpStream,
+    upstream: SocketAddr,
+    harm: watch::Receiver<Harm>,
+) -> std::io::Result<()> {
+    if *harm.borrow() == Harm::Reset {
+        return Ok(());
+    }
+    let member = TcpStream::connect(upstream).await?;
+    caller.set_nodelay(true)?;
+    member.set_nodelay(true)?;
+    let (from_caller, to_caller) = caller.into_split();
+    let (from_member, to_member) = member.into_split();
+    let mut reset = harm.clone();
+    let there = pass(from_caller, to_member, harm.clone(), &[Harm::Silent]);
+    let back = pass(from_member, to_caller, harm, &[Harm::Silent, Harm::OneWay]);
+    tokio::select! {
+        done = there => done,
+        done = back => done,
+        _ = reset.wait_for(|harm| *harm == Harm::Reset) => Ok(()),
+    }
+}
+
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut harm: watch::Receiver<Harm>,
+    held: &[Harm],
+) -> std::io::Result<()> {
+    let mut bytes = vec![0; 16 * 1024];
+    loop {
+        let count = from.read(&mut bytes).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        if harm.wait_for(|harm| !held.contains(harm)).await.is_err() {
+            return Ok(());
+        }
+        let now = *harm.borrow();
+        if let Harm::Delay(ms) = now {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        to.write_all(&bytes[..count]).await?;
+    }
+}
