refactor: replacement, driver and group in files of one job each

Moved, not changed: the doubt and the ballot, what the loop carries out and what it owns, members and settings of a group.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -4,10 +4,12 @@
 //! of each member, who waits for what, and the replacement in progress.
 
 mod confirming;
+mod membership;
 mod message;
 mod observing;
 mod passing;
 mod placing;
+mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -19,17 +21,19 @@
 
 use super::confirm::{Confirm, Need, Outcome};
 use super::detect::Detector;
-use super::detect::baseline::{Baseline, Settings as DetectSettings};
+use super::detect::baseline::Baseline;
 use super::fair::{Admission, Fair};
 use super::latency::Latency;
 use super::owners::{LEAST_SHARE, share};
 use super::position::Position;
-use super::replace::{Doubt, Replace, Settings as ReplaceSettings, Step};
+use super::replace::{Doubt, Replace, Step};
 use super::route::{Candidate, Demand, History, choose};
 use crate::borders::member::{MemberError, Role, Status};
 use crate::declarations::resource::{Durability, Member as MemberSpec};
 use crate::declarations::snapshot::Plan;
 
+pub use settings::Settings;
+
 pub use message::{Action, Event, Note, Reason, Refusal, Request, Target, Via};
 
 /// A report of a term further ahead than this is not believed.
@@ -42,74 +46,6 @@
 /// too late.
 const PATIENCE: u32 = 6;
 
-/// Settings of the decisions about a group.
-#[derive(Clone, Copy, Debug)]
-pub struct Settings {
-    pub replace: ReplaceSettings,
-    pub detect: DetectSettings,
-    /// The period grows by this factor for members that are not the primary, and
-    /// again for owners that are not the first.
-    pub relaxed: u32,
-    /// Time a read waits for a replica before it goes to the primary.
-    pub replica_wait: Duration,
-    /// Time that a leaving primary's statements get, at every owner, before another
-    /// is promoted; new writes wait meanwhile.
-    pub leave_grace: Duration,
-    /// The same, at most: longer transactions are cut off.
-    pub leave_most: Duration,
-    /// Least time between two probes of a member on behalf of waiting requests.
-    pub probe_gap: Duration,
-    /// Time that a refused caller is told to wait while no majority is in sight.
-    pub cut_off_retry: Duration,
-    /// Guess of a statement's time before any was measured.
-    pub service: Duration,
-    /// Part of the lease that is not used: for clocks that differ and the way of an
-    /// answer out of the process.
-    pub lease_margin: Duration,
-    /// A leaving primary serves until another is about to take over.
-    pub serve_leaving: bool,
-    /// A member that is missing from the list is still one for this long: lists lag,
-    /// and lose members that live while their keeper is away.
-    pub missing_grace: Duration,
-    /// What a read on the primary costs more than on a replica, as a wait; none where
-    /// reads go there only when no replica fits.
-    pub primary_cost: Option<Duration>,
-    /// Requests wait for a primary until their time is up, whatever is expected.
-    pub patient: bool,
-    /// Connections kept open without use, as a percentage of this box's share.
-    pub keep: u32,
-    /// Statements at a member at once, from all boxes, for each of its slots; none
-    /// where connections alone bound them.
-    pub turns: Option<u32>,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            replace: ReplaceSettings::default(),
-            detect: DetectSettings {
-                period: Duration::from_millis(1_000),
-                interval: Duration::from_millis(200),
-                tries: 3,
-            },
-            relaxed: 4,
-            replica_wait: Duration::from_millis(5),
-            leave_grace: Duration::from_millis(1_500),
-            leave_most: Duration::from_secs(5),
-            probe_gap: Duration::from_millis(2),
-            cut_off_retry: Duration::from_secs(1),
-            service: Duration::from_millis(2),
-            lease_margin: Duration::from_millis(50),
-            serve_leaving: false,
-            missing_grace: Duration::ZERO,
-            primary_cost: None,
-            patient: false,
-            keep: 100,
-            turns: None,
-        }
-    }
-}
-
 struct Member {
     spec: MemberSpec,
     /// Newest report and when it was asked for.
@@ -336,105 +272,6 @@
         }
     }
 
-    /// Statements that this box may have at a member at once: no more than its share
-    /// of the connections, and of what keeps the member's slots busy.
-    fn capacity(&self) -> usize {
-        let Some(turns) = self.settings.turns else {
-            return self.share();
-        };
-        let group = &self.plan.group;
-        let useful = (group.slots * turns).div_ceil(self.owners.max(1)) as usize;
-        self.share().min(useful.max(LEAST_SHARE))
-    }
-
-    /// Takes a new plan. Members keep their places; new ones get places of their own.
-    pub fn set_plan(&mut self, plan: Arc<Plan>, now: Duration) {
-        let mut members = Vec::new();
-        for known in &mut self.members {
-            let same = |spec: &&MemberSpec| {
-                spec.name == known.spec.name && spec.address == known.spec.address
-            };
-            match plan.members.iter().find(same) {
-                Some(spec) => {
-                    known.spec = spec.clone();
-                    known.missing = None;
-                    known.gone = false;
-                }
-                None => known.missing = known.missing.or(Some(now)),
-            }
-            members.push(known.spec.clone());
-        }
-        for spec in &plan.members {
-            if !members.contains(spec) {
-                let member = Member::new(spec.clone(), 1, &self.settings, now);
-                self.members.push(member);
-                members.push(spec.clone());
-            }
-        }
-        self.plan = Arc::new(Plan {
-            members,
-            ..Plan::clone(&plan)
-        });
-        self.set_rooms();
-        self.note_members();
-    }
-
-    /// Says among how many boxes the connections are shared.
-    pub fn set_owners(&mut self, owners: u32) {
-        self.owners = owners;
-        self.set_rooms();
-    }
-
-    /// Each member's room is what this box may have there; where a refusal had
-    /// narrowed it, it widens again by itself.
-    fn set_rooms(&mut self) {
-        let capacity = self.capacity();
-        for member in &mut self.members {
-            member.room = capacity;
-            member.fair.set_capacity(capacity);
-        }
-    }
-
-    /// Members that are still there, by place.
-    pub fn present(&self) -> impl Iterator<Item = usize> + use<> {
-        let places = self.members.iter().enumerate();
-        let present: Vec<usize> = places.filter(|(_, m)| !m.gone).map(|(i, _)| i).collect();
-        present.into_iter()
-    }
-
-    fn note_members(&mut self) {
-        let lasts = self.settings.replace.fences_end;
-        let alone = self.plan.group.durability == Durability::Primary;
-        self.replace.set_prefer_staying(lasts && alone);
-        let leaving = self.present().filter(|i| self.members[*i].spec.leaving);
-        self.replace
-            .set_members(self.present().collect(), leaving.collect());
-    }
-
-    /// Gives up members that have been missing from the list for long enough.
-    fn forget_missing(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let grace = self.settings.missing_grace;
-        let late = |member: &Member| {
-            !member.gone && member.missing.is_some_and(|since| now >= since + grace)
-        };
-        if !self.members.iter().any(late) {
-            return;
-        }
-        let primary = self.replace.primary;
-        for (i, member) in self.members.iter_mut().enumerate() {
-            // The primary is replaced before it is forgotten.
-            if late(member) && Some(i) != primary {
-                member.gone = true;
-                member.view = None;
-            }
-            if late(member) {
-                member.spec.leaving = true;
-            }
-        }
-        self.note_members();
-        self.requeue(now, out);
-    }
-
     /// Whether this owner, which has seen a primary before, reaches no majority.
     pub fn is_cut_off(&self) -> bool {
         self.replace.primary.is_some() && !self.sees_majority()
--- /dev/null
+++ b/src/decisions/group/membership.rs
@@ -0,0 +1,108 @@
+//! Members that come and go, and this box's share of what they offer. A member keeps
+//! its place for as long as the group lives, since everything goes by place.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::*;
+
+impl Group {
+    /// Statements that this box may have at a member at once: no more than its share
+    /// of the connections, and of what keeps the member's slots busy.
+    pub(super) fn capacity(&self) -> usize {
+        let Some(turns) = self.settings.turns else {
+            return self.share();
+        };
+        let group = &self.plan.group;
+        let useful = (group.slots * turns).div_ceil(self.owners.max(1)) as usize;
+        self.share().min(useful.max(LEAST_SHARE))
+    }
+
+    /// Takes a new plan. Members keep their places; new ones get places of their own.
+    pub fn set_plan(&mut self, plan: Arc<Plan>, now: Duration) {
+        let mut members = Vec::new();
+        for known in &mut self.members {
+            let same = |spec: &&MemberSpec| {
+                spec.name == known.spec.name && spec.address == known.spec.address
+            };
+            match plan.members.iter().find(same) {
+                Some(spec) => {
+                    known.spec = spec.clone();
+                    known.missing = None;
+                    known.gone = false;
+                }
+                None => known.missing = known.missing.or(Some(now)),
+            }
+            members.push(known.spec.clone());
+        }
+        for spec in &plan.members {
+            if !members.contains(spec) {
+                let member = Member::new(spec.clone(), 1, &self.settings, now);
+                self.members.push(member);
+                members.push(spec.clone());
+            }
+        }
+        self.plan = Arc::new(Plan {
+            members,
+            ..Plan::clone(&plan)
+        });
+        self.set_rooms();
+        self.note_members();
+    }
+
+    /// Says among how many boxes the connections are shared.
+    pub fn set_owners(&mut self, owners: u32) {
+        self.owners = owners;
+        self.set_rooms();
+    }
+
+    /// Each member's room is what this box may have there; where a refusal had
+    /// narrowed it, it widens again by itself.
+    pub(super) fn set_rooms(&mut self) {
+        let capacity = self.capacity();
+        for member in &mut self.members {
+            member.room = capacity;
+            member.fair.set_capacity(capacity);
+        }
+    }
+
+    /// Members that are still there, by place.
+    pub fn present(&self) -> impl Iterator<Item = usize> + use<> {
+        let places = self.members.iter().enumerate();
+        let present: Vec<usize> = places.filter(|(_, m)| !m.gone).map(|(i, _)| i).collect();
+        present.into_iter()
+    }
+
+    pub(super) fn note_members(&mut self) {
+        let lasts = self.settings.replace.fences_end;
+        let alone = self.plan.group.durability == Durability::Primary;
+        self.replace.set_prefer_staying(lasts && alone);
+        let leaving = self.present().filter(|i| self.members[*i].spec.leaving);
+        self.replace
+            .set_members(self.present().collect(), leaving.collect());
+    }
+
+    /// Gives up members that have been missing from the list for long enough.
+    pub(super) fn forget_missing(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let grace = self.settings.missing_grace;
+        let late = |member: &Member| {
+            !member.gone && member.missing.is_some_and(|since| now >= since + grace)
+        };
+        if !self.members.iter().any(late) {
+            return;
+        }
+        let primary = self.replace.primary;
+        for (i, member) in self.members.iter_mut().enumerate() {
+            // The primary is replaced before it is forgotten.
+            if late(member) && Some(i) != primary {
+                member.gone = true;
+                member.view = None;
+            }
+            if late(member) {
+                member.spec.leaving = true;
+            }
+        }
+        self.note_members();
+        self.requeue(now, out);
+    }
+}
--- /dev/null
+++ b/src/decisions/group/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of the decisions about a group.
+
+use std::time::Duration;
+
+use crate::decisions::detect::baseline::Settings as DetectSettings;
+use crate::decisions::replace::Settings as ReplaceSettings;
+
+/// Settings of the decisions about a group.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    pub replace: ReplaceSettings,
+    pub detect: DetectSettings,
+    /// The period grows by this factor for members that are not the primary, and
+    /// again for owners that are not the first.
+    pub relaxed: u32,
+    /// Time a read waits for a replica before it goes to the primary.
+    pub replica_wait: Duration,
+    /// Time that a leaving primary's statements get, at every owner, before another
+    /// is promoted; new writes wait meanwhile.
+    pub leave_grace: Duration,
+    /// The same, at most: longer transactions are cut off.
+    pub leave_most: Duration,
+    /// Least time between two probes of a member on behalf of waiting requests.
+    pub probe_gap: Duration,
+    /// Time that a refused caller is told to wait while no majority is in sight.
+    pub cut_off_retry: Duration,
+    /// Guess of a statement's time before any was measured.
+    pub service: Duration,
+    /// Part of the lease that is not used: for clocks that differ and the way of an
+    /// answer out of the process.
+    pub lease_margin: Duration,
+    /// A leaving primary serves until another is about to take over.
+    pub serve_leaving: bool,
+    /// A member that is missing from the list is still one for this long: lists lag,
+    /// and lose members that live while their keeper is away.
+    pub missing_grace: Duration,
+    /// What a read on the primary costs more than on a replica, as a wait; none where
+    /// reads go there only when no replica fits.
+    pub primary_cost: Option<Duration>,
+    /// Requests wait for a primary until their time is up, whatever is expected.
+    pub patient: bool,
+    /// Connections kept open without use, as a percentage of this box's share.
+    pub keep: u32,
+    /// Statements at a member at once, from all boxes, for each of its slots; none
+    /// where connections alone bound them.
+    pub turns: Option<u32>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            replace: ReplaceSettings::default(),
+            detect: DetectSettings {
+                period: Duration::from_millis(1_000),
+                interval: Duration::from_millis(200),
+                tries: 3,
+            },
+            relaxed: 4,
+            replica_wait: Duration::from_millis(5),
+            leave_grace: Duration::from_millis(1_500),
+            leave_most: Duration::from_secs(5),
+            probe_gap: Duration::from_millis(2),
+            cut_off_retry: Duration::from_secs(1),
+            service: Duration::from_millis(2),
+            lease_margin: Duration::from_millis(50),
+            serve_leaving: false,
+            missing_grace: Duration::ZERO,
+            primary_cost: None,
+            patient: false,
+            keep: 100,
+            turns: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/driver/acting.rs
@@ -0,0 +1,235 @@
+//! Carries out what the decisions ask for.
+
+use std::sync::Arc;
+
+use super::*;
+use crate::decisions::group::Note;
+use crate::node::{duty, peers};
+
+impl Driver {
+    /// Carries out one action. What it brings about at once is returned.
+    pub(super) fn act(&mut self, id: &Arc<str>, action: Action) -> Option<Event> {
+        let owned = self.groups.get(id)?;
+        match action {
+            Action::Assign {
+                id: request,
+                member,
+                term,
+                believed,
+            } => {
+                let grant = Grant {
+                    incarnation: owned.incarnation,
+                    member,
+                    spec: owned.group.plan.members[member].clone(),
+                    term,
+                    primary: owned.group.primary() == Some(member),
+                    believed,
+                    patience: owned.group.patience(member, self.context.now()),
+                    health: owned.health.subscribe(),
+                };
+                let reply = self.grants.remove(&request);
+                let gone = reply.is_none_or(|(_, reply)| reply.send(Ok(grant)).is_err());
+                let took = self.settings.service;
+                return gone.then_some(Event::Release { member, took });
+            }
+            Action::Refuse {
+                id: request,
+                refusal,
+            } => {
+                if let Some((_, reply)) = self.grants.remove(&request) {
+                    let _ = reply.send(Err(Denial::NotRun(refusal)));
+                }
+            }
+            Action::Settle {
+                id: request,
+                outcome,
+            } => {
+                if let Some((_, reply)) = self.settles.remove(&request) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            Action::Probe { member } => self.probe(id, owned, member),
+            Action::Revoke { term } => self.revoke(id, owned, term),
+            Action::Claim => {
+                let context = self.context.clone();
+                let group = id.clone();
+                let incarnation = owned.incarnation;
+                tokio::task::spawn_local(async move {
+                    let order = duty::order(&context, &group).await;
+                    let won = order.is_some();
+                    let _ = context.decisions.send(Message::Ordered {
+                        group: group.clone(),
+                        order,
+                    });
+                    context.tell(&group, incarnation, Event::Claimed { won });
+                });
+            }
+            Action::Fence { member, term } => {
+                let replaced = owned.group.term();
+                let border = owned.members[member].clone();
+                self.spawn(id, async move {
+                    let answer = border.fence(term, replaced).await;
+                    Event::Fenced {
+                        member,
+                        term,
+                        answer,
+                    }
+                });
+            }
+            Action::Release { member } => {
+                let border = owned.members[member].clone();
+                self.spawn(id, async move {
+                    // Whether it worked shows in the next report.
+                    let _ = border.release().await;
+                    Event::Look
+                });
+            }
+            Action::Promote { member, term } => {
+                let border = owned.members[member].clone();
+                let order = owned.order.clone().unwrap_or_default();
+                self.spawn(id, async move {
+                    let answer = border.promote(term, &order).await;
+                    Event::Promoted { term, answer }
+                });
+            }
+            Action::Follow {
+                member,
+                term,
+                primary,
+            } => {
+                let border = owned.members[member].clone();
+                let address = owned.group.plan.members[primary].address.clone();
+                self.spawn(id, async move {
+                    let _ = border.follow(term, &address).await;
+                    Event::Look
+                });
+            }
+            Action::Ask => self.ask_peers(id, owned),
+            Action::Record { term, primary } => {
+                let name = owned.group.plan.members[primary].name.clone();
+                self.context.metrics.replacements.add(1, &[]);
+                if self.context.settings.duty {
+                    // Members tell by themselves who leads; the duty is on record.
+                    return None;
+                }
+                let record = peers::record(self.context.clone(), id.clone(), term, name);
+                tokio::task::spawn_local(record);
+            }
+            Action::Note(note) => self.note(id, &owned.group, &note),
+        }
+        None
+    }
+
+    /// Does something elsewhere and brings its event back.
+    pub(super) fn spawn(&self, id: &Arc<str>, work: impl Future<Output = Event> + 'static) {
+        let context = self.context.clone();
+        let group = id.clone();
+        let Some(owned) = self.groups.get(id) else {
+            return;
+        };
+        let incarnation = owned.incarnation;
+        tokio::task::spawn_local(async move {
+            let event = work.await;
+            context.tell(&group, incarnation, event);
+        });
+    }
+
+    pub(super) fn probe(&self, id: &Arc<str>, owned: &Owned, member: usize) {
+        self.context.metrics.probes.add(1, &[]);
+        let border = owned.members[member].clone();
+        let began = self.context.now();
+        self.spawn(id, async move {
+            let answer = border.status().await;
+            Event::Status {
+                member,
+                began,
+                answer,
+            }
+        });
+    }
+
+    pub(super) fn ask_peers(&self, id: &Arc<str>, owned: &Owned) {
+        let plan = &owned.group.plan;
+        let term = owned.group.term();
+        let own = &self.context.settings.name;
+        let owners = group_owners(plan, &self.ranking).into_iter();
+        let others = owners.filter(|listing| listing.name != *own);
+        for listing in others.take(MOST_ASKED) {
+            let near = listing.domain == self.context.settings.domain;
+            let asked = peers::opinion(self.context.clone(), listing.clone(), id.clone(), term);
+            let from = listing.name.clone();
+            let context = self.context.clone();
+            let group = id.clone();
+            let incarnation = owned.incarnation;
+            tokio::task::spawn_local(async move {
+                if let Some(suspects) = asked.await {
+                    let event = Event::Opinion {
+                        from,
+                        near,
+                        suspects,
+                    };
+                    context.tell(&group, incarnation, event);
+                }
+            });
+        }
+    }
+
+    /// Has all other boxes give up their leases. Where one does not answer, or the
+    /// list may be old, the wait goes on to its end.
+    pub(super) fn revoke(&self, id: &Arc<str>, owned: &Owned, term: u64) {
+        let own = &self.context.settings.name;
+        let owners = group_owners(&owned.group.plan, &self.ranking);
+        let others = owners.into_iter().filter(|listing| listing.name != *own);
+        let asked = others.map(|listing| {
+            peers::revoke(self.context.clone(), listing.address.clone(), id.clone())
+        });
+        let asked: Vec<_> = asked.collect();
+        let (context, group) = (self.context.clone(), id.clone());
+        let incarnation = owned.incarnation;
+        tokio::task::spawn_local(async move {
+            let listed = context.table.head().await.is_ok();
+            let given_up = futures::future::join_all(asked).await;
+            if listed && given_up.into_iter().all(|done| done) {
+                context.tell(&group, incarnation, Event::Revoked { term });
+            }
+        });
+    }
+
+    pub(super) fn note(&self, id: &Arc<str>, group: &Group, note: &Note) {
+        let name = |member: usize| group.plan.members[member].name.clone();
+        let log = &self.context.log;
+        match note {
+            Note::Suspected { member } => events::emit(
+                log,
+                &events::SUSPECTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Trusted { member } => events::emit(
+                log,
+                &events::TRUSTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Nonsense { member } => events::emit(
+                log,
+                &events::NONSENSE,
+                &[("group", id), ("member", &name(*member))],
+            ),
+            Note::Fencing { term } => {
+                events::emit(log, &events::FENCING, &[("group", id), ("term", term)]);
+            }
+            Note::Lost { term } => {
+                events::emit(log, &events::BALLOT_LOST, &[("group", id), ("term", term)]);
+            }
+            Note::Won { term, member } => events::emit(
+                log,
+                &events::PROMOTED,
+                &[("group", id), ("term", term), ("member", &name(*member))],
+            ),
+            Note::Adopted { term, member } => events::emit(
+                log,
+                &events::ADOPTED,
+                &[("group", id), ("term", term), ("member", &name(*member))],
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/driver/owning.rs
@@ -0,0 +1,174 @@
+//! Which groups this box owns, and what they are told of the world.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::*;
+use crate::decisions::duty::Duty;
+
+impl Driver {
+    pub(super) fn own(&mut self) {
+        let name = self.context.settings.name.clone();
+        let mut mine: BTreeMap<Arc<str>, (Arc<Plan>, u32, u32)> = BTreeMap::new();
+        for (id, plan) in &self.snapshot.groups {
+            let chosen = group_owners(plan, &self.ranking);
+            let rank = chosen.iter().position(|listing| listing.name == name);
+            if let Some(rank) = rank
+                && !plan.members.is_empty()
+            {
+                let owners = chosen.len() as u32;
+                mine.insert(id.clone(), (plan.clone(), rank as u32, owners));
+            }
+        }
+        self.groups.retain(|id, _| mine.contains_key(id));
+        let crowd = (mine.len() as u32).div_ceil(GROUPS_AT_FULL_RATE).max(1);
+        for (id, (plan, rank, owners)) in mine {
+            match self.groups.get_mut(&id) {
+                Some(owned) => {
+                    owned.group.set_rank(rank, crowd);
+                    owned.group.set_owners(owners);
+                    if owned.plan != plan {
+                        owned.plan = plan.clone();
+                        owned.group.set_plan(plan, self.context.now());
+                        self.join_new(&id);
+                    }
+                    // What changed may have made something due.
+                    self.handle(&id, Event::Tick);
+                }
+                None => self.start(id, plan, (rank, owners), crowd),
+            }
+        }
+        self.dismiss();
+    }
+
+    /// Answers those who waited for a group that is not owned any more.
+    pub(super) fn dismiss(&mut self) {
+        let live: HashSet<Incarnation> = self.groups.values().map(|o| o.incarnation).collect();
+        // Dropped, a grant's reply says that this box is no owner, and a
+        // settlement's that the outcome is unknown.
+        self.grants
+            .retain(|_, (incarnation, _)| live.contains(incarnation));
+        self.settles
+            .retain(|_, (incarnation, _)| live.contains(incarnation));
+        let addresses = self.groups.values().flat_map(|owned| {
+            let share = owned.group.kept_open();
+            let members = owned.group.plan.members.iter();
+            members.map(move |member| (member.address.sql.clone(), share))
+        });
+        let addresses = addresses.collect();
+        self.context.owned.send_replace(addresses);
+    }
+
+    pub(super) fn start(
+        &mut self,
+        id: Arc<str>,
+        plan: Arc<Plan>,
+        (rank, owners): (u32, u32),
+        crowd: u32,
+    ) {
+        let now = self.context.now();
+        let incarnation = self.next;
+        self.next += 1;
+        let seed = rand::rng().random();
+        let domain = self.context.settings.domain.clone();
+        let mut group = Group::new(plan.clone(), domain, rank, self.settings, seed, now);
+        group.set_rank(rank, crowd);
+        group.set_owners(owners);
+        let owned = Owned {
+            incarnation,
+            plan,
+            group,
+            members: Vec::new(),
+            watches: Vec::new(),
+            health: watch::channel(Health::default()).0,
+            order: None,
+            wake: now,
+        };
+        self.groups.insert(id.clone(), owned);
+        self.join_new(&id);
+        let listed = self.listed.is_some_and(|since| now >= since);
+        self.handle(&id, Event::Listed { listed });
+    }
+
+    /// Makes the borders of members that have none yet.
+    pub(super) fn join_new(&mut self, id: &Arc<str>) {
+        let Some(owned) = self.groups.get_mut(id) else {
+            return;
+        };
+        for place in owned.members.len()..owned.group.plan.members.len() {
+            let border = self
+                .context
+                .members
+                .member(&owned.group.plan.members[place]);
+            let group = (id.clone(), owned.incarnation);
+            let watching = watch_member(self.context.clone(), group, place, border.clone());
+            let watch = tokio::task::spawn_local(watching).abort_handle();
+            owned.watches.push(watch);
+            owned.members.push(border);
+        }
+    }
+
+    /// Notes since when the list of boxes has named this one.
+    pub(super) fn note_listed(&mut self, boxes: &[Listing]) {
+        let own = &self.context.settings.name;
+        let listed = boxes.iter().any(|listing| listing.name == *own);
+        let first = !std::mem::replace(&mut self.knows_boxes, true);
+        let now = self.context.now();
+        self.listed = match (listed, self.listed) {
+            (false, _) => None,
+            (true, Some(since)) => Some(since),
+            // It stood there before this process started.
+            (true, None) if first => Some(Duration::ZERO),
+            (true, None) => Some(now + LISTED_REST),
+        };
+        if let Some(until) = self.listed.filter(|until| *until > now) {
+            let decisions = self.context.decisions.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(until - now).await;
+                let _ = decisions.send(Message::Listed);
+            });
+        }
+    }
+
+    pub(super) fn tell_listed(&mut self) {
+        let now = self.context.now();
+        let listed = self.listed.is_some_and(|since| now >= since);
+        let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
+        for group in groups {
+            self.handle(&group, Event::Listed { listed });
+        }
+    }
+
+    /// Tells groups whose duty another box has taken.
+    pub(super) fn tell_duties(&mut self, before: &Snapshot) {
+        if before.revision == 0 {
+            // What was taken before this box started is over.
+            return;
+        }
+        let own = &self.context.settings.name;
+        let foreign = |group: &Arc<str>, duty: &Duty| {
+            let known = before.duties.get(group).map_or(0, |known| known.revision);
+            duty.holder != *own && known < duty.revision
+        };
+        let duties = self.snapshot.duties.iter();
+        let taken = duties.filter(|(group, duty)| foreign(group, duty));
+        let taken: Vec<Arc<str>> = taken.map(|(group, _)| group.clone()).collect();
+        for group in taken {
+            self.handle(&group, Event::DutyTaken);
+        }
+    }
+
+    pub(super) fn tell_primaries(&mut self) {
+        let primaries = self.snapshot.primaries.clone();
+        for (id, record) in primaries.iter() {
+            let event = Event::News {
+                term: record.term,
+                primary: record.member.clone(),
+            };
+            self.handle(id, event);
+        }
+    }
+}
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -86,12 +86,11 @@
 
 impl Box_ {
     pub fn start(place: Place) -> Self {
-        let folder = std::env::temp_dir();
-        let file = folder.join(format!(
-            "larkfall-{}-{}.yaml",
-            std::process::id(),
-            place.front
-        ));
+        // A box that is started again must not lose its file to the end of the first.
+        static STARTS: AtomicU32 = AtomicU32::new(0);
+        let start = STARTS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("larkfall-{}-{start}.yaml", std::process::id());
+        let file = std::env::temp_dir().join(name);
         std::fs::write(&file, place.file()).expect("a settings file can be written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_larkfall"));
         command.arg("serve").env("LARKFALL_NODE_FILE", &file);
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -128,6 +128,22 @@
         });
     }
 
+    /// A write comes, with 700 ms left.
+    fn arrive(&mut self, id: u64) {
+        let now = self.now;
+        self.tell(Event::Arrive(Request {
+            id,
+            partner: "p".into(),
+            weight: 1,
+            target: Target::Primary,
+            floor: Some(Position::ZERO),
+            believed: true,
+            arrived: now,
+            deadline: now + ms(700),
+            aim: None,
+        }));
+    }
+
     fn outcome(&self, wanted: u64) -> Option<Outcome> {
         self.actions.iter().find_map(|action| match action {
             Action::Settle { id, outcome } if *id == wanted => Some(*outcome),
@@ -333,18 +349,7 @@
     }
     bench.report(1, status(Role::Replica, 1, 1, 10));
     bench.report(2, status(Role::Replica, 1, 1, 10));
-    let now = bench.now;
-    bench.tell(Event::Arrive(Request {
-        id: 7,
-        partner: "p".into(),
-        weight: 1,
-        target: Target::Primary,
-        floor: Some(Position::ZERO),
-        believed: true,
-        arrived: now,
-        deadline: now + ms(700),
-        aim: None,
-    }));
+    bench.arrive(7);
     let refusal = bench.actions.iter().find_map(|action| match action {
         Action::Refuse { id: 7, refusal } => Some(refusal.clone()),
         _ => None,
@@ -428,18 +433,7 @@
 fn who_stops_waiting_leaves_the_queue() {
     let mut bench = Bench::new(0);
     for id in 10..20 {
-        let now = bench.now;
-        bench.tell(Event::Arrive(Request {
-            id,
-            partner: "p".into(),
-            weight: 1,
-            target: Target::Primary,
-            floor: None,
-            believed: true,
-            arrived: now,
-            deadline: now + ms(700),
-            aim: None,
-        }));
+        bench.arrive(id);
     }
     let running = |bench: &Bench| bench.asked(|a| matches!(a, Action::Assign { .. }));
     let before = running(&bench);
@@ -454,25 +448,11 @@
 #[gtest]
 fn a_member_that_takes_no_more_connections_gets_less_and_slowly_more() {
     let mut bench = Bench::new(0);
-    let arrive = |bench: &mut Bench, id: u64| {
-        let now = bench.now;
-        bench.tell(Event::Arrive(Request {
-            id,
-            partner: "p".into(),
-            weight: 1,
-            target: Target::Primary,
-            floor: None,
-            believed: true,
-            arrived: now,
-            deadline: now + ms(700),
-            aim: None,
-        }));
-    };
-    arrive(&mut bench, 1);
+    bench.arrive(1);
     bench.tell(Event::Full { member: 0 });
     let took = ms(10);
     bench.tell(Event::Release { member: 0, took });
-    arrive(&mut bench, 2);
+    bench.arrive(2);
     let assigned = |bench: &Bench, id: u64| {
         bench.asked(|a| matches!(a, Action::Assign { id: found, .. } if *found == id))
     };
@@ -502,18 +482,7 @@
             });
         }
     }
-    let now = bench.now;
-    bench.tell(Event::Arrive(Request {
-        id: 1,
-        partner: "p".into(),
-        weight: 1,
-        target: Target::Primary,
-        floor: None,
-        believed: true,
-        arrived: now,
-        deadline: now + ms(700),
-        aim: None,
-    }));
+    bench.arrive(1);
     expect_that!(bench.asked(|a| matches!(a, Action::Refuse { .. })), eq(0));
     bench.report(0, status(Role::Primary, 1, 1, 10));
     bench.report(1, status(Role::Replica, 1, 1, 10));
