fix: where members see to it that a replica holds a write, nobody looks again

Cause: sync_replicas 1 was mapped to a majority's confirmation, which waited for looks that the lease did not ask for.

--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -14,7 +14,7 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) {
-        let alone = self.plan.group.durability == Durability::Primary;
+        let alone = self.plan.group.durability != Durability::Majority;
         if alone && !self.settings.replace.lease.is_zero() {
             return self.wrote_alone(id, member, deadline, now, out);
         }
@@ -62,7 +62,7 @@
     /// What a read from the primary must wait for. What no majority holds yet may
     /// be lost with this primary, and then its reader would go back in time.
     pub(super) fn read_need(&self, term: u64, position: Option<Position>) -> Need {
-        let sure = self.plan.group.durability == Durability::Primary;
+        let sure = self.plan.group.durability != Durability::Majority;
         match position {
             Some(position) if !sure && position > self.held => Need::Holds(position),
             _ => Need::Unfenced(term),
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -216,9 +216,13 @@
 fn group(reader: &mut Reader) -> Spec {
     let durability = match reader.value("durability").map(|value| value.as_str()) {
         None | Some(Some("majority")) => Durability::Majority,
+        Some(Some("members")) => Durability::Members,
         Some(Some("primary")) => Durability::Primary,
         Some(_) => {
-            reader.note("durability", "must be \"majority\" or \"primary\"");
+            reader.note(
+                "durability",
+                "must be \"majority\", \"members\" or \"primary\"",
+            );
             Durability::Majority
         }
     };
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -96,6 +96,8 @@
 pub enum Durability {
     /// A majority of the members holds it.
     Majority,
+    /// The members see to it: the primary answers a write when a replica holds it.
+    Members,
     /// Only the primary is known to hold it: a replacement may lose it.
     Primary,
 }
--- a/src/platform/manifest.rs
+++ b/src/platform/manifest.rs
@@ -78,7 +78,7 @@
             // Where no replica needs to hold a write, a replacement may lose it.
             "durability": match holds_alone(service) {
                 true => "primary",
-                false => "majority",
+                false => "members",
             },
             "connections": service.max_connections,
             // As many boxes as the connections allow.
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -206,6 +206,17 @@
     expect_that!(bench.outcome(2), some(eq(Outcome::Confirmed)));
 }
 
+#[gtest]
+fn where_members_see_to_it_a_write_waits_for_no_look() {
+    let mut bench = Bench::new(0);
+    let mut synced = Plan::clone(&bench.group.plan);
+    synced.group.durability = Durability::Members;
+    let now = bench.now;
+    bench.group.set_plan(Arc::new(synced), now);
+    bench.write(1);
+    expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+}
+
 #[gtest]
 fn a_fenced_majority_acknowledges_nothing() {
     let mut bench = Bench::new(0);
