fix: a promotion waits out the lease where not every box owns the group

Cause, read in the own diff: boxes whose lists differ name different owners, so a box that takes itself for one by an older list was not asked to give up its lease. Sites where every box owns every group (8 and 9 boxes) are as before.

--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -27,6 +27,12 @@
         self.boxes.is_empty()
     }
 
+    /// Whether so many owners are all boxes there are. Only then do two boxes with
+    /// different lists agree on who owns a group.
+    pub fn is_everybody(&self, owners: usize) -> bool {
+        owners == self.boxes.len()
+    }
+
     /// Leaving boxes own nothing.
     pub fn new(boxes: &[Listing]) -> Self {
         let present = boxes.iter().filter(|listing| !listing.leaving);
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -179,6 +179,10 @@
     pub(super) fn revoke(&self, id: &Arc<str>, owned: &Owned, term: u64) {
         let own = &self.context.settings.name;
         let owners = group_owners(&owned.group.plan, &self.ranking);
+        if !self.ranking.is_everybody(owners.len()) {
+            // Another box may take itself for an owner by an older list.
+            return;
+        }
         let others = owners.into_iter().filter(|listing| listing.name != *own);
         let asked = others.map(|listing| {
             peers::revoke(self.context.clone(), listing.address.clone(), id.clone())
--- a/tests/unit/owners.rs
+++ b/tests/unit/owners.rs
@@ -71,3 +71,16 @@
     expect_that!(count(0, 1, 1, 5), eq(1));
     expect_that!(count(4, 283, 3, 72), eq(4));
 }
+
+#[gtest]
+fn only_when_every_box_owns_a_group_do_all_lists_agree_on_its_owners() {
+    let listing = |name: &str| Listing {
+        name: name.into(),
+        address: name.into(),
+        domain: "d".into(),
+        leaving: false,
+    };
+    let ranking = Ranking::new(&[listing("a"), listing("b"), listing("c")]);
+    expect_that!(ranking.is_everybody(3), eq(true));
+    expect_that!(ranking.is_everybody(2), eq(false));
+}
