fix(configuration): a reset of the store's connections holds up no change

Cause: after a reset a table waited for its long poll (12 s) before it was ordered again, and the keeper fetched nothing while any table was unordered. Ruled out: the keeper's lease, the mapping of changes. The new test was written with the mend and has not been shown to fail on the code before.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -277,12 +277,15 @@
     }
 
     async fn poll(&mut self) {
+        if !self.context.table.is_ordered() {
+            // What one source told counts, whatever becomes of the others; and without
+            // an order a row may be new although the head is not.
+            self.fetch().await;
+        }
         match self.context.table.head().await {
             Ok(head) => {
                 self.note_table(true);
-                // Without an order a row may be new although the head is not.
-                let ordered = self.context.table.is_ordered();
-                if head > self.store.revision() || !ordered {
+                if head > self.store.revision() {
                     self.fetch().await;
                 }
                 self.read_boxes().await;
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -126,7 +126,12 @@
             let read = match after {
                 None => self.store.read(source.table()).await,
                 Some(after) => {
-                    let wait = source.wait();
+                    // After an error the first answer tells that the store is back: it
+                    // must not wait for a change.
+                    let wait = match self.up.borrow().contains(&source) {
+                        true => source.wait(),
+                        false => Duration::ZERO,
+                    };
                     self.store.changes(source.table(), after, wait).await
                 }
             };
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -109,3 +109,25 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_table_of_the_store_that_gives_no_answer_holds_up_no_other() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    // All waits end with an error, and one table never answers again.
+    world.store.set_fault(Fault::Busy);
+    world.store.silence("servers");
+    let mut next = manifest(30, 3_000);
+    let routes = next["routes"].as_array_mut().expect("routes");
+    routes.retain(|route| route["hostname"] != STRICT);
+    world.store.put("op", "config", &next);
+    world.store.set_fault(Fault::None);
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error == Some("NODB".to_owned()) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -40,6 +40,8 @@
     /// Changes up to this version are forgotten.
     forgotten: u64,
     fault: Fault,
+    /// A table that answers nobody.
+    silent: Option<String>,
 }
 
 /// A promotion as it was ordered.
@@ -93,6 +95,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Has one table answer nobody any more.
+    pub fn silence(&self, table: &str) {
+        self.rows().silent = Some(table.to_owned());
+        self.changed.notify_waiters();
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_raw(table, key, Some(BASE64.encode(value.to_string())));
     }
@@ -118,10 +126,15 @@
     }
 
     /// Waits as long as the store is silent; an answer in its place where there is one.
-    async fn gate(&self) -> Option<Response> {
+    async fn gate(&self, table: &str) -> Option<Response> {
         loop {
             let changed = self.changed.notified();
-            match self.rows().fault {
+            let silent = self.rows().silent.as_deref() == Some(table);
+            let fault = match silent {
+                true => Fault::Silent,
+                false => self.rows().fault,
+            };
+            match fault {
                 Fault::Busy => return Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
                 Fault::Silent => {}
                 Fault::None | Fault::LosesAnswers => return None,
@@ -158,7 +171,7 @@
 }
 
 async fn read(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
-    if let Some(refusal) = store.gate().await {
+    if let Some(refusal) = store.gate(&asked.table).await {
         return refusal;
     }
     let rows = store.rows();
@@ -171,7 +184,7 @@
 async fn feed(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
     let end = tokio::time::Instant::now() + Duration::from_millis(asked.wait_ms);
     loop {
-        if let Some(refusal) = store.gate().await {
+        if let Some(refusal) = store.gate(&asked.table).await {
             return refusal;
         }
         let changed = store.changed.notified();
@@ -212,7 +225,7 @@
 }
 
 async fn transact(State(store): State<Store>, Json(asked): Json<Transaction>) -> Response {
-    if let Some(refusal) = store.gate().await {
+    if let Some(refusal) = store.gate("").await {
         return refusal;
     }
     let done = commit(&store, asked);
