fix(duty): an order whose duty another box has taken does not go out

Fences, the wait for leases and a look at the member lie between taking the duty and the order; whether it still stood was not asked. Ruled out: equal numbers (lanes). Not ruled out: a box whose table was silent.

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -57,6 +57,8 @@
     /// It answers, but has no time for this.
     #[error("too busy")]
     Busy,
+    #[error("not ordered: another box has taken the duty")]
+    Superseded,
     #[error("answered nonsense: {0}")]
     Nonsense(String),
 }
@@ -88,7 +90,14 @@
     /// a later one is not fenced.
     async fn fence(&self, term: u64, replaced: u64) -> Result<Status, MemberError>;
     /// Makes the member primary of `term`, which it must have promised.
-    async fn promote(&self, term: u64, order: &Order) -> Result<Status, MemberError>;
+    /// `stands` is asked right before the order goes out, since what comes before
+    /// takes time; without it nothing is ordered.
+    async fn promote(
+        &self,
+        term: u64,
+        order: &Order,
+        stands: &dyn Fn() -> bool,
+    ) -> Result<Status, MemberError>;
     async fn follow(&self, term: u64, primary: &Address) -> Result<Status, MemberError>;
     /// Takes back a fence that leads to nothing; does nothing where fences last.
     async fn release(&self) -> Result<(), MemberError> {
--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -25,6 +25,12 @@
     pub revision: u64,
 }
 
+/// Whether an order under `generation` may still go out: nobody is known to have
+/// taken the duty since.
+pub fn stands(generation: u64, known: Option<&Duty>) -> bool {
+    known.is_none_or(|known| known.generation <= generation)
+}
+
 /// The duty as `holder` takes it from `known`; the same while it holds it already.
 pub fn taken(known: Option<&Duty>, holder: &Arc<str>) -> Duty {
     if let Some(known) = known
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -87,8 +87,11 @@
             Action::Promote { member, term } => {
                 let border = owned.members[member].clone();
                 let order = owned.order.clone().unwrap_or_default();
+                let context = self.context.clone();
+                let group = id.clone();
                 self.spawn(id, async move {
-                    let answer = border.promote(term, &order).await;
+                    let stands = || duty::stands(&context, &group, &order);
+                    let answer = border.promote(term, &order, &stands).await;
                     Event::Promoted { term, answer }
                 });
             }
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -6,7 +6,7 @@
 use super::context::Context;
 use crate::borders::member::Order;
 use crate::borders::table::{Commit, Verdict, Write};
-use crate::decisions::duty::{Duty, taken};
+use crate::decisions::duty::{self, Duty, taken};
 use crate::events;
 
 /// Rows of duties, by group.
@@ -37,6 +37,12 @@
     })
 }
 
+/// Whether `order` may still go out, as far as the table is known.
+pub fn stands(context: &Context, group: &Arc<str>, order: &Order) -> bool {
+    let snapshot = context.snapshot.borrow();
+    duty::stands(order.generation, snapshot.duties.get(group))
+}
+
 fn next(context: &Context, group: &Arc<str>) -> Duty {
     let snapshot = context.snapshot.borrow();
     taken(snapshot.duties.get(group), &context.settings.name)
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -177,7 +177,12 @@
         }
     }
 
-    async fn promote(&self, term: u64, order: &Order) -> Result<Status, MemberError> {
+    async fn promote(
+        &self,
+        term: u64,
+        order: &Order,
+        stands: &dyn Fn() -> bool,
+    ) -> Result<Status, MemberError> {
         let before = self.status().await?;
         // A restart forgets the fence, and another box's replaces it.
         if before.promised != term {
@@ -185,6 +190,9 @@
                 promised: before.promised,
             });
         }
+        if !stands() {
+            return Err(MemberError::Superseded);
+        }
         let ordered = self.order(order).await;
         for _ in 0..PROMOTED_LOOKS {
             tokio::time::sleep(PROMOTED_LOOK).await;
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -162,7 +162,12 @@
         self.status_of(&Request::Fence { term }).await
     }
 
-    async fn promote(&self, term: u64, _: &Order) -> Result<Status, MemberError> {
+    async fn promote(
+        &self,
+        term: u64,
+        _: &Order,
+        _: &dyn Fn() -> bool,
+    ) -> Result<Status, MemberError> {
         self.status_of(&Request::Promote { term }).await
     }
 
--- a/tests/unit/setup.rs
+++ b/tests/unit/setup.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::upstream::{Begin, Opening, Prepared, Setup};
-use larkfall::decisions::duty::{Duty, taken};
+use larkfall::decisions::duty::{Duty, stands, taken};
 use larkfall::decisions::latency::Latency;
 use larkfall::decisions::setup::{Fitting, Step};
 
@@ -81,6 +81,17 @@
     expect_that!(taken(Some(&known), &b).generation, not(eq(alone)));
 }
 
+#[gtest]
+fn an_order_is_held_to_be_over_once_another_box_has_taken_the_duty() {
+    let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    let first = taken(None, &a);
+    expect_that!(stands(first.generation, None), eq(true));
+    expect_that!(stands(first.generation, Some(&first)), eq(true));
+    let second = taken(Some(&first), &b);
+    expect_that!(stands(first.generation, Some(&second)), eq(false));
+    expect_that!(stands(second.generation, Some(&first)), eq(true));
+}
+
 #[gtest]
 fn a_slow_member_is_tried_again_after_a_while() {
     let at = Duration::from_millis;
