--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -4,15 +4,21 @@
 //! adds a number that rises whenever another box orders, for a platform that wants
 //! one. It is kept in the table, and taken by a conditional commit. While the table
 //! gives no answer a box goes on from the last number it has seen: the low part of
-//! every number is the box's own, so that no two boxes ever use the same one.
+//! every number is the box's own, so that no two boxes ever use the same one. Between
+//! stand the terms of the ballots: where one box orders without the table, another
+//! that follows has seen its term at the members, and so has the higher number.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Numbers of one rise; a box takes the one that its name hashes to.
+/// Numbers of one term; a box takes the one that its name hashes to.
 const LANES: u64 = 4_096;
+/// Terms of one rise. With 17 bits of rises a number stays exact as a float.
+const TERMS: u64 = 1 << 24;
+/// Numbers of one rise.
+const RISE: u64 = TERMS * LANES;
 
 /// The duty for one group, as last taken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +31,13 @@
     pub revision: u64,
 }
 
+/// The number of an order after the ballot of `term`; never below `last`, the one
+/// that the box has ordered under before.
+pub fn number(generation: u64, term: u64, last: u64) -> u64 {
+    let number = generation + term.min(TERMS - 1) * LANES;
+    number.max(last)
+}
+
 /// Whether an order under `generation` may still go out: nobody is known to have
 /// taken the duty since.
 pub fn stands(generation: u64, known: Option<&Duty>) -> bool {
@@ -38,10 +51,10 @@
     {
         return known.clone();
     }
-    let rises = known.map_or(0, |known| known.generation / LANES) + 1;
+    let rises = known.map_or(0, |known| known.generation / RISE) + 1;
     Duty {
         holder: holder.clone(),
-        generation: rises * LANES + xxh3_64(holder.as_bytes()) % LANES,
+        generation: rises * RISE + xxh3_64(holder.as_bytes()) % LANES,
         revision: 0,
     }
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -48,6 +48,8 @@
     health: watch::Sender<Health>,
     /// On whose authority this box promotes.
     order: Option<Order>,
+    /// Highest number this box has ordered a promotion under.
+    ordered: u64,
     wake: Duration,
 }
 
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::*;
+use crate::decisions::duty::number;
 use crate::decisions::group::Note;
 use crate::node::{duty, peers};
 
@@ -86,11 +87,15 @@
             }
             Action::Promote { member, term } => {
                 let border = owned.members[member].clone();
-                let order = owned.order.clone().unwrap_or_default();
+                let mut order = owned.order.clone().unwrap_or_default();
+                let last = owned.ordered;
+                let taken = order.generation;
+                order.generation = number(taken, term, last);
+                self.groups.get_mut(id)?.ordered = order.generation;
                 let context = self.context.clone();
                 let group = id.clone();
                 self.spawn(id, async move {
-                    let stands = || duty::stands(&context, &group, &order);
+                    let stands = || duty::stands(&context, &group, taken);
                     let answer = border.promote(term, &order, &stands).await;
                     Event::Promoted { term, answer }
                 });
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -85,6 +85,7 @@
             watches: Vec::new(),
             health: watch::channel(Health::default()).0,
             order: None,
+            ordered: 0,
             wake: now,
         };
         self.groups.insert(id.clone(), owned);
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -37,10 +37,11 @@
     })
 }
 
-/// Whether `order` may still go out, as far as the table is known.
-pub fn stands(context: &Context, group: &Arc<str>, order: &Order) -> bool {
+/// Whether an order under `generation`, as taken, may still go out, as far as the
+/// table is known.
+pub fn stands(context: &Context, group: &Arc<str>, generation: u64) -> bool {
     let snapshot = context.snapshot.borrow();
-    duty::stands(order.generation, snapshot.duties.get(group))
+    duty::stands(generation, snapshot.duties.get(group))
 }
 
 fn next(context: &Context, group: &Arc<str>) -> Duty {
--- a/tests/unit/setup.rs
+++ b/tests/unit/setup.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::upstream::{Begin, Opening, Prepared, Setup};
-use larkfall::decisions::duty::{Duty, stands, taken};
+use larkfall::decisions::duty::{Duty, number, stands, taken};
 use larkfall::decisions::latency::Latency;
 use larkfall::decisions::setup::{Fitting, Step};
 
@@ -92,6 +92,26 @@
     expect_that!(stands(second.generation, Some(&first)), eq(true));
 }
 
+/// As on trouble-1 of cosecha-larkfall, seed 1055612176309.
+#[gtest]
+fn a_later_order_has_the_higher_number_also_after_one_without_the_table() {
+    // The first is cut off from the table; the second, whose ballot comes later,
+    // cannot know of its number, but has seen its term at the members.
+    let first = taken(None, &"edge-santiago-a-3".into()).generation;
+    let second = taken(None, &"edge-santiago-b-2".into()).generation;
+    expect_that!(number(second, 6, 0), gt(number(first, 4, 0)));
+    // Fences that were taken back let terms fall; numbers do not.
+    let last = number(first, 6, 0);
+    expect_that!(number(first, 4, last), eq(last));
+    // Who takes the duty over is above every order of who had it.
+    let first = taken(None, &"edge-santiago-a-3".into());
+    let next = taken(Some(&first), &"edge-santiago-b-2".into()).generation;
+    expect_that!(
+        number(next, 2, 0),
+        gt(number(first.generation, u64::MAX, 0))
+    );
+}
+
 #[gtest]
 fn a_slow_member_is_tried_again_after_a_while() {
     let at = Duration::from_millis;
