refactor(duty): what is known of a duty is read once; tests share their waits

Found in the own diff: the row was looked up once for the duty and again for its commit; three tests of restarts wrote the same loop and two the same manifest.

--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -18,9 +18,10 @@
 /// The order under which this box promotes a member of `group`. None when another
 /// box has just taken the duty.
 pub async fn order(context: &Context, group: &Arc<str>) -> Option<Order> {
-    let duty = next(context, group);
+    let known = context.snapshot.borrow().duties.get(group).cloned();
+    let duty = taken(known.as_ref(), &context.settings.name);
     // Also who holds the duty writes it again, so that of two only one goes on.
-    let change = commit(group, &duty, context);
+    let change = commit(group, &duty, known.map_or(0, |known| known.revision));
     let committed = tokio::time::timeout(TABLE_WAIT, context.table.commit(&change)).await;
     match committed {
         Ok(Ok(Verdict::Done(_))) => {}
@@ -44,18 +45,12 @@
     duty::stands(generation, snapshot.duties.get(group))
 }
 
-fn next(context: &Context, group: &Arc<str>) -> Duty {
-    let snapshot = context.snapshot.borrow();
-    taken(snapshot.duties.get(group), &context.settings.name)
-}
-
-fn commit(group: &Arc<str>, duty: &Duty, context: &Context) -> Commit {
-    let known = context.snapshot.borrow().duties.get(group).cloned();
+fn commit(group: &Arc<str>, duty: &Duty, expected: u64) -> Commit {
     Commit {
         nonce: format!("{DUTY}{group}/{}", duty.generation),
         writes: vec![Write {
             key: format!("{DUTY}{group}").into(),
-            expect: Some(known.map_or(0, |known| known.revision)),
+            expect: Some(expected),
             value: serde_json::to_value(duty).ok(),
         }],
     }
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -6,9 +6,29 @@
 use nix::sys::signal::Signal;
 
 use super::boxes::{Place, Process};
+use super::client::{Answer, Client};
 use super::store::Fault;
 use super::world::{STRICT, World, manifest};
 
+/// Puts a manifest without the strict route.
+fn remove_route(world: &World, version: u64) {
+    let mut next = manifest(version, 3_000);
+    let routes = next["routes"].as_array_mut().expect("routes");
+    routes.retain(|route| route["hostname"] != STRICT);
+    world.store.put("op", "config", &next);
+}
+
+/// Reads until the answer has this error, or none.
+async fn read_until(client: &mut Client, error: Option<&str>) -> Answer {
+    loop {
+        let answer = client.run("READ farm").await.unwrap();
+        if answer.error.as_deref() == error {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_reload_signal_ends_nothing() {
@@ -56,13 +76,7 @@
     world.boxes.push(Process::start(place));
     world.boxes[2].wait_ready().await;
     let mut client = world.client(2, STRICT, "a").await;
-    loop {
-        let answer = client.run("READ farm").await.unwrap();
-        if answer.error.is_none() {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    read_until(&mut client, None).await;
 }
 
 #[gtest]
@@ -72,19 +86,10 @@
     let mut client = world.client(0, STRICT, "a").await;
     world.store.forget_history();
     world.store.set_fault(Fault::Silent);
-    let mut next = manifest(20, 3_000);
-    let routes = next["routes"].as_array_mut().expect("routes");
-    routes.retain(|route| route["hostname"] != STRICT);
-    world.store.put("op", "config", &next);
+    remove_route(&world, 20);
     expect_that!(client.run("READ farm").await.unwrap().error, none());
     world.store.set_fault(Fault::None);
-    loop {
-        let answer = client.run("READ farm").await.unwrap();
-        if answer.error == Some("NODB".to_owned()) {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    read_until(&mut client, Some("NODB")).await;
 }
 
 #[gtest]
@@ -100,14 +105,8 @@
         started.wait_ready().await;
     }
     let mut client = world.client(1, STRICT, "b").await;
-    loop {
-        let answer = client.run("READ farm").await.unwrap();
-        if answer.error.is_none() {
-            expect_that!(answer.rows, elements_are![eq("kept []")]);
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let answer = read_until(&mut client, None).await;
+    expect_that!(answer.rows, elements_are![eq("kept []")]);
 }
 
 #[gtest]
@@ -118,16 +117,7 @@
     // All waits end with an error, and one table never answers again.
     world.store.set_fault(Fault::Busy);
     world.store.silence("servers");
-    let mut next = manifest(30, 3_000);
-    let routes = next["routes"].as_array_mut().expect("routes");
-    routes.retain(|route| route["hostname"] != STRICT);
-    world.store.put("op", "config", &next);
+    remove_route(&world, 30);
     world.store.set_fault(Fault::None);
-    loop {
-        let answer = client.run("READ farm").await.unwrap();
-        if answer.error == Some("NODB".to_owned()) {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    read_until(&mut client, Some("NODB")).await;
 }
