fix(duty): numbers of orders follow from the ballot, and an overtaken ballot orders nothing

Now a number is the term replaced, the ballot's distance from it and the box; the row in the store holds the least number of its holder. An order goes out only where a majority was seen at the ballot's term, and at no later log, within 300 ms; the looks begin 100 ms before the leases end. A box that promotes does not release another from its wait, one that claimed without the store asks nobody to, and one that the others do not know yet orders nothing without the store.

Ruled out: ordering only with the store (no failover while it is away). What remains: a box without the store that reaches the old primary and one replica, but neither the new primary nor anything that heard of it, has a stale term; not seen.

A claim's nonce holds the expected revision: a holder's second claim was answered from memory by the stand-in of the PostgreSQL side.

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -1,60 +1,89 @@
 //! Who may order a promotion, and under which generation number.
 //!
 //! A ballot at the members already lets only one box promote at a time. The duty
-//! adds a number that rises whenever another box orders, for a platform that wants
-//! one. It is kept in the table, and taken by a conditional commit. While the table
-//! gives no answer a box goes on from the last number it has seen: the low part of
-//! every number is the box's own, so that no two boxes ever use the same one. Between
-//! stand the terms of the ballots: where one box orders without the table, another
-//! that follows has seen its term at the members, and so has the higher number.
+//! adds a number that rises from order to order, for a platform that wants one. It
+//! follows from the ballot: the term that is replaced, how far the ballot's term is
+//! above it, and the box. So the numbers of two orders compare as their ballots do,
+//! also where one of the boxes has no table. In the table stands the least number of
+//! whoever holds the duty; it is taken by a conditional commit.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Numbers of one term; a box takes the one that its name hashes to.
+/// Numbers of one ballot; a box takes the one that its name hashes to.
 const LANES: u64 = 4_096;
-/// Terms of one rise. With 17 bits of rises a number stays exact as a float.
-const TERMS: u64 = 1 << 24;
-/// Numbers of one rise.
-const RISE: u64 = TERMS * LANES;
+/// Ballots that one term is told apart by. With 29 bits left for terms a number stays
+/// exact as a float.
+const TURNS: u64 = 4_096;
 
 /// The duty for one group, as last taken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Duty {
     /// The box that holds it.
     pub holder: Arc<str>,
+    /// Least number of its orders.
     pub generation: u64,
     /// Revision of the row, which the next one to take it must name.
     #[serde(skip)]
     pub revision: u64,
 }
 
-/// The number of an order after the ballot of `term`; never below `last`, the one
-/// that the box has ordered under before.
-pub fn number(generation: u64, term: u64, last: u64) -> u64 {
-    let number = generation + term.min(TERMS - 1) * LANES;
-    number.max(last)
+/// The duty as this box has taken it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    pub duty: Duty,
+    /// The table gave no answer: others may not know of the claim.
+    pub alone: bool,
 }
 
-/// Whether an order under `generation` may still go out: nobody is known to have
-/// taken the duty since.
-pub fn stands(generation: u64, known: Option<&Duty>) -> bool {
-    known.is_none_or(|known| known.generation <= generation)
+/// What the number of an order follows from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ballot {
+    /// Term that the promotion ends.
+    pub replaced: u64,
+    /// How far the ballot's term, or a later one that was seen, is above it.
+    pub turn: u64,
 }
 
-/// The duty as `holder` takes it from `known`; the same while it holds it already.
-pub fn taken(known: Option<&Duty>, holder: &Arc<str>) -> Duty {
-    if let Some(known) = known
-        && known.holder == *holder
-    {
-        return known.clone();
+impl Ballot {
+    /// Least number of `holder` for an order after this ballot.
+    pub fn number(&self, holder: &str) -> u64 {
+        let ballot = self.replaced * TURNS + self.turn.min(TURNS - 1);
+        ballot * LANES + lane(holder)
     }
-    let rises = known.map_or(0, |known| known.generation / RISE) + 1;
+}
+
+impl Claim {
+    /// The number of an order after `ballot`.
+    pub fn number(&self, ballot: &Ballot) -> u64 {
+        let least = self.duty.generation;
+        ballot.number(&self.duty.holder).max(least)
+    }
+
+    /// Whether an order may still go out: nobody else is known to have taken the duty
+    /// since.
+    pub fn stands(&self, known: Option<&Duty>) -> bool {
+        known.is_none_or(|known| {
+            known.holder == self.duty.holder || known.revision <= self.duty.revision
+        })
+    }
+}
+
+fn lane(holder: &str) -> u64 {
+    xxh3_64(holder.as_bytes()) % LANES
+}
+
+/// The duty as `holder` takes it from `known` before a ballot.
+pub fn taken(known: Option<&Duty>, holder: &Arc<str>, ballot: &Ballot) -> Duty {
+    let after = known.map_or(0, |known| match known.holder == *holder {
+        true => known.generation,
+        false => (known.generation / LANES + 1) * LANES + lane(holder),
+    });
     Duty {
         holder: holder.clone(),
-        generation: rises * RISE + xxh3_64(holder.as_bytes()) % LANES,
-        revision: 0,
+        generation: ballot.number(holder).max(after),
+        revision: known.map_or(0, |known| known.revision),
     }
 }
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -22,6 +22,7 @@
 use super::confirm::{Confirm, Need, Outcome};
 use super::detect::Detector;
 use super::detect::baseline::Baseline;
+use super::duty::Ballot;
 use super::fair::{Admission, Fair};
 use super::latency::Latency;
 use super::owners::{LEAST_SHARE, share};
@@ -272,6 +273,16 @@
         }
     }
 
+    /// What the number of this owner's order follows from.
+    pub fn ballot(&self) -> Ballot {
+        self.replace.ballot()
+    }
+
+    /// Whether this owner is taking the primary's lead away.
+    pub fn is_deposing(&self) -> bool {
+        self.replace.is_deposing()
+    }
+
     /// Whether this owner, which has seen a primary before, reaches no majority.
     pub fn is_cut_off(&self) -> bool {
         self.replace.primary.is_some() && !self.sees_majority()
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -42,6 +42,10 @@
     /// Wait between the majority's fences and the promotion; zero where a fenced
     /// primary refuses by itself.
     pub lease: Duration,
+    /// A promotion goes out only when a majority was seen to keep to the ballot's term
+    /// within this time: a later ballot's comes a lease after its fences, and so after
+    /// it. Well below the lease, for the way of the order.
+    pub fresh: Duration,
     /// Time that replicas get to receive what a leaving primary took last.
     pub catch_up: Duration,
     /// A promotion ends all fences, and a replica's fence may be taken back.
@@ -84,6 +88,7 @@
             expected: Duration::from_secs(2),
             promotion: Duration::from_millis(500),
             lease: Duration::ZERO,
+            fresh: Duration::from_millis(300),
             catch_up: Duration::ZERO,
             fences_end: false,
             prefer_staying: false,
@@ -156,8 +161,14 @@
     /// A majority is fenced; leases run out.
     Waiting {
         term: u64,
+        /// When the ballot began.
+        since: Duration,
         until: Duration,
         granted: BTreeMap<usize, Status>,
+        /// When members were last seen to keep to the ballot's term.
+        holding: BTreeMap<usize, Duration>,
+        /// When members were last looked at for that.
+        looked: Option<Duration>,
     },
     Promoting {
         term: u64,
@@ -198,6 +209,8 @@
     pub primary: Option<usize>,
     /// Highest term promised anywhere, as far as seen.
     highest: u64,
+    /// Highest promise seen since the present term began, also if it was taken back.
+    seen: u64,
     /// Since when a higher term than ours is promised without a primary of it.
     above: Option<Duration>,
     phase: Phase,
@@ -221,6 +234,7 @@
             term: 0,
             primary: None,
             highest: 0,
+            seen: 0,
             above: None,
             phase: Phase::Steady,
             done: None,
@@ -317,7 +331,11 @@
             }
             Phase::Claiming { since, .. } => Some(*since + self.settings.ballot),
             Phase::Promoting { since, .. } => Some(*since + self.settings.promotion),
-            Phase::Waiting { until, .. } | Phase::Resting { until } => Some(*until),
+            Phase::Waiting { until, looked, .. } => Some(match looked {
+                None => until.saturating_sub(self.look_ahead()),
+                Some(looked) => *looked + self.settings.again,
+            }),
+            Phase::Resting { until } => Some(*until),
         };
         let above = self.above.map(|since| since + self.patience());
         match phase {
@@ -347,6 +365,7 @@
             true => term,
             false => self.highest.max(term),
         };
+        self.seen = self.highest;
         self.above = (self.highest > term).then_some(now);
         self.phase = Phase::Steady;
         self.doubted = None;
@@ -366,10 +385,12 @@
         {
             replicas.insert(member, status.stream);
         }
+        self.note_holding(member, status, began);
     }
 
     fn note_promised(&mut self, promised: u64, now: Duration) {
         self.highest = self.highest.max(promised);
+        self.seen = self.seen.max(promised);
         if self.highest > self.term && self.above.is_none() {
             self.above = Some(now);
         }
@@ -418,8 +439,7 @@
                 rest: Some(rest), ..
             } if now >= *rest => self.fence_rest(),
             Phase::Fencing { .. } => Vec::new(),
-            Phase::Waiting { until, .. } if now >= *until => self.promote(now),
-            Phase::Waiting { .. } => Vec::new(),
+            Phase::Waiting { .. } => self.wait_out(now),
             Phase::Promoting { term, since, .. } if now >= *since + self.settings.promotion => {
                 self.lose(*term, now)
             }
--- a/src/decisions/replace/ballot.rs
+++ b/src/decisions/replace/ballot.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::*;
-use crate::borders::member::{MemberError, Status};
+use crate::borders::member::{MemberError, Role, Status};
+use crate::decisions::duty::Ballot;
 
 impl Replace {
     pub(super) fn fence(&mut self, now: Duration) -> Vec<Step> {
@@ -17,13 +18,9 @@
     }
 
     pub(super) fn start_ballot(&mut self, now: Duration, rest: Option<Duration>) -> u64 {
-        // Where members take one term from several boxes, each has its own.
-        let lane = match self.settings.fences_end {
-            true => u64::from(self.rank),
-            false => 0,
-        };
-        let term = self.highest.max(self.term) + 1 + lane;
+        let term = self.next_term();
         self.highest = term;
+        self.seen = self.seen.max(term);
         self.phase = Phase::Fencing {
             term,
             since: now,
@@ -34,6 +31,36 @@
         term
     }
 
+    /// Term of this box's next ballot.
+    fn next_term(&self) -> u64 {
+        // Where members take one term from several boxes, each has its own.
+        let lane = match self.settings.fences_end {
+            true => u64::from(self.rank),
+            false => 0,
+        };
+        self.highest.max(self.term) + 1 + lane
+    }
+
+    /// What the number of an order follows from: after the present ballot, or after
+    /// the next one while there is none.
+    pub fn ballot(&self) -> Ballot {
+        let term = match self.phase {
+            Phase::Fencing { term, .. }
+            | Phase::Waiting { term, .. }
+            | Phase::Promoting { term, .. } => term,
+            _ => self.next_term(),
+        };
+        // Promises that were taken back may have led to an order too.
+        let later = match self.seen > term {
+            true => self.seen + 1,
+            false => term,
+        };
+        Ballot {
+            replaced: self.term,
+            turn: later.saturating_sub(self.term),
+        }
+    }
+
     /// Fences a leaving primary first, so that the others receive its last writes.
     pub(super) fn fence_leaving(&mut self, now: Duration) -> Vec<Step> {
         let Some(member) = self.primary.filter(|_| !self.settings.catch_up.is_zero()) else {
@@ -80,13 +107,14 @@
         }
         let majority = self.majority();
         let acceptors = &self.acceptors;
-        let (term, granted, refused) = match &mut self.phase {
+        let (term, since, granted, refused) = match &mut self.phase {
             Phase::Fencing {
                 term,
+                since,
                 granted,
                 refused,
                 ..
-            } => (*term, granted, refused),
+            } => (*term, *since, granted, refused),
             // A late grant may show a greater log.
             Phase::Waiting { term, granted, .. } => {
                 if let Ok(status) = answer
@@ -122,8 +150,11 @@
         let granted = granted.clone();
         self.phase = Phase::Waiting {
             term,
+            since,
             until: now + self.settings.lease,
             granted,
+            holding: BTreeMap::new(),
+            looked: None,
         };
         match self.settings.lease.is_zero() {
             true => self.promote(now),
@@ -133,10 +164,74 @@
 
     /// No box has a lease on the term before `term` any more.
     pub fn revoked(&mut self, term: u64, now: Duration) -> Vec<Step> {
-        match &self.phase {
-            Phase::Waiting { term: waits, .. } if *waits == term => self.promote(now),
-            _ => Vec::new(),
+        match &mut self.phase {
+            Phase::Waiting {
+                term: waits, until, ..
+            } if *waits == term => *until = now,
+            _ => return Vec::new(),
+        }
+        self.wait_out(now)
+    }
+
+    /// How long before the end of the wait members are looked at again.
+    pub(super) fn look_ahead(&self) -> Duration {
+        self.settings.fresh / 3
+    }
+
+    /// Notes whether a member still keeps to the ballot's term.
+    pub(super) fn note_holding(&mut self, member: usize, status: &Status, began: Duration) {
+        let primary = self.primary;
+        let replaced = self.term;
+        let Phase::Waiting { term, holding, .. } = &mut self.phase else {
+            return;
+        };
+        // A primary that stepped down need not tell of the term it did so for.
+        let stepped_down = Some(member) == primary && status.role == Role::Replica;
+        let keeps = status.promised == *term || (stepped_down && status.promised < *term);
+        // Another box's promotion leads to a term that may be the ballot's by chance.
+        if keeps && status.log.term <= replaced {
+            holding.insert(member, began);
+        } else {
+            holding.remove(&member);
+        }
+    }
+
+    /// Promotes once all leases have run out and a majority still keeps to the term:
+    /// another box may have fenced it since, and ordered under a higher number.
+    pub(super) fn wait_out(&mut self, now: Duration) -> Vec<Step> {
+        let Phase::Waiting {
+            term,
+            since,
+            until,
+            holding,
+            looked,
+            ..
+        } = &self.phase
+        else {
+            return Vec::new();
+        };
+        let fresh = self.settings.fresh;
+        let is_fresh = |seen: Duration| now <= seen + fresh;
+        let counted = |(member, seen): &(&usize, &Duration)| {
+            self.acceptors.contains(member) && is_fresh(**seen)
+        };
+        let holds = holding.iter().filter(counted).count() >= self.majority();
+        if now >= *until && (holds || is_fresh(*since)) {
+            return self.promote(now);
+        }
+        if now >= *until + self.settings.ballot {
+            return self.lose(*term, now);
+        }
+        let due = looked.map_or(until.saturating_sub(self.look_ahead()), |looked| {
+            looked + self.settings.again
+        });
+        if now < due {
+            return Vec::new();
+        }
+        if let Phase::Waiting { looked, .. } = &mut self.phase {
+            *looked = Some(now);
         }
+        vec![Step::Look]
     }
 
     /// Names the winner once no lease of the old term is left.
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -111,10 +111,11 @@
 
 async fn revoke(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let group = unpacked(&body)?;
-    let (reply, done) = oneshot::channel();
+    let (reply, given_up) = oneshot::channel();
     let _ = api.decisions.send(Message::Revoke { group, reply });
-    done.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    Ok(packed(&()))
+    let given_up = given_up.await;
+    let given_up = given_up.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(packed(&given_up))
 }
 
 async fn news(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -16,9 +16,10 @@
 
 use super::context::Context;
 use super::message::{Ask, Denial, Dump, Grant, Health, Incarnation, Message, Settle, SettleNeed};
-use crate::borders::member::{Member, Order};
+use crate::borders::member::Member;
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
+use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
 use crate::decisions::owners::{self, Ranking};
 use crate::declarations::snapshot::{Plan, Snapshot};
@@ -46,10 +47,8 @@
     members: Vec<Rc<dyn Member>>,
     watches: Vec<AbortHandle>,
     health: watch::Sender<Health>,
-    /// On whose authority this box promotes.
-    order: Option<Order>,
-    /// Highest number this box has ordered a promotion under.
-    ordered: u64,
+    /// The duty as this box has taken it last.
+    claim: Option<Claim>,
     wake: Duration,
 }
 
@@ -175,9 +174,9 @@
                 self.tell_primaries();
                 self.tell_duties(&before);
             }
-            Message::Ordered { group, order } => {
+            Message::Claimed { group, claim } => {
                 if let Some(owned) = self.groups.get_mut(&group) {
-                    owned.order = order;
+                    owned.claim = claim;
                 }
             }
             Message::Boxes(boxes) => {
@@ -188,7 +187,11 @@
             }
             Message::Revoke { group, reply } => {
                 self.handle(&group, Event::Revoke);
-                let _ = reply.send(());
+                let owned = self.groups.get(&group);
+                // Who promotes as well must not be overtaken by an order that did not
+                // wait: its own may be under way, under a lower number.
+                let given_up = owned.is_none_or(|owned| !owned.group.is_deposing());
+                let _ = reply.send(given_up);
             }
             Message::Listed => self.tell_listed(),
             Message::Opinion { group, term, reply } => {
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::*;
-use crate::decisions::duty::number;
+use crate::borders::member::Order;
 use crate::decisions::group::Note;
 use crate::node::{duty, peers};
 
@@ -55,12 +55,14 @@
                 let context = self.context.clone();
                 let group = id.clone();
                 let incarnation = owned.incarnation;
+                let ballot = owned.group.ballot();
+                let listed = self.is_listed();
                 tokio::task::spawn_local(async move {
-                    let order = duty::order(&context, &group).await;
-                    let won = order.is_some();
-                    let _ = context.decisions.send(Message::Ordered {
+                    let claim = duty::claim(&context, &group, &ballot, listed).await;
+                    let won = claim.is_some();
+                    let _ = context.decisions.send(Message::Claimed {
                         group: group.clone(),
-                        order,
+                        claim,
                     });
                     context.tell(&group, incarnation, Event::Claimed { won });
                 });
@@ -87,15 +89,18 @@
             }
             Action::Promote { member, term } => {
                 let border = owned.members[member].clone();
-                let mut order = owned.order.clone().unwrap_or_default();
-                let last = owned.ordered;
-                let taken = order.generation;
-                order.generation = number(taken, term, last);
-                self.groups.get_mut(id)?.ordered = order.generation;
+                let claim = owned.claim.clone();
+                let order = claim.as_ref().map_or_else(Order::default, |claim| Order {
+                    holder: claim.duty.holder.clone(),
+                    generation: claim.number(&owned.group.ballot()),
+                });
                 let context = self.context.clone();
                 let group = id.clone();
                 self.spawn(id, async move {
-                    let stands = || duty::stands(&context, &group, taken);
+                    let stands = || match &claim {
+                        Some(claim) => duty::stands(&context, &group, claim),
+                        None => true,
+                    };
                     let answer = border.promote(term, &order, &stands).await;
                     Event::Promoted { term, answer }
                 });
@@ -191,6 +196,10 @@
             // Another box may take itself for an owner by an older list.
             return;
         }
+        if owned.claim.as_ref().is_some_and(|claim| claim.alone) {
+            // Without the table the list may be old.
+            return;
+        }
         let others = owners.into_iter().filter(|listing| listing.name != *own);
         let asked = others.map(|listing| {
             peers::revoke(self.context.clone(), listing.address.clone(), id.clone())
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -84,13 +84,12 @@
             members: Vec::new(),
             watches: Vec::new(),
             health: watch::channel(Health::default()).0,
-            order: None,
-            ordered: 0,
+            claim: None,
             wake: now,
         };
         self.groups.insert(id.clone(), owned);
         self.join_new(&id);
-        let listed = self.listed.is_some_and(|since| now >= since);
+        let listed = self.is_listed();
         self.handle(&id, Event::Listed { listed });
     }
 
@@ -134,9 +133,14 @@
         }
     }
 
-    pub(super) fn tell_listed(&mut self) {
+    /// Whether every other box may be taken to know this one.
+    pub(super) fn is_listed(&self) -> bool {
         let now = self.context.now();
-        let listed = self.listed.is_some_and(|since| now >= since);
+        self.listed.is_some_and(|since| now >= since)
+    }
+
+    pub(super) fn tell_listed(&mut self) {
+        let listed = self.is_listed();
         let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
         for group in groups {
             self.handle(&group, Event::Listed { listed });
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use super::context::Context;
-use crate::borders::member::Order;
 use crate::borders::table::{Commit, Verdict, Write};
-use crate::decisions::duty::{self, Duty, taken};
+use crate::decisions::duty::{Ballot, Claim, Duty, taken};
 use crate::events;
 
 /// Rows of duties, by group.
@@ -15,39 +14,49 @@
 /// goes on without it, since members are fenced and callers wait.
 const TABLE_WAIT: Duration = Duration::from_millis(400);
 
-/// The order under which this box promotes a member of `group`. None when another
-/// box has just taken the duty.
-pub async fn order(context: &Context, group: &Arc<str>) -> Option<Order> {
+/// Takes the duty for `group` before `ballot`. None when another box has just taken
+/// it, or when the table gives no answer and the other boxes may not know of this one
+/// (`listed`): they would not ask it before they promote.
+pub async fn claim(
+    context: &Context,
+    group: &Arc<str>,
+    ballot: &Ballot,
+    listed: bool,
+) -> Option<Claim> {
     let known = context.snapshot.borrow().duties.get(group).cloned();
-    let duty = taken(known.as_ref(), &context.settings.name);
+    let mut duty = taken(known.as_ref(), &context.settings.name, ballot);
     // Also who holds the duty writes it again, so that of two only one goes on.
-    let change = commit(group, &duty, known.map_or(0, |known| known.revision));
+    let change = commit(group, &duty);
     let committed = tokio::time::timeout(TABLE_WAIT, context.table.commit(&change)).await;
-    match committed {
-        Ok(Ok(Verdict::Done(_))) => {}
+    let alone = match committed {
+        Ok(Ok(Verdict::Done(revision))) => {
+            duty.revision = revision;
+            false
+        }
         Ok(Ok(Verdict::Conflict { .. })) => return None,
         Ok(Err(error)) => note(context, group, &duty, &error),
         Err(late) => note(context, group, &duty, &late),
+    };
+    if alone && !listed {
+        return None;
     }
     let fields: [(_, &dyn std::fmt::Display); 2] =
         [("group", group), ("generation", &duty.generation)];
     events::emit(&context.log, &events::DUTY_TAKEN, &fields);
-    Some(Order {
-        holder: duty.holder,
-        generation: duty.generation,
-    })
+    Some(Claim { duty, alone })
 }
 
-/// Whether an order under `generation`, as taken, may still go out, as far as the
-/// table is known.
-pub fn stands(context: &Context, group: &Arc<str>, generation: u64) -> bool {
+/// Whether an order under `claim` may still go out, as far as the table is known.
+pub fn stands(context: &Context, group: &Arc<str>, claim: &Claim) -> bool {
     let snapshot = context.snapshot.borrow();
-    duty::stands(generation, snapshot.duties.get(group))
+    claim.stands(snapshot.duties.get(group))
 }
 
-fn commit(group: &Arc<str>, duty: &Duty, expected: u64) -> Commit {
+fn commit(group: &Arc<str>, duty: &Duty) -> Commit {
+    let expected = duty.revision;
     Commit {
-        nonce: format!("{DUTY}{group}/{}", duty.generation),
+        // The table answers a repeated commit from memory, so each claim has its own.
+        nonce: format!("{DUTY}{group}/{}/{expected}", duty.generation),
         writes: vec![Write {
             key: format!("{DUTY}{group}").into(),
             expect: Some(expected),
@@ -56,11 +65,13 @@
     }
 }
 
-fn note(context: &Context, group: &Arc<str>, duty: &Duty, error: &dyn std::fmt::Display) {
+/// Notes that the box goes on without the table.
+fn note(context: &Context, group: &Arc<str>, duty: &Duty, error: &dyn std::fmt::Display) -> bool {
     let fields: [(_, &dyn std::fmt::Display); 3] = [
         ("group", group),
         ("generation", &duty.generation),
         ("error", error),
     ];
     events::emit(&context.log, &events::DUTY_ALONE, &fields);
+    true
 }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -7,9 +7,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::exchange::Flow;
-use crate::borders::member::Order;
 use crate::borders::roster::Listing;
 use crate::decisions::confirm::Outcome;
+use crate::decisions::duty::Claim;
 use crate::decisions::group::{Event, GroupDump, Refusal, Target};
 use crate::decisions::position::Position;
 use crate::declarations::resource::Member;
@@ -110,17 +110,18 @@
         incarnation: Incarnation,
         event: Event,
     },
-    /// The authority under which this box may promote, none when it has none.
-    Ordered {
+    /// The duty as this box has taken it, none when another box has.
+    Claimed {
         group: Arc<str>,
-        order: Option<Order>,
+        claim: Option<Claim>,
     },
     Snapshot(Arc<Snapshot>),
     Boxes(Arc<[Listing]>),
-    /// Another box has fenced a majority of the group.
+    /// Another box has fenced a majority of the group. The reply says whether it need
+    /// not wait for this one any more.
     Revoke {
         group: Arc<str>,
-        reply: oneshot::Sender<()>,
+        reply: oneshot::Sender<bool>,
     },
     /// Enough time has passed since this box was listed.
     Listed,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -93,10 +93,10 @@
     answer.ok().flatten()
 }
 
-/// Has a box give up its lease on a group. Whether it did.
+/// Has a box give up its lease on a group. Whether it did, and promotes nobody.
 pub async fn revoke(context: Rc<Context>, peer: Arc<str>, group: Arc<str>) -> bool {
-    let done: Result<(), _> = call(&context, &peer, REVOKE, &group, SMALL_WAIT).await;
-    done.is_ok()
+    let done = call(&context, &peer, REVOKE, &group, SMALL_WAIT).await;
+    done.unwrap_or(false)
 }
 
 pub async fn tell(context: Rc<Context>, peer: Arc<str>, news: News) {
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -184,8 +184,9 @@
         stands: &dyn Fn() -> bool,
     ) -> Result<Status, MemberError> {
         let before = self.status().await?;
-        // A restart forgets the fence, and another box's replaces it.
-        if before.promised != term {
+        // A restart forgets the fence, and another box's replaces it. Another box's
+        // promotion leads to a term that may be the ballot's by chance.
+        if before.promised != term || before.log.term >= term {
             return Err(MemberError::Fenced {
                 promised: before.promised,
             });
--- a/tests/platform/replacement.rs
+++ b/tests/platform/replacement.rs
@@ -88,6 +88,40 @@
     expect_that!(answer.error, some(anything()));
 }
 
+/// As on `bench/days/node-cut-mix.toml`.
+#[gtest]
+#[tokio::test]
+async fn with_one_box_cut_off_from_the_store_numbers_of_orders_rise_and_are_never_shared() {
+    for cut_off in 0..3 {
+        let mut world = World::without_boxes().await;
+        let (door, cut) = world.store.start_apart().await;
+        for i in 0..3 {
+            match i == cut_off {
+                true => world.add_box_at(i, door),
+                false => world.add_box(i),
+            }
+        }
+        for started in &world.boxes {
+            started.wait_ready().await;
+        }
+        world.wait_primary().await;
+        let mut client = world.client(0, STRICT, "a").await;
+        client.run("WRITE farm before").await.unwrap();
+        cut.store(true, Ordering::SeqCst);
+        world.crash("i-0");
+        world
+            .write_until_done(&mut client, "WRITE farm after")
+            .await;
+        let orders = world.store.orders();
+        let numbers: Vec<u64> = orders.iter().map(|order| order.generation).collect();
+        expect_that!(numbers.is_sorted(), eq(true), "{orders:?}");
+        let used: BTreeSet<(u64, &str)> =
+            orders.iter().map(|o| (o.generation, &*o.holder)).collect();
+        let numbers: BTreeSet<u64> = numbers.into_iter().collect();
+        expect_that!(numbers.len(), eq(used.len()), "{orders:?}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_leaving_primary_hands_over_what_it_acknowledged() {
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use axum::extract::{Query, State};
+use axum::extract::{Query, Request, State};
 use axum::http::{HeaderMap, StatusCode};
+use axum::middleware::{Next, from_fn};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -69,12 +71,39 @@
 
     /// Starts to serve; returns the address.
     pub async fn start(&self) -> SocketAddr {
-        let router = Router::new()
+        Self::serve(self.router()).await
+    }
+
+    /// Starts to serve at another address, where the rows, but not the promotions, are
+    /// refused while the flag is set.
+    pub async fn start_apart(&self) -> (SocketAddr, Arc<AtomicBool>) {
+        let cut = Arc::new(AtomicBool::new(false));
+        let gate = cut.clone();
+        let router = self
+            .router()
+            .layer(from_fn(move |request: Request, next: Next| {
+                let refused =
+                    gate.load(Ordering::SeqCst) && request.uri().path().starts_with("/v1/");
+                async move {
+                    match refused {
+                        true => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+                        false => next.run(request).await,
+                    }
+                }
+            }));
+        (Self::serve(router).await, cut)
+    }
+
+    fn router(&self) -> Router {
+        Router::new()
             .route("/v1/rows-get", get(read))
             .route("/v1/rows-feed", get(feed))
             .route("/v1/rows-tx", post(transact))
             .route("/promote", post(promote))
-            .with_state(self.clone());
+            .with_state(self.clone())
+    }
+
+    async fn serve(router: Router) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         tokio::spawn(async move { axum::serve(listener, router).await });
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -90,8 +90,13 @@
     }
 
     pub fn add_box(&mut self, i: usize) {
+        self.add_box_at(i, self.store_address);
+    }
+
+    /// Adds a box that has an address of its own for the store.
+    pub fn add_box_at(&mut self, i: usize, store: SocketAddr) {
         let zone = format!("zone-{}", i % 3);
-        let place = Place::new(&format!("box-{i}"), &zone, self.store_address);
+        let place = Place::new(&format!("box-{i}"), &zone, store);
         self.boxes.push(Process::start(place));
     }
 
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -7,7 +7,9 @@
 use googletest::prelude::*;
 use larkfall::borders::member::{Address, MemberError, Role, Status, Stream};
 use larkfall::decisions::confirm::Outcome;
-use larkfall::decisions::group::{Action, Event, Group, Reason, Request, Settings, Target, Via};
+use larkfall::decisions::group::{
+    Action, Event, Group, Note, Reason, Request, Settings, Target, Via,
+};
 use larkfall::decisions::position::Position;
 use larkfall::declarations::resource::{Durability, Group as Declared, Member};
 use larkfall::declarations::snapshot::Plan;
@@ -15,7 +17,7 @@
 
 use super::fake::ms;
 
-fn member(i: usize, leaving: bool) -> Member {
+pub fn member(i: usize, leaving: bool) -> Member {
     let address: Arc<str> = format!("127.0.0.1:{i}").into();
     Member {
         partner: "p".into(),
@@ -30,7 +32,7 @@
     }
 }
 
-fn plan(members: Vec<Member>) -> Arc<Plan> {
+pub fn plan(members: Vec<Member>) -> Arc<Plan> {
     Arc::new(Plan {
         id: "p/g".into(),
         group: Declared {
@@ -286,9 +288,11 @@
     expect_that!(bench.asked(promotes), eq(0));
     let lease = settings().replace.lease;
     bench.pass(lease - ms(20));
+    let term = bench.term();
+    bench.report(1, status(Role::Replica, 1, term, 12));
+    bench.report(2, status(Role::Replica, 1, term, 10));
     expect_that!(bench.asked(promotes), eq(0));
     bench.pass(ms(40));
-    let term = bench.term();
     expect_that!(
         bench.actions,
         contains(eq(&Action::Promote { member: 1, term }))
@@ -306,6 +310,43 @@
     );
 }
 
+#[gtest]
+fn a_ballot_that_another_has_overtaken_promotes_nobody() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 12);
+    bench.grant(2, 10);
+    let lease = settings().replace.lease;
+    bench.pass(lease - ms(20));
+    let term = bench.term();
+    bench.report(1, status(Role::Replica, 1, term, 12));
+    bench.report(2, status(Role::Replica, 1, term + 3, 10));
+    bench.pass(ms(2_000));
+    expect_that!(bench.asked(promotes), eq(0));
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Note(Note::Lost { .. }))),
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_majority_that_was_seen_too_long_ago_promotes_nobody() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 12);
+    bench.grant(2, 10);
+    let term = bench.term();
+    for _ in 0..4 {
+        bench.report(1, status(Role::Replica, 1, term, 12));
+        bench.report(2, status(Role::Replica, 1, term, 10));
+    }
+    let looks = |bench: &Bench| bench.asked(|a| matches!(a, Action::Probe { member: 1 }));
+    let before = looks(&bench);
+    bench.pass(settings().replace.lease + ms(20));
+    expect_that!(bench.asked(promotes), eq(0));
+    expect_that!(looks(&bench), gt(before));
+}
+
 #[gtest]
 fn a_revoked_lease_counts_nothing_that_was_seen_before() {
     let mut bench = Bench::new(0);
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -8,6 +8,7 @@
 mod floors;
 mod group;
 mod lease;
+mod orders;
 mod owners;
 mod randomised;
 mod settings;
--- a/tests/unit/setup.rs
+++ b/tests/unit/setup.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::upstream::{Begin, Opening, Prepared, Setup};
-use larkfall::decisions::duty::{Duty, number, stands, taken};
+use larkfall::decisions::duty::{Ballot, Claim, Duty, taken};
 use larkfall::decisions::latency::Latency;
 use larkfall::decisions::setup::{Fitting, Step};
 
@@ -63,33 +63,48 @@
     expect_that!(fitting.steps(&first).len(), eq(1));
 }
 
+fn ballot(replaced: u64, turn: u64) -> Ballot {
+    Ballot { replaced, turn }
+}
+
 #[gtest]
 fn generations_rise_with_each_holder_and_are_never_shared() {
     let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
-    let first = taken(None, &a);
-    expect_that!(taken(Some(&first), &a), eq(&first));
-    let second = taken(Some(&first), &b);
+    let first = taken(None, &a, &ballot(1, 1));
+    expect_that!(taken(Some(&first), &a, &ballot(1, 1)), eq(&first));
+    let second = taken(Some(&first), &b, &ballot(1, 1));
     expect_that!(second.generation, gt(first.generation));
-    let third = taken(Some(&second), &a);
+    let third = taken(Some(&second), &a, &ballot(1, 1));
     expect_that!(third.generation, gt(second.generation));
+    // A group that was made anew begins its terms again.
+    let anew = taken(Some(&third), &b, &ballot(0, 1));
+    expect_that!(anew.generation, gt(third.generation));
     // Two boxes that go on from the same number without the table.
     let known = Duty {
         holder: "c".into(),
         ..first
     };
-    let alone = taken(Some(&known), &a).generation;
-    expect_that!(taken(Some(&known), &b).generation, not(eq(alone)));
+    let alone = taken(Some(&known), &a, &ballot(1, 1)).generation;
+    expect_that!(
+        taken(Some(&known), &b, &ballot(1, 1)).generation,
+        not(eq(alone))
+    );
 }
 
 #[gtest]
 fn an_order_is_held_to_be_over_once_another_box_has_taken_the_duty() {
     let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
-    let first = taken(None, &a);
-    expect_that!(stands(first.generation, None), eq(true));
-    expect_that!(stands(first.generation, Some(&first)), eq(true));
-    let second = taken(Some(&first), &b);
-    expect_that!(stands(first.generation, Some(&second)), eq(false));
-    expect_that!(stands(second.generation, Some(&first)), eq(true));
+    let at = |revision, duty: Duty| Duty { revision, ..duty };
+    let claim = |duty: &Duty| Claim {
+        duty: duty.clone(),
+        alone: false,
+    };
+    let first = at(5, taken(None, &a, &ballot(1, 1)));
+    expect_that!(claim(&first).stands(None), eq(true));
+    expect_that!(claim(&first).stands(Some(&first)), eq(true));
+    let second = at(6, taken(Some(&first), &b, &ballot(1, 2)));
+    expect_that!(claim(&first).stands(Some(&second)), eq(false));
+    expect_that!(claim(&second).stands(Some(&first)), eq(true));
 }
 
 /// As on trouble-1 of cosecha-larkfall, seed 1055612176309.
@@ -97,19 +112,30 @@
 fn a_later_order_has_the_higher_number_also_after_one_without_the_table() {
     // The first is cut off from the table; the second, whose ballot comes later,
     // cannot know of its number, but has seen its term at the members.
-    let first = taken(None, &"edge-santiago-a-3".into()).generation;
-    let second = taken(None, &"edge-santiago-b-2".into()).generation;
-    expect_that!(number(second, 6, 0), gt(number(first, 4, 0)));
-    // Fences that were taken back let terms fall; numbers do not.
-    let last = number(first, 6, 0);
-    expect_that!(number(first, 4, last), eq(last));
-    // Who takes the duty over is above every order of who had it.
-    let first = taken(None, &"edge-santiago-a-3".into());
-    let next = taken(Some(&first), &"edge-santiago-b-2".into()).generation;
-    expect_that!(
-        number(next, 2, 0),
-        gt(number(first.generation, u64::MAX, 0))
+    let claim = |known: Option<&Duty>, holder: &str| Claim {
+        duty: taken(known, &holder.into(), &ballot(3, 1)),
+        alone: true,
+    };
+    let first = claim(None, "edge-santiago-a-3");
+    let second = claim(None, "edge-santiago-b-2");
+    let number = first.number(&ballot(3, 1));
+    expect_that!(second.number(&ballot(3, 3)), gt(number));
+    // Also where it has held the duty all along, and the first took itself for the
+    // next holder.
+    let held = claim(None, "edge-santiago-b-2").duty;
+    let first = claim(Some(&held), "edge-santiago-a-3");
+    let number = first.number(&ballot(3, 2));
+    let again = claim(Some(&held), "edge-santiago-b-2");
+    expect_that!(again.number(&ballot(3, 3)), gt(number));
+    // And after the promotion, whatever the terms of later ballots.
+    expect_that!(again.number(&ballot(4, 1)), gt(number));
+    // Who takes the duty over is above every least number of who had it.
+    let next = taken(
+        Some(&first.duty),
+        &"edge-santiago-b-2".into(),
+        &ballot(1, 1),
     );
+    expect_that!(next.generation, gt(first.duty.generation));
 }
 
 #[gtest]
