fix(reach): a box that owns no group turns callers away in a cut too

Cause: with 71 boxes before 8 groups, a box owns one or two groups or none. Those that own none never took themselves for cut off and stayed ready, so the balancer kept the callers of a cut failure domain there for the whole cut.

Now a box whose own groups do not tell asks the nearest owners of six others, only while something speaks for a cut (a refusal for want of a majority, or all its own groups without one), and goes by their word until they say better. A box that owns every group decides as before.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -11,6 +11,7 @@
 pub mod latency;
 pub mod owners;
 pub mod position;
+pub mod reach;
 pub mod replace;
 pub mod route;
 pub mod setup;
--- /dev/null
+++ b/src/decisions/reach.rs
@@ -0,0 +1,86 @@
+//! Whether a box is cut off, so that callers are better served by others.
+//!
+//! An owner sees by itself whether it reaches a majority of its groups' members. A
+//! box that does not own every group asks owners of the others, but only while
+//! something speaks for a cut: it would cost each box questions to all owners.
+
+use std::time::Duration;
+
+/// Time between two rounds of questions: short against the seconds that a balancer
+/// takes to turn to others.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Time for which a refusal speaks for a cut.
+const DOUBT: Duration = Duration::from_secs(2);
+
+/// What a box's own groups show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// Groups there are.
+    pub groups: usize,
+    /// Groups this box owns.
+    pub owned: usize,
+    /// Owned groups of whose members it reaches no majority.
+    pub cut_off: usize,
+}
+
+impl View {
+    /// What its own groups tell by themselves, if they tell enough.
+    fn verdict(&self) -> Option<bool> {
+        if self.cut_off < self.owned {
+            return Some(false);
+        }
+        (self.owned == self.groups).then_some(self.owned > 0)
+    }
+}
+
+/// Whether this box is cut off.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    view: View,
+    /// When an exchange was last refused because its owner reached no majority.
+    refused: Option<Duration>,
+    asked: Option<Duration>,
+    cut_off: bool,
+}
+
+impl Reach {
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off
+    }
+
+    /// Takes what the box's own groups show.
+    pub fn see(&mut self, view: View) {
+        self.view = view;
+        if let Some(verdict) = view.verdict() {
+            self.cut_off = verdict;
+        }
+    }
+
+    /// An owner reached no majority of its group, or no owner was reached.
+    pub fn refuse(&mut self, now: Duration) {
+        self.refused = Some(now);
+    }
+
+    /// When owners are to be asked next, if at all.
+    pub fn due(&self, now: Duration) -> Option<Duration> {
+        if self.view.verdict().is_some() {
+            return None;
+        }
+        let doubted = self.refused.is_some_and(|refused| now < refused + DOUBT);
+        let wanted = self.cut_off || self.view.owned > 0 || doubted;
+        let next = self.asked.map_or(now, |asked| asked + AGAIN);
+        wanted.then_some(next)
+    }
+
+    /// Owners are being asked.
+    pub fn ask(&mut self, now: Duration) {
+        self.asked = Some(now);
+    }
+
+    /// Takes the owners' word: whether none of them reaches a majority.
+    pub fn answer(&mut self, cut_off: bool) {
+        if self.view.verdict().is_none() {
+            self.cut_off = cut_off;
+        }
+    }
+}
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -58,6 +58,7 @@
         .route(peers::EXCHANGE, post(exchange))
         .route(peers::ABANDON, post(abandon))
         .route(peers::OPINION, post(opinion))
+        .route(peers::REACH, post(reach))
         .route(peers::REVOKE, post(revoke))
         .route(peers::NEWS, post(news))
         .route(peers::SCAN, post(scan))
@@ -109,6 +110,13 @@
     Ok(packed(&answer.await.ok().flatten()))
 }
 
+async fn reach(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let group = unpacked(&body)?;
+    let (reply, answer) = oneshot::channel();
+    let _ = api.decisions.send(Message::Reach { group, reply });
+    Ok(packed(&answer.await.ok().flatten()))
+}
+
 async fn revoke(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let group = unpacked(&body)?;
     let (reply, given_up) = oneshot::channel();
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,6 +5,7 @@
 
 mod acting;
 mod owning;
+mod reaching;
 
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
 use crate::decisions::owners::{self, Ranking};
+use crate::decisions::reach::Reach;
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
 
@@ -74,6 +76,7 @@
     /// When every box may be taken to know this one from the list.
     listed: Option<Duration>,
     knows_boxes: bool,
+    reach: Reach,
     next: u64,
 }
 
@@ -94,6 +97,7 @@
             ranking: Ranking::default(),
             listed: None,
             knows_boxes: false,
+            reach: Reach::default(),
             next: 1,
         }
     }
@@ -102,7 +106,8 @@
     pub async fn run(mut self) {
         loop {
             let now = self.context.now();
-            let wake = self.groups.values().map(|owned| owned.wake).min();
+            let wake = self.groups.values().map(|owned| owned.wake);
+            let wake = wake.chain(self.reach.due(now)).min();
             let sleep = wake.map_or(MOST_SLEEP, |wake| wake.saturating_sub(now));
             tokio::select! {
                 biased;
@@ -117,29 +122,6 @@
         }
     }
 
-    /// A box that reaches a majority of no group is cut off with its failure domain.
-    fn note_cut_off(&mut self) {
-        if *self.context.leaving.borrow() {
-            return;
-        }
-        let cut_off = !self.groups.is_empty() && self.groups.values().all(|o| o.group.is_cut_off());
-        let now = self.context.now();
-        let changed = self.context.away.send_if_modified(|away| {
-            let changed = away.is_some() != cut_off;
-            if changed {
-                *away = cut_off.then_some(now);
-            }
-            changed
-        });
-        if changed {
-            let kind = match cut_off {
-                true => &events::CUT_OFF,
-                false => &events::REJOINED,
-            };
-            events::emit(&self.context.log, kind, &[]);
-        }
-    }
-
     fn tick(&mut self) {
         let now = self.context.now();
         let due = self.groups.iter().filter(|(_, owned)| owned.wake <= now);
@@ -194,6 +176,12 @@
                 let _ = reply.send(given_up);
             }
             Message::Listed => self.tell_listed(),
+            Message::Refused => self.reach.refuse(self.context.now()),
+            Message::Reached { cut_off } => self.reach.answer(cut_off),
+            Message::Reach { group, reply } => {
+                let owned = self.groups.get(&group);
+                let _ = reply.send(owned.map(|owned| !owned.group.is_cut_off()));
+            }
             Message::Opinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
                 let _ = reply.send(owned.map(|owned| owned.group.suspects(term)));
--- /dev/null
+++ b/src/node/driver/reaching.rs
@@ -0,0 +1,91 @@
+//! Asks owners of other groups whether they reach a majority of their members.
+
+use std::sync::Arc;
+
+use rand::seq::IndexedRandom;
+
+use super::*;
+use crate::decisions::reach::View;
+use crate::node::peers;
+
+/// Groups that are asked about: a cut shows in all of them.
+const GROUPS_ASKED: usize = 6;
+/// Owners of a group that are asked, the nearest first.
+const OWNERS_ASKED: usize = 2;
+
+impl Driver {
+    /// Notes whether the box is cut off, and asks others where its own groups do not
+    /// tell.
+    pub(super) fn note_cut_off(&mut self) {
+        if *self.context.leaving.borrow() {
+            return;
+        }
+        let now = self.context.now();
+        let cut_off = self.groups.values().filter(|o| o.group.is_cut_off());
+        self.reach.see(View {
+            groups: self.snapshot.groups.len(),
+            owned: self.groups.len(),
+            cut_off: cut_off.count(),
+        });
+        if self.reach.due(now).is_some_and(|due| due <= now) {
+            self.reach.ask(now);
+            self.ask_reach();
+        }
+        self.tell_away(now);
+    }
+
+    /// Says whether callers are better served elsewhere.
+    fn tell_away(&self, now: Duration) {
+        let cut_off = self.reach.is_cut_off();
+        let changed = self.context.away.send_if_modified(|away| {
+            let changed = away.is_some() != cut_off;
+            if changed {
+                *away = cut_off.then_some(now);
+            }
+            changed
+        });
+        if changed {
+            let kind = match cut_off {
+                true => &events::CUT_OFF,
+                false => &events::REJOINED,
+            };
+            events::emit(&self.context.log, kind, &[]);
+        }
+    }
+
+    fn ask_reach(&self) {
+        let others = self.snapshot.groups.keys();
+        let others = others.filter(|id| !self.groups.contains_key(*id));
+        let others: Vec<&Arc<str>> = others.collect();
+        let asked = others.choose_multiple(&mut rand::rng(), GROUPS_ASKED);
+        let asked = asked.map(|id| {
+            let owners = self.nearest_owners(id);
+            reaches(self.context.clone(), Arc::clone(id), owners)
+        });
+        let asked: Vec<_> = asked.collect();
+        let decisions = self.context.decisions.clone();
+        tokio::task::spawn_local(async move {
+            let reached = futures::future::join_all(asked).await;
+            let cut_off = reached.into_iter().all(|reached| !reached);
+            let _ = decisions.send(Message::Reached { cut_off });
+        });
+    }
+
+    fn nearest_owners(&self, id: &Arc<str>) -> Vec<Arc<str>> {
+        let boxes = self.context.boxes.borrow().clone();
+        let routes = &self.context.routes;
+        let owners = routes.owners(id, &self.snapshot, &boxes, &self.context.settings);
+        let addresses = owners.iter().map(|owner| owner.address.clone());
+        addresses.take(OWNERS_ASKED).collect()
+    }
+}
+
+/// Whether the first owner that can tell reaches a majority of the group.
+async fn reaches(context: Rc<Context>, group: Arc<str>, owners: Vec<Arc<str>>) -> bool {
+    for owner in owners {
+        if let Some(reached) = peers::reaches(&context, &owner, &group).await {
+            return reached;
+        }
+    }
+    false
+}
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -125,6 +125,17 @@
     },
     /// Enough time has passed since this box was listed.
     Listed,
+    /// An exchange was refused because its owner reached no majority.
+    Refused,
+    /// Other owners have said whether they reach a majority of any group.
+    Reached {
+        cut_off: bool,
+    },
+    /// Whether this box, as an owner, reaches a majority of the group.
+    Reach {
+        group: Arc<str>,
+        reply: oneshot::Sender<Option<bool>>,
+    },
     Opinion {
         group: Arc<str>,
         term: u64,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -18,6 +18,7 @@
 pub const EXCHANGE: &str = "/peer/exchange";
 pub const ABANDON: &str = "/peer/abandon";
 pub const OPINION: &str = "/peer/opinion";
+pub const REACH: &str = "/peer/reach";
 pub const REVOKE: &str = "/peer/revoke";
 pub const NEWS: &str = "/peer/news";
 pub const SCAN: &str = "/peer/scan";
@@ -93,6 +94,12 @@
     answer.ok().flatten()
 }
 
+/// Whether an owner reaches a majority of a group's members, none if it can't tell.
+pub async fn reaches(context: &Context, owner: &str, group: &Arc<str>) -> Option<bool> {
+    let answer: Result<Option<bool>, _> = call(context, owner, REACH, group, SMALL_WAIT).await;
+    answer.ok().flatten()
+}
+
 /// Has a box give up its lease on a group. Whether it did, and promotes nobody.
 pub async fn revoke(context: Rc<Context>, peer: Arc<str>, group: Arc<str>) -> bool {
     let done = call(&context, &peer, REVOKE, &group, SMALL_WAIT).await;
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -9,6 +9,7 @@
 
 use super::context::Context;
 use super::exchange::{Effect, Exchange, Failure, Reply, Server, Status};
+use super::message::Message;
 use super::owner::Owner;
 use super::peers::{self, ForwardError};
 use crate::borders::roster::Listing;
@@ -140,8 +141,11 @@
     }
 
     fn failed(&mut self, failure: &Failure, exchange: &Exchange, took: Duration) {
-        if let Failure::NotRun(_) = failure {
+        if let Failure::NotRun(refusal) = failure {
             self.context.metrics.not_run.add(1, &[]);
+            if refusal.reason == Reason::CutOff {
+                let _ = self.context.decisions.send(Message::Refused);
+            }
         }
         self.held = None;
         if exchange.effect == Effect::Writes && *failure == Failure::Unknown {
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -11,5 +11,6 @@
 mod orders;
 mod owners;
 mod randomised;
+mod reach;
 mod settings;
 mod setup;
--- /dev/null
+++ b/tests/unit/reach.rs
@@ -0,0 +1,59 @@
+//! Whether a box is cut off, from its own groups and from owners of others.
+
+use googletest::prelude::*;
+use larkfall::decisions::reach::{Reach, View};
+
+use super::fake::ms;
+
+fn view(groups: usize, owned: usize, cut_off: usize) -> View {
+    View {
+        groups,
+        owned,
+        cut_off,
+    }
+}
+
+#[gtest]
+fn a_box_that_owns_every_group_needs_nobody_elses_word() {
+    let mut reach = Reach::default();
+    reach.see(view(3, 3, 2));
+    expect_that!(reach.is_cut_off(), eq(false));
+    reach.see(view(3, 3, 3));
+    expect_that!(reach.is_cut_off(), eq(true));
+    expect_that!(reach.due(ms(10)), none());
+    reach.answer(false);
+    expect_that!(reach.is_cut_off(), eq(true));
+}
+
+/// In a cut failure domain of 27 boxes those that owned nothing stayed ready, and
+/// kept their callers.
+#[gtest]
+fn a_box_that_owns_nothing_asks_only_after_a_refusal_and_goes_by_the_owners_word() {
+    let mut reach = Reach::default();
+    reach.see(view(8, 0, 0));
+    expect_that!(reach.due(ms(10)), none());
+    reach.refuse(ms(1_000));
+    expect_that!(reach.due(ms(1_000)), some(eq(ms(1_000))));
+    reach.ask(ms(1_000));
+    reach.answer(true);
+    expect_that!(reach.is_cut_off(), eq(true));
+    // No caller comes any more, so it asks until it hears better.
+    expect_that!(reach.due(ms(9_000)), some(eq(ms(1_500))));
+    reach.ask(ms(9_000));
+    reach.answer(false);
+    expect_that!(reach.is_cut_off(), eq(false));
+    expect_that!(reach.due(ms(9_000)), none());
+}
+
+#[gtest]
+fn one_owned_group_without_a_majority_takes_no_box_out_of_service() {
+    let mut reach = Reach::default();
+    reach.see(view(8, 1, 1));
+    expect_that!(reach.is_cut_off(), eq(false));
+    expect_that!(reach.due(ms(10)), some(anything()));
+    reach.ask(ms(10));
+    reach.answer(false);
+    expect_that!(reach.is_cut_off(), eq(false));
+    reach.see(view(8, 1, 0));
+    expect_that!(reach.due(ms(20)), none());
+}
