fix(platform): a box that has read members but no manifest does not take callers

Now nothing is declared before the manifest was read. restarts::a_box_that_has_not_read_the_manifest_yet_refuses_no_database failed first.

--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -91,6 +91,13 @@
     roster: u64,
 }
 
+impl Cache {
+    fn has_manifest(&self) -> bool {
+        let key = (Source::Operator, Arc::from(MANIFEST));
+        self.raw.contains_key(&key)
+    }
+}
+
 /// The store as a table and a list of boxes.
 pub struct Mirror {
     store: Store,
@@ -367,6 +374,10 @@
 
     async fn scan(&self, _: u64) -> Result<Scan, TableError> {
         let mut cache = self.cache.borrow_mut();
+        if !cache.has_manifest() {
+            // Members without databases would be taken for all there is.
+            return Err(TableError::Down("the manifest was not read yet".to_owned()));
+        }
         let fresh = std::mem::take(&mut cache.fresh);
         let rows = fresh.iter().filter_map(|key| cache.rows.get(key));
         Ok(Scan {
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -121,3 +121,29 @@
     world.store.set_fault(Fault::None);
     read_until(&mut client, Some("NODB")).await;
 }
+
+/// On trouble-3 of cosecha-larkfall-grown boxes that came back refused databases that
+/// were there.
+#[gtest]
+#[tokio::test]
+async fn a_box_that_has_not_read_the_manifest_yet_refuses_no_database() {
+    let mut world = World::without_boxes().await;
+    world.store.silence("op");
+    world.add_box(0);
+    let front = world.boxes[0].place.front;
+    let early = tokio::spawn(async move {
+        loop {
+            match Client::connect(front, STRICT, "early").await {
+                Ok(client) => return Ok(client),
+                Err(refused) if refused.contains("NODB") => return Err(refused),
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    });
+    // Long enough for the other tables to be read, which is not waited for: a box that
+    // takes longer only proves less.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    world.store.end_silence();
+    let mut client = early.await.unwrap().expect("the database is there");
+    read_until(&mut client, None).await;
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -130,6 +130,11 @@
         self.changed.notify_waiters();
     }
 
+    pub fn end_silence(&self) {
+        self.rows().silent = None;
+        self.changed.notify_waiters();
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_raw(table, key, Some(BASE64.encode(value.to_string())));
     }
