fix(group): a primary that vanishes from the list leaves since then

Cause: some members never say that they leave; their entry goes and they serve on for as long as one that says so. A vanished primary counted as leaving only 3 s later, and could get new statements for 4.5 s more where nobody took over: 7.5 s, with 7 s allowed.

Now the time of a leaving primary runs from the moment its entry went; the 3 s in which a lapsed entry may come back stay. lease::a_primary_that_vanishes_from_the_list_gets_nothing_new_in_time failed first.

--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -40,7 +40,9 @@
             self.overstayed = false;
             return false;
         };
-        let since = *self.leaving.get_or_insert(now);
+        // One that vanished from the list without a word leaves since then.
+        let vanished = self.members[primary].missing;
+        let since = *self.leaving.get_or_insert(vanished.unwrap_or(now));
         let others = self
             .members
             .iter()
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -543,3 +543,35 @@
         eq(1)
     );
 }
+
+/// Some members never say that they leave: their entry goes, and they serve on.
+#[gtest]
+fn a_primary_that_vanishes_from_the_list_gets_nothing_new_in_time() {
+    let mut bench = Bench::new(0);
+    let others = (1..3).map(|i| member(i, false)).collect();
+    bench.group.set_plan(plan(others), bench.now);
+    let gone = bench.now;
+    let mut look_until = |bench: &mut Bench, after: Duration| {
+        while bench.now < gone + after {
+            bench.now += ms(100);
+            bench.look();
+        }
+    };
+    // It may only have lapsed while the table was away.
+    look_until(&mut bench, ms(2_800));
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(0));
+    bench.arrive(1);
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Assign { id: 1, .. })),
+        eq(1)
+    );
+    look_until(&mut bench, ms(3_300));
+    expect_that!(bench.asked(|a| *a == Action::Claim), gt(0));
+    // Nobody takes over: members serve on for 7 s without a word, and no longer.
+    look_until(&mut bench, ms(5_000));
+    bench.arrive(2);
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Assign { id: 2, .. })),
+        eq(0)
+    );
+}
