feat(relay): a few boxes of a large failure domain read the store for the others

Now a failure domain with more than four boxes has readers: one for each 16 boxes, two at least, those with the wider links first. The others ask them in turn each 0.6 s and have their own waits rest; a box that heard nothing fresh for 2.2 s reads by itself again. A reader tells how long ago the store last answered it, so that one that is cut off or frozen holds up nobody. What is passed on goes by a cursor in the order in which the reader took it, since revisions of three tables come out of order. A list of boxes never goes back. The keeper's rows stand in a file of their own now; a box that is told to push nothing does not push to its neighbour either.

Sites of up to four boxes a failure domain read as before.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -190,6 +190,7 @@
             address: format!("10.0.{}.{}:8432", i / 250, i % 250).into(),
             domain: format!("d{}", i % 10).into(),
             leaving: false,
+            link_mbps: 0,
         })
         .collect();
     let log = logger(Format::None);
--- a/src/borders/roster.rs
+++ b/src/borders/roster.rs
@@ -17,12 +17,18 @@
     pub domain: Arc<str>,
     #[serde(default)]
     pub leaving: bool,
+    /// Width of the box's link, in Mbit/s; 0 where that is not known.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// The list with a tag that changes when it does.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tagged {
     pub tag: String,
+    /// Grows with each change and is the same for every box; 0 where the platform does
+    /// not tell.
+    pub revision: u64,
     pub boxes: Vec<Listing>,
 }
 
--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -1,5 +1,6 @@
 //! Border to the platform's transactional table service.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +57,28 @@
     Nonsense(String),
 }
 
+/// How a box that waits for news reads the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// Not at all: others tell what is new.
+    Rest,
+    /// For itself.
+    #[default]
+    Calm,
+    /// For others too, who want to know that the table still answers.
+    Brisk,
+}
+
+impl fmt::Display for Pace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Pace::Rest => "rest",
+            Pace::Calm => "calm",
+            Pace::Brisk => "brisk",
+        })
+    }
+}
+
 /// The platform's table.
 #[async_trait(?Send)]
 pub trait Table {
@@ -69,6 +92,13 @@
     async fn news(&self, poll: Duration) {
         tokio::time::sleep(poll).await;
     }
+    /// Says how the table is to be read from now on, where waits for news have a price.
+    fn set_pace(&self, _: Pace) {}
+    /// Time since the table last answered; none while it rests, is down or does not
+    /// tell.
+    fn heard(&self) -> Option<Duration> {
+        None
+    }
     /// Whether rows become known in the order of their revisions. Where not, a
     /// revision does not say which rows somebody has.
     fn is_ordered(&self) -> bool {
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -45,6 +45,10 @@
     pub retry_most: u64,
     /// Promotions are ordered under a generation number that is kept in the table.
     pub duty: bool,
+    /// Where a failure domain has many boxes, a few of them read the table for all.
+    pub relay: bool,
+    /// Width of the box's link, in Mbit/s; 0 where that is not known.
+    pub link_mbps: u32,
 }
 
 impl Default for Run {
@@ -68,6 +72,8 @@
             retry_percent: 10,
             retry_most: 20,
             duty: false,
+            relay: false,
+            link_mbps: 0,
         }
     }
 }
@@ -209,6 +215,8 @@
             retry_percent: defaults.retry_percent,
             retry_most: defaults.retry_most,
             duty: defaults.duty,
+            relay: defaults.relay,
+            link_mbps: defaults.link_mbps,
         };
         match reader.findings.is_empty() {
             true => Ok(run),
--- a/src/events.rs
+++ b/src/events.rs
@@ -37,6 +37,7 @@
     NOT_LISTED = 207, Warning, "the list of boxes could not be changed";
     CUT_OFF = 208, Warning, "cut off: a majority of no group is reached";
     REJOINED = 209, Info, "a majority of some group is reached again";
+    PACE = 210, Info, "the table is read in another way: not at all, for this box, or for others";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod relay;
 pub mod routes;
 pub mod run;
 pub mod serving;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -22,7 +22,7 @@
 use super::configuration::{self, News};
 use super::exchange::{Exchange, Failure, Reply};
 use super::message::{Dump, Message, Sender};
-use super::peers;
+use super::{peers, relay};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, TableError, Verdict};
 use crate::declarations::snapshot::Snapshot;
@@ -63,6 +63,7 @@
         .route(peers::NEWS, post(news))
         .route(peers::SCAN, post(scan))
         .route(peers::BOXES, post(boxes))
+        .route(peers::FOLLOW, post(follow))
         .route("/v1/resources", get(resources::list).post(resources::apply))
         .route(
             "/v1/resources/{*key}",
@@ -126,6 +127,14 @@
     Ok(packed(&given_up))
 }
 
+async fn follow(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let question = unpacked(&body)?;
+    let (snapshot, boxes) = (api.snapshot.clone(), api.boxes.clone());
+    let answer = relay::answer(question, &api.keeper, snapshot, boxes).await;
+    let answer = answer.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(packed(&answer))
+}
+
 async fn news(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let news: News = unpacked(&body)?;
     let _ = api.keeper.send(configuration::Request::News(news));
@@ -173,6 +182,7 @@
     let Dump {
         callers,
         idle_connections,
+        resting,
         groups,
     } = answer.await.unwrap_or_default();
     let revision = api.snapshot.borrow().revision;
@@ -184,6 +194,7 @@
         "boxes": boxes,
         "callers": callers,
         "idle_connections": idle_connections,
+        "resting": resting,
         "groups": groups,
     }))
 }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -1,32 +1,26 @@
 //! Keeps the declarations in force: polls the table's head, fetches what is newer,
 //! and passes news between peers. A box never steps back in revision.
 
-use std::collections::BTreeMap;
+mod store;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
-use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::context::Context;
-use super::duty::DUTY;
 use super::message::Message;
-use super::peers;
+use super::{peers, relay};
 use crate::borders::roster::Listing;
-use crate::borders::table::{Row, Scan};
-use crate::decisions::duty::Duty;
-use crate::declarations::check;
-use crate::declarations::entry::Entry;
-use crate::declarations::resource::Key;
-use crate::declarations::snapshot::{Primary, Snapshot, Stored};
+use crate::borders::table::Scan;
+use crate::declarations::snapshot::Snapshot;
 use crate::events;
 
+pub use store::Store;
+
 pub const RESOURCE: &str = "resource/";
 pub const PRIMARY: &str = "primary/";
 /// Peers are asked when the table has given no answer for this long: when all boxes
@@ -59,136 +53,23 @@
         reply: oneshot::Sender<Scan>,
     },
     News(News),
+    /// What a follower lacks of the rows and of the list of boxes.
+    Follow {
+        question: relay::Question,
+        reply: oneshot::Sender<relay::Answer>,
+    },
+    /// Digest of all rows, and revision of the list of boxes.
+    Known {
+        reply: oneshot::Sender<(u64, u64)>,
+    },
+    /// What a reader of the table has passed on.
+    Relayed(relay::Answer),
     /// Look at the table now.
     Poll,
 }
 
 pub type Sender = mpsc::UnboundedSender<Request>;
 
-/// All rows at one revision, and what they declare.
-#[derive(Default)]
-pub struct Store {
-    revision: u64,
-    rows: BTreeMap<Arc<str>, Row>,
-    /// Kept beside the rows, so that a change costs what it changes.
-    resources: BTreeMap<Key, Stored>,
-    primaries: BTreeMap<Arc<str>, Primary>,
-    duties: BTreeMap<Arc<str>, Duty>,
-    /// Changes with every row and its revision, whatever the order they came in.
-    digest: u64,
-}
-
-impl Store {
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
-    pub fn digest(&self) -> u64 {
-        self.digest
-    }
-
-    /// Takes rows written after `since`, none of them missing. False if they
-    /// are old or leave a gap. What is no valid resource is left out and logged.
-    pub fn take(&mut self, since: u64, scan: &Scan, log: &Logger) -> bool {
-        let newer = |row: &Row| {
-            let known = self.rows.get(&row.key).map_or(0, |row| row.revision);
-            row.revision > known
-        };
-        let fresh = scan.head > self.revision || scan.rows.iter().any(newer);
-        if since > self.revision || !fresh {
-            return false;
-        }
-        for row in &scan.rows {
-            let known = self.rows.get(&row.key).map_or(0, |row| row.revision);
-            if row.revision <= known {
-                continue;
-            }
-            if let Err(error) = self.declare(row) {
-                let fields: [(_, &dyn std::fmt::Display); 2] =
-                    [("row", &row.key), ("error", &error)];
-                events::emit(log, &events::BAD_ROW, &fields);
-            }
-            self.digest ^= mark(&row.key, known) ^ mark(&row.key, row.revision);
-            self.rows.insert(row.key.clone(), row.clone());
-        }
-        self.revision = self.revision.max(scan.head);
-        true
-    }
-
-    /// Takes over what one row declares.
-    fn declare(&mut self, row: &Row) -> Result<(), String> {
-        if let Some(group) = row.key.strip_prefix(PRIMARY) {
-            self.primaries.remove(group);
-            let Some(value) = &row.value else {
-                return Ok(());
-            };
-            let primary: Primary =
-                serde_json::from_value(value.clone()).map_err(|error| error.to_string())?;
-            let revision = row.revision;
-            self.primaries.insert(
-                group.into(),
-                Primary {
-                    revision,
-                    ..primary
-                },
-            );
-            return Ok(());
-        }
-        if let Some(group) = row.key.strip_prefix(DUTY) {
-            self.duties.remove(group);
-            let Some(value) = &row.value else {
-                return Ok(());
-            };
-            let duty: Duty =
-                serde_json::from_value(value.clone()).map_err(|error| error.to_string())?;
-            let revision = row.revision;
-            self.duties.insert(group.into(), Duty { revision, ..duty });
-            return Ok(());
-        }
-        let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
-        let key = key.ok_or("unknown kind of row")?;
-        self.resources.remove(&key);
-        let Some(value) = &row.value else {
-            return Ok(());
-        };
-        let stored = resource(row, &key, value)?;
-        self.resources.insert(key, stored);
-        Ok(())
-    }
-
-    pub fn scan(&self, since: u64) -> Scan {
-        let newer = self.rows.values().filter(|row| row.revision > since);
-        Scan {
-            head: self.revision,
-            rows: newer.cloned().collect(),
-        }
-    }
-
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot::new(
-            self.revision,
-            self.resources.clone(),
-            self.primaries.clone(),
-            self.duties.clone(),
-        )
-    }
-}
-
-/// A row's part of the digest; none while it is not known.
-fn mark(key: &str, revision: u64) -> u64 {
-    match revision {
-        0 => 0,
-        revision => xxh3_64_with_seed(key.as_bytes(), revision),
-    }
-}
-
-fn resource(row: &Row, key: &Key, value: &Value) -> Result<Stored, String> {
-    let entry = Entry::from_json(key.kind.name(), &row.key, value).map_err(|f| f.to_string())?;
-    let spec = check::one(&entry).map_err(|findings| findings[0].to_string())?;
-    let revision = row.revision;
-    Ok(Stored { revision, spec })
-}
-
 /// The keeper of the configuration on one box.
 pub struct Keeper {
     context: Rc<Context>,
@@ -201,6 +82,9 @@
     down_since: Duration,
     /// Tag of the list of boxes that is known.
     tag: String,
+    boxes_revision: u64,
+    /// Names this start of the box.
+    epoch: u64,
 }
 
 impl Keeper {
@@ -219,6 +103,8 @@
             table_up: true,
             down_since: Duration::ZERO,
             tag: String::new(),
+            boxes_revision: 0,
+            epoch: rand::random(),
         }
     }
 
@@ -251,6 +137,43 @@
         self.store.scan(question.since)
     }
 
+    /// What a follower does not have yet.
+    fn relay(&self, question: &relay::Question) -> relay::Answer {
+        let cursor = relay::Cursor {
+            epoch: self.epoch,
+            taken: self.store.taken(),
+        };
+        let told = question.cursor.filter(|told| told.epoch == self.epoch);
+        let rows = match question.digest == self.store.digest() {
+            true => Vec::new(),
+            false => self.store.taken_after(told.map_or(0, |told| told.taken)),
+        };
+        let newer = self.boxes_revision > question.boxes;
+        let heard = self.context.table.heard();
+        relay::Answer {
+            cursor,
+            head: self.store.revision(),
+            rows,
+            boxes: newer.then(|| self.boxes.borrow().to_vec()),
+            boxes_revision: self.boxes_revision,
+            heard_ms: heard.map(|age| age.as_millis() as u64),
+        }
+    }
+
+    fn take_relayed(&mut self, answer: relay::Answer) {
+        let scan = Scan {
+            head: answer.head,
+            rows: answer.rows,
+        };
+        self.accept(0, scan);
+        if let Some(boxes) = answer.boxes
+            && answer.boxes_revision > self.boxes_revision
+        {
+            self.boxes_revision = answer.boxes_revision;
+            self.set_boxes(boxes.into());
+        }
+    }
+
     fn question(&self) -> Question {
         let since = match self.context.table.is_ordered() {
             true => self.store.revision(),
@@ -272,6 +195,13 @@
                 let _ = reply.send(self.scan(&question));
             }
             Request::News(news) => self.news(news).await,
+            Request::Follow { question, reply } => {
+                let _ = reply.send(self.relay(&question));
+            }
+            Request::Known { reply } => {
+                let _ = reply.send((self.store.digest(), self.boxes_revision));
+            }
+            Request::Relayed(answer) => self.take_relayed(answer),
             Request::Poll => self.poll().await,
         }
     }
@@ -323,6 +253,11 @@
     async fn read_boxes(&mut self) {
         if let Ok(Some(listed)) = self.context.roster.boxes(&self.tag).await {
             self.tag = listed.tag;
+            if listed.revision > 0 && listed.revision <= self.boxes_revision {
+                // A reader of the table has told of a newer list.
+                return;
+            }
+            self.boxes_revision = listed.revision;
             self.set_boxes(listed.boxes.into());
         }
     }
@@ -360,6 +295,9 @@
     }
 
     fn tell_peers(&self, since: u64, scan: Scan) {
+        if self.context.settings.fanout == 0 {
+            return;
+        }
         let news = News {
             from: self.context.own_api_address().into(),
             since,
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -14,7 +14,7 @@
 use crate::borders::clock::Clock;
 use crate::borders::member::Members;
 use crate::borders::roster::{Listing, Roster};
-use crate::borders::table::Table;
+use crate::borders::table::{Pace, Table};
 use crate::configs::run::Run;
 use crate::declarations::resource::Database;
 use crate::declarations::snapshot::Snapshot;
@@ -53,6 +53,8 @@
     pub callers: Cell<usize>,
     /// When the box began to leave, or was cut off: callers are better served elsewhere.
     pub away: watch::Sender<Option<Duration>>,
+    /// How the table is read.
+    pub pace: Cell<Pace>,
 }
 
 /// Counts a caller for as long as it is connected.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -19,6 +19,7 @@
 use super::message::{Ask, Denial, Dump, Grant, Health, Incarnation, Message, Settle, SettleNeed};
 use crate::borders::member::Member;
 use crate::borders::roster::Listing;
+use crate::borders::table::Pace;
 use crate::decisions::confirm::Outcome;
 use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
@@ -193,6 +194,7 @@
                 let _ = reply.send(Dump {
                     callers: self.context.callers.get(),
                     idle_connections: self.context.idle.get(),
+                    resting: self.context.pace.get() == Pace::Rest,
                     groups: groups.collect(),
                 });
             }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -92,6 +92,8 @@
     pub callers: usize,
     /// Connections to members that nobody uses.
     pub idle_connections: usize,
+    /// The table is not read: others of the failure domain tell what is new.
+    pub resting: bool,
     pub groups: Vec<GroupDump>,
 }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,6 +10,7 @@
 use super::configuration::{News, PRIMARY, Question};
 use super::context::Context;
 use super::exchange::{Effect, Exchange, Failure, Reply};
+use super::relay;
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Scan, Verdict, Write};
 use crate::declarations::snapshot::Primary;
@@ -23,6 +24,7 @@
 pub const NEWS: &str = "/peer/news";
 pub const SCAN: &str = "/peer/scan";
 pub const BOXES: &str = "/peer/boxes";
+pub const FOLLOW: &str = "/peer/follow";
 
 const SMALL_WAIT: Duration = Duration::from_millis(500);
 /// A forwarded read gets this part of its time before another owner is asked.
@@ -114,6 +116,16 @@
     call(context, peer, SCAN, question, SMALL_WAIT).await.ok()
 }
 
+/// Asks a reader of the table for what is new there, and waits for it.
+pub async fn follow(
+    context: &Context,
+    reader: &str,
+    question: &relay::Question,
+    wait: Duration,
+) -> Option<relay::Answer> {
+    call(context, reader, FOLLOW, question, wait).await.ok()
+}
+
 pub async fn boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
     call(context, peer, BOXES, &(), SMALL_WAIT).await.ok()
 }
--- /dev/null
+++ b/src/node/relay.rs
@@ -0,0 +1,183 @@
+//! Passes on what the table holds, from the boxes that read it to the others of their
+//! failure domain.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
+
+use super::configuration::{Request, Sender};
+use super::context::Context;
+use super::peers;
+use crate::borders::roster::Listing;
+use crate::borders::table::Row;
+use crate::decisions::relay::Relay;
+use crate::declarations::snapshot::Snapshot;
+use crate::events;
+
+/// Time after which a question without news is answered.
+const WAIT: Duration = Duration::from_millis(600);
+/// Time beyond it after which the reader is held to be gone: a way there and back, and
+/// a change of a few hundred kilobytes.
+const MARGIN: Duration = Duration::from_millis(500);
+/// Pause while there is no reader to ask.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// How far a reader has told what it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Names one start of the reader.
+    pub epoch: u64,
+    pub taken: u64,
+}
+
+/// What a follower has, when it asks for the rest.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Question {
+    /// None before the reader's first answer.
+    pub cursor: Option<Cursor>,
+    /// Digest of all rows.
+    pub digest: u64,
+    /// Revision of the list of boxes.
+    pub boxes: u64,
+}
+
+/// What the follower lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    pub cursor: Cursor,
+    /// Revision of the table up to which the reader has read.
+    pub head: u64,
+    pub rows: Vec<Row>,
+    /// The whole list, if it is newer.
+    pub boxes: Option<Vec<Listing>>,
+    pub boxes_revision: u64,
+    /// Milliseconds since the table last answered the reader; none when it does not.
+    pub heard_ms: Option<u64>,
+}
+
+impl Answer {
+    /// Whether it is worth sending before its time.
+    fn is_news(&self, question: &Question) -> bool {
+        let first = question.cursor.is_none_or(|c| c.epoch != self.cursor.epoch);
+        first || !self.rows.is_empty() || self.boxes.is_some() || self.heard_ms.is_none()
+    }
+}
+
+/// Answers a follower as soon as there is news.
+pub async fn answer(
+    question: Question,
+    keeper: &Sender,
+    mut snapshot: watch::Receiver<Arc<Snapshot>>,
+    mut boxes: watch::Receiver<Arc<[Listing]>>,
+) -> Option<Answer> {
+    let end = Instant::now() + WAIT;
+    loop {
+        snapshot.mark_unchanged();
+        boxes.mark_unchanged();
+        let (reply, answered) = oneshot::channel();
+        let _ = keeper.send(Request::Follow { question, reply });
+        let answer = answered.await.ok()?;
+        if answer.is_news(&question) || Instant::now() >= end {
+            return Some(answer);
+        }
+        tokio::select! {
+            changed = snapshot.changed() => changed.ok()?,
+            changed = boxes.changed() => changed.ok()?,
+            () = tokio::time::sleep_until(end) => {}
+        }
+    }
+}
+
+/// Asks the readers of this failure domain in turn, and has the table rest meanwhile.
+pub async fn follow(context: Rc<Context>, keeper: Sender) {
+    let mut boxes = context.boxes.clone();
+    let mut follower = Follower {
+        context: context.clone(),
+        keeper,
+        relay: Relay::default(),
+        cursors: HashMap::new(),
+    };
+    loop {
+        let settings = &context.settings;
+        let listed = boxes.borrow_and_update().clone();
+        follower
+            .relay
+            .set_boxes(&listed, &settings.name, &settings.domain);
+        follower.set_pace();
+        match follower.relay.next(context.now()) {
+            Some(reader) => follower.ask_in_time(&reader).await,
+            None => {
+                let _ = tokio::time::timeout(PAUSE, boxes.changed()).await;
+            }
+        }
+    }
+}
+
+struct Follower {
+    context: Rc<Context>,
+    keeper: Sender,
+    relay: Relay,
+    /// By reader.
+    cursors: HashMap<Arc<str>, Cursor>,
+}
+
+impl Follower {
+    fn set_pace(&self) {
+        let pace = self.relay.pace(self.context.now());
+        let before = self.context.pace.replace(pace);
+        if before == pace {
+            return;
+        }
+        self.context.table.set_pace(pace);
+        let informed = self.relay.stale_at().unwrap_or_default();
+        let fields: [(_, &dyn std::fmt::Display); 2] =
+            [("pace", &pace), ("good_until_ms", &informed.as_millis())];
+        events::emit(&self.context.log, &events::PACE, &fields);
+    }
+
+    /// Asks one reader; the table is read again as soon as what is known grows stale.
+    async fn ask_in_time(&mut self, reader: &Arc<str>) {
+        let context = self.context.clone();
+        let stale = self.relay.stale_at().unwrap_or_default();
+        let left = stale.saturating_sub(context.now());
+        let answer = {
+            let asked = self.ask(reader);
+            tokio::pin!(asked);
+            match tokio::time::timeout(left, &mut asked).await {
+                Ok(answer) => answer,
+                Err(_) => {
+                    self.set_pace();
+                    asked.await
+                }
+            }
+        };
+        match answer {
+            Some(answer) => self.take(reader, answer),
+            None => self.relay.failed(reader, context.now()),
+        }
+    }
+
+    async fn ask(&self, reader: &Arc<str>) -> Option<Answer> {
+        let (reply, known) = oneshot::channel();
+        let _ = self.keeper.send(Request::Known { reply });
+        let (digest, boxes) = known.await.ok()?;
+        let question = Question {
+            cursor: self.cursors.get(reader).copied(),
+            digest,
+            boxes,
+        };
+        peers::follow(&self.context, reader, &question, WAIT + MARGIN).await
+    }
+
+    fn take(&mut self, reader: &Arc<str>, answer: Answer) {
+        let age = answer.heard_ms.map(Duration::from_millis);
+        self.cursors.insert(reader.clone(), answer.cursor);
+        self.relay.heard(reader, age, self.context.now());
+        let _ = self.keeper.send(Request::Relayed(answer));
+    }
+}
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -19,6 +19,7 @@
 use super::entry::Entry;
 use super::owner::Owner;
 use super::pool::Pool;
+use super::relay;
 use super::routes::{Classes, Routes};
 use crate::borders::clock::{Clock, System};
 use crate::borders::member::Members;
@@ -123,6 +124,7 @@
         shunned: RefCell::default(),
         callers: Cell::new(0),
         away: watch::channel(None).0,
+        pace: Cell::default(),
         settings,
         log,
     });
@@ -130,7 +132,7 @@
         name: context.settings.name.clone(),
         admin: context.settings.admin.clone(),
         decisions: decisions_tx,
-        keeper: keeper_tx,
+        keeper: keeper_tx.clone(),
         work: work_tx,
         snapshot: snapshot.clone(),
         boxes,
@@ -143,7 +145,7 @@
     let name = &context.settings.name;
     events::emit(log, &events::STARTED, &[("box", name)]);
     let keeper = Keeper::new(context.clone(), keeper_rx, snapshot_tx, boxes_tx);
-    let background = [
+    let mut background = vec![
         tokio::task::spawn_local(Driver::new(context.clone(), decisions, decisions_rx).run()),
         tokio::task::spawn_local(keeper.run()),
         tokio::task::spawn_local(work(context.clone(), owner.clone(), work_rx)),
@@ -151,6 +153,10 @@
         tokio::task::spawn_local(enter(context.clone())),
         tokio::task::spawn_local(serve_api(api, operators)),
     ];
+    if context.settings.relay {
+        let following = relay::follow(context.clone(), keeper_tx);
+        background.push(tokio::task::spawn_local(following));
+    }
     let mut configured = snapshot;
     tokio::select! {
         _ = configured.wait_for(|snapshot| snapshot.revision > 0) => {}
@@ -215,6 +221,7 @@
         address: context.own_api_address().into(),
         domain: context.settings.domain.clone(),
         leaving: false,
+        link_mbps: context.settings.link_mbps,
     };
     // The list as it stood before this start tells whether others know this box.
     while context.table.head().await.is_err() {
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -63,6 +63,9 @@
 pub struct Limits {
     /// Descriptors that the process may open.
     pub max_fds: u64,
+    /// Width of the machine's link.
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -117,6 +120,8 @@
             retry_percent: RETRY_PERCENT,
             retry_most: RETRY_MOST,
             duty: true,
+            relay: true,
+            link_mbps: self.limits.link_mbps as u32,
             ..Run::default()
         }
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -11,13 +11,14 @@
 use rand::Rng;
 use serde_json::Value;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::manifest::{Declarations, Manifest};
 use super::members;
 use super::store::{Change, Row as Raw, Rows, Store, StoreError};
 use crate::borders::roster::{Listing, Roster, Tagged};
-use crate::borders::table::{Commit, Row, Scan, Table, TableError, Verdict};
+use crate::borders::table::{Commit, Pace, Row, Scan, Table, TableError, Verdict};
 use crate::events;
 use crate::node::configuration::RESOURCE;
 
@@ -55,11 +56,14 @@
 
     /// Length of one wait for changes. A wait that the store forgot is noticed only
     /// when it ends, so it is shorter where news is urgent; each costs a call.
-    fn wait(self) -> Duration {
-        match self {
-            Source::Operator => Duration::from_secs(8),
-            Source::Members => Duration::from_secs(12),
-            Source::Own => Duration::from_secs(25),
+    fn wait(self, pace: Pace) -> Duration {
+        match (self, pace) {
+            // Its end tells those who follow that the store still answers.
+            (Source::Operator, Pace::Brisk) => Duration::from_secs(1),
+            (Source::Operator, _) => Duration::from_secs(8),
+            (Source::Members, Pace::Brisk) => Duration::from_secs(3),
+            (Source::Members, _) => Duration::from_secs(12),
+            (Source::Own, _) => Duration::from_secs(25),
         }
     }
 }
@@ -87,7 +91,7 @@
     fresh: BTreeSet<Arc<str>>,
     boxes: BTreeMap<Arc<str>, Listing>,
     head: u64,
-    /// Counts changes of the list of boxes.
+    /// Version that last changed the list of boxes.
     roster: u64,
 }
 
@@ -108,6 +112,9 @@
     up: RefCell<BTreeSet<Source>>,
     /// Sources that were read at least once.
     read: Cell<usize>,
+    pace: watch::Sender<Pace>,
+    /// When the operator's rows were last answered for.
+    heard: Cell<Option<Instant>>,
 }
 
 impl Mirror {
@@ -120,6 +127,8 @@
             changed: Notify::new(),
             up: RefCell::default(),
             read: Cell::new(0),
+            pace: watch::channel(Pace::default()).0,
+            heard: Cell::new(None),
         });
         for source in Source::ALL {
             tokio::task::spawn_local(mirror.clone().keep_up(source));
@@ -130,21 +139,29 @@
     async fn keep_up(self: Rc<Self>, source: Source) {
         let mut after = None;
         loop {
+            let rested = self.rest().await;
             let read = match after {
                 None => self.store.read(source.table()).await,
                 Some(after) => {
-                    // After an error the first answer tells that the store is back: it
-                    // must not wait for a change.
-                    let wait = match self.up.borrow().contains(&source) {
-                        true => source.wait(),
+                    // After an error the first answer tells that the store is back, and
+                    // after a rest what was missed: it must not wait for a change.
+                    let wait = match self.up.borrow().contains(&source) && !rested {
+                        true => source.wait(self.pace()),
                         false => Duration::ZERO,
                     };
-                    self.store.changes(source.table(), after, wait).await
+                    let changes = self.store.changes(source.table(), after, wait);
+                    tokio::select! {
+                        changes = changes => changes,
+                        () = self.hurried(wait, source) => continue,
+                    }
                 }
             };
             match read {
                 Ok(rows) => {
                     self.note(source, None);
+                    if source == Source::Operator {
+                        self.heard.set(Some(Instant::now()));
+                    }
                     if after.is_none() {
                         self.read.set(self.read.get() + 1);
                     }
@@ -168,6 +185,26 @@
         }
     }
 
+    fn pace(&self) -> Pace {
+        *self.pace.borrow()
+    }
+
+    /// Waits while others tell what is new. Whether it had to.
+    async fn rest(&self) -> bool {
+        let rests = self.pace() == Pace::Rest;
+        let mut pace = self.pace.subscribe();
+        let awake = pace.wait_for(|pace| *pace != Pace::Rest).await;
+        awake.expect("the sender lives as long as this");
+        rests
+    }
+
+    /// Returns when a wait of this length has become too long.
+    async fn hurried(&self, wait: Duration, source: Source) {
+        let mut pace = self.pace.subscribe();
+        let hurried = pace.wait_for(|pace| source.wait(*pace) < wait).await;
+        hurried.expect("the sender lives as long as this");
+    }
+
     /// Notes whether a source answers.
     fn note(&self, source: Source, error: Option<&StoreError>) {
         let mut up = self.up.borrow_mut();
@@ -313,7 +350,7 @@
 
     fn put_own(&self, cache: &mut Cache, key: &Arc<str>, version: u64, value: Option<&[u8]>) {
         if let Some(name) = key.strip_prefix(BOXES) {
-            cache.roster += 1;
+            cache.roster = cache.roster.max(version);
             cache.boxes.remove(name);
             let listing = value.map(serde_json::from_slice::<Listing>).transpose();
             match listing {
@@ -413,6 +450,20 @@
         }
     }
 
+    fn set_pace(&self, pace: Pace) {
+        self.pace.send_if_modified(|known| {
+            let changed = *known != pace;
+            *known = pace;
+            changed
+        });
+    }
+
+    fn heard(&self) -> Option<Duration> {
+        let reads = self.is_up() && self.pace() != Pace::Rest;
+        let heard = self.heard.get().filter(|_| reads)?;
+        Some(heard.elapsed())
+    }
+
     fn is_ordered(&self) -> bool {
         false
     }
@@ -451,7 +502,13 @@
         let cache = self.cache.borrow();
         let now = cache.roster.to_string();
         let boxes = cache.boxes.values().cloned().collect();
-        Ok((tag != now).then_some(Tagged { tag: now, boxes }))
+        let revision = cache.roster;
+        let listed = Tagged {
+            tag: now,
+            revision,
+            boxes,
+        };
+        Ok((tag != listed.tag).then_some(listed))
     }
 
     async fn enter(&self, listing: &Listing) -> Result<(), TableError> {
--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -84,7 +84,11 @@
         };
         let boxes = decode(&body)?;
         let tag = tag_of(&body);
-        Ok(Some(Tagged { tag, boxes }))
+        Ok(Some(Tagged {
+            tag,
+            revision: 0,
+            boxes,
+        }))
     }
 }
 
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -11,7 +11,7 @@
 use super::world::{STRICT, World, manifest};
 
 /// Puts a manifest without the strict route.
-fn remove_route(world: &World, version: u64) {
+pub fn remove_route(world: &World, version: u64) {
     let mut next = manifest(version, 3_000);
     let routes = next["routes"].as_array_mut().expect("routes");
     routes.retain(|route| route["hostname"] != STRICT);
@@ -19,7 +19,7 @@
 }
 
 /// Reads until the answer has this error, or none.
-async fn read_until(client: &mut Client, error: Option<&str>) -> Answer {
+pub async fn read_until(client: &mut Client, error: Option<&str>) -> Answer {
     loop {
         let answer = client.run("READ farm").await.unwrap();
         if answer.error.as_deref() == error {
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -95,8 +95,12 @@
 
     /// Adds a box that has an address of its own for the store.
     pub fn add_box_at(&mut self, i: usize, store: SocketAddr) {
-        let zone = format!("zone-{}", i % 3);
-        let place = Place::new(&format!("box-{i}"), &zone, store);
+        self.add_box_in(i, &format!("zone-{}", i % 3), store);
+    }
+
+    /// Adds a box to a failure domain.
+    pub fn add_box_in(&mut self, i: usize, zone: &str, store: SocketAddr) {
+        let place = Place::new(&format!("box-{i}"), zone, store);
         self.boxes.push(Process::start(place));
     }
 
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -551,7 +551,7 @@
     let others = (1..3).map(|i| member(i, false)).collect();
     bench.group.set_plan(plan(others), bench.now);
     let gone = bench.now;
-    let mut look_until = |bench: &mut Bench, after: Duration| {
+    let look_until = |bench: &mut Bench, after: Duration| {
         while bench.now < gone + after {
             bench.now += ms(100);
             bench.look();
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -12,5 +12,6 @@
 mod owners;
 mod randomised;
 mod reach;
+mod relay;
 mod settings;
 mod setup;
--- a/tests/unit/owners.rs
+++ b/tests/unit/owners.rs
@@ -11,6 +11,7 @@
         address: format!("127.0.0.1:{i}").into(),
         domain: format!("d{}", i % 10).into(),
         leaving: false,
+        link_mbps: 0,
     };
     (0..count).map(listing).collect()
 }
@@ -79,6 +80,7 @@
         address: name.into(),
         domain: "d".into(),
         leaving: false,
+        link_mbps: 0,
     };
     let ranking = Ranking::new(&[listing("a"), listing("b"), listing("c")]);
     expect_that!(ranking.is_everybody(3), eq(true));
