fix(reach): boxes that start in a cut know it, and late callers are refused

Now a group without a known primary counts as cut off once its members are suspected, a box without a group asks once at its start, and who connects to a box that has been away for 2.3 s is told to retry.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -283,9 +283,13 @@
         self.replace.is_deposing()
     }
 
-    /// Whether this owner, which has seen a primary before, reaches no majority.
-    pub fn is_cut_off(&self) -> bool {
-        self.replace.primary.is_some() && !self.sees_majority()
+    /// Whether this owner reaches no majority. One that has not seen a primary yet
+    /// holds members for reachable until it has found out.
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        match self.replace.primary {
+            Some(_) => !self.sees_majority(),
+            None => now >= self.born + self.settings.detect.period && !self.may_see_majority(),
+        }
     }
 
     /// Whether this owner finds the primary suspect, for a peer who asks.
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -59,7 +59,7 @@
 
     /// Whether a majority is seen, or may be: a member that was not heard of yet may
     /// only have no connection to spare for a moment.
-    fn may_see_majority(&self) -> bool {
+    pub(super) fn may_see_majority(&self) -> bool {
         let hoped = |(i, member): &(usize, &Member)| self.replace.accepts(*i) && !member.suspected;
         let members = self.members.iter().enumerate();
         members.filter(hoped).count() >= self.replace.majority()
--- a/src/decisions/reach.rs
+++ b/src/decisions/reach.rs
@@ -67,7 +67,9 @@
             return None;
         }
         let doubted = self.refused.is_some_and(|refused| now < refused + DOUBT);
-        let wanted = self.cut_off || self.view.owned > 0 || doubted;
+        // A box that starts in a cut failure domain is to know it before callers do.
+        let fresh = self.asked.is_none() && self.view.groups > 0;
+        let wanted = self.cut_off || self.view.owned > 0 || doubted || fresh;
         let next = self.asked.map_or(now, |asked| asked + AGAIN);
         wanted.then_some(next)
     }
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -94,6 +94,12 @@
         self.snapshot.borrow().databases.get(name).cloned()
     }
 
+    /// Whether callers have been better served elsewhere for so long.
+    pub fn is_away_for(&self, rest: Duration) -> bool {
+        let since = *self.away.borrow();
+        since.is_some_and(|since| self.now() >= since + rest)
+    }
+
     /// Returns when callers have been better served elsewhere for so long.
     pub async fn away_for(&self, rest: Duration) {
         let mut away = self.away.subscribe();
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -181,7 +181,7 @@
             Message::Reached { cut_off } => self.reach.answer(cut_off),
             Message::Reach { group, reply } => {
                 let owned = self.groups.get(&group);
-                let _ = reply.send(owned.map(|owned| !owned.group.is_cut_off()));
+                let _ = reply.send(owned.map(|owned| !owned.group.is_cut_off(self.context.now())));
             }
             Message::Opinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -21,7 +21,7 @@
             return;
         }
         let now = self.context.now();
-        let cut_off = self.groups.values().filter(|o| o.group.is_cut_off());
+        let cut_off = self.groups.values().filter(|o| o.group.is_cut_off(now));
         self.reach.see(View {
             groups: self.snapshot.groups.len(),
             owned: self.groups.len(),
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -26,6 +26,9 @@
 
 /// Time in which a caller must have said which database it wants.
 const HELLO_WAIT: Duration = Duration::from_secs(10);
+/// What a late caller of a box that leaves, or is cut off, is told to wait: the balancer
+/// asks each second.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
 /// A box that leaves, or is cut off, closes idle sessions after this time: by then the
 /// balancer sends no new ones here, so that they come back elsewhere.
 const LEAVE_IDLE: Duration = Duration::from_millis(2_300);
@@ -89,6 +92,14 @@
     if context.database(database).is_none() {
         return refuse(&mut channel, code::NO_DATABASE, "no such database").await;
     }
+    if context.is_away_for(LEAVE_IDLE) {
+        // A session that is closed right after its start looks like a lost answer.
+        let text = format!(
+            "not run: callers are served elsewhere; retry after {} ms",
+            ELSEWHERE_RETRY.as_millis()
+        );
+        return refuse(&mut channel, code::RETRY, &text).await;
+    }
     channel.write(b"READY I -\r\n").await?;
     Conversation::new(context, owner, channel, database)
         .run()
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -60,7 +60,12 @@
     expect_that!(late.run("READ farm").await.unwrap().error, none());
     let done = client.run("COMMIT").await.unwrap();
     expect_that!(done.digest, some(eq("commit.i-0")));
+    let _open = late.run("BEGIN").await;
     expect_that!(idle.line().await.err(), some(eq("closed")));
+    // Whoever comes now is sent away, not let in and closed.
+    let front = world.boxes[0].place.front;
+    let refused = Client::connect(front, STRICT, "d").await;
+    expect_that!(refused.is_err(), eq(true));
     while world.boxes[0].is_running() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -44,8 +44,6 @@
     fault: Fault,
     /// A table that answers nobody.
     silent: Option<String>,
-    /// Calls so far.
-    calls: u64,
 }
 
 /// A promotion as it was ordered.
@@ -161,14 +159,8 @@
         self.changed.notify_waiters();
     }
 
-    /// Calls so far.
-    pub fn calls(&self) -> u64 {
-        self.rows().calls
-    }
-
     /// Waits as long as the store is silent; an answer in its place where there is one.
     async fn gate(&self, table: &str) -> Option<Response> {
-        self.rows().calls += 1;
         loop {
             let changed = self.changed.notified();
             let silent = self.rows().silent.as_deref() == Some(table);
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -575,3 +575,30 @@
         eq(0)
     );
 }
+
+/// A box that started in a cut failure domain stayed ready, and its balancer sent it and
+/// all its neighbours callers.
+#[gtest]
+fn a_box_that_starts_in_a_cut_knows_it_without_ever_having_seen_a_primary() {
+    let members = (0..3).map(|i| member(i, false)).collect();
+    let mut group = Group::new(plan(members), "d0".into(), 0, settings(), 1, ms(0));
+    let mut now = ms(0);
+    group.handle(Event::Tick, now);
+    expect_that!(group.is_cut_off(now), eq(false));
+    while now < ms(3_000) {
+        now += ms(50);
+        let answer = Ok(status(Role::Replica, 1, 1, 10));
+        group.handle(
+            Event::Status {
+                member: 0,
+                began: now - ms(1),
+                answer,
+            },
+            now,
+        );
+        for member in 1..3 {
+            group.handle(Event::Unreached { member }, now);
+        }
+    }
+    expect_that!(group.is_cut_off(now), eq(true));
+}
--- a/tests/unit/reach.rs
+++ b/tests/unit/reach.rs
@@ -30,10 +30,15 @@
 #[gtest]
 fn a_box_that_owns_nothing_asks_only_after_a_refusal_and_goes_by_the_owners_word() {
     let mut reach = Reach::default();
+    expect_that!(reach.due(ms(5)), none());
+    // It asks once at its start: it may have started in a cut.
     reach.see(view(8, 0, 0));
-    expect_that!(reach.due(ms(10)), none());
+    expect_that!(reach.due(ms(10)), some(anything()));
+    reach.ask(ms(10));
+    reach.answer(false);
+    expect_that!(reach.due(ms(900)), none());
     reach.refuse(ms(1_000));
-    expect_that!(reach.due(ms(1_000)), some(eq(ms(1_000))));
+    expect_that!(reach.due(ms(1_000)), some(le(ms(1_000))));
     reach.ask(ms(1_000));
     reach.answer(true);
     expect_that!(reach.is_cut_off(), eq(true));
