fix(replace): a ballot gives another its time, and outbids none it did not know of

Now a box that sees a member promised to another box's ballot gives it 1.8 s (lease, look, promotion), also when it sees so while it claims; and a fence names the highest promise that the box knew, so that a member which has promised more since is left to that ballot.

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -81,14 +81,24 @@
     pub control: Arc<str>,
 }
 
+/// What a ballot asks of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bid {
+    pub term: u64,
+    /// The term that the ballot is to end; a member that has gone on to a later one is
+    /// not fenced.
+    pub replaced: u64,
+    /// The highest promise known when the ballot began. Where members do not arbitrate,
+    /// one that has promised more since is left to the ballot it did so for.
+    pub seen: u64,
+}
+
 /// Control half of a member: status, fence, promote, follow.
 #[async_trait(?Send)]
 pub trait Member {
     async fn status(&self) -> Result<Status, MemberError>;
-    /// Takes `term` if it is strictly above the member's promised term.
-    /// `replaced` is the term that the ballot is to end; a member that has gone on to
-    /// a later one is not fenced.
-    async fn fence(&self, term: u64, replaced: u64) -> Result<Status, MemberError>;
+    /// Takes the bid's term if it is strictly above the member's promised term.
+    async fn fence(&self, bid: &Bid) -> Result<Status, MemberError>;
     /// Makes the member primary of `term`, which it must have promised.
     /// `stands` is asked right before the order goes out, since what comes before
     /// takes time; without it nothing is ordered.
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -29,7 +29,7 @@
 use super::position::Position;
 use super::replace::{Doubt, Replace, Step};
 use super::route::{Candidate, Demand, History, choose};
-use crate::borders::member::{MemberError, Role, Status};
+use crate::borders::member::{Bid, MemberError, Role, Status};
 use crate::declarations::resource::{Durability, Member as MemberSpec};
 use crate::declarations::snapshot::Plan;
 
@@ -278,6 +278,15 @@
         self.replace.ballot()
     }
 
+    /// What this owner's ballot of `term` asks of a member.
+    pub fn bid(&self, term: u64) -> Bid {
+        Bid {
+            term,
+            replaced: self.replace.term,
+            seen: self.replace.outbid(),
+        }
+    }
+
     /// Whether this owner is taking the primary's lead away.
     pub fn is_deposing(&self) -> bool {
         self.replace.is_deposing()
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -31,6 +31,9 @@
     pub again: Duration,
     /// A ballot without a majority by then has failed.
     pub ballot: Duration,
+    /// Time that another box's ballot gets from the first fence that is seen of it;
+    /// zero where members decide between ballots.
+    pub courtesy: Duration,
     /// Least time between two replacements of a primary that still answers.
     pub rest: Duration,
     /// A promised term whose primary does not show by then was abandoned.
@@ -83,6 +86,7 @@
             stagger: Duration::from_millis(200),
             again: Duration::from_millis(25),
             ballot: Duration::from_millis(500),
+            courtesy: Duration::ZERO,
             rest: Duration::from_secs(1),
             abandoned: Duration::from_millis(600),
             expected: Duration::from_secs(2),
@@ -209,6 +213,11 @@
     pub primary: Option<usize>,
     /// Highest term promised anywhere, as far as seen.
     highest: u64,
+    /// Term of this box's last ballot, and the highest promise known when it began.
+    ours: u64,
+    outbid: u64,
+    /// When a member was last seen to have taken another box's fence.
+    rival: Option<Duration>,
     /// Highest promise seen since the present term began, also if it was taken back.
     seen: u64,
     /// Since when a higher term than ours is promised without a primary of it.
@@ -234,6 +243,9 @@
             term: 0,
             primary: None,
             highest: 0,
+            ours: 0,
+            outbid: 0,
+            rival: None,
             seen: 0,
             above: None,
             phase: Phase::Steady,
@@ -290,6 +302,11 @@
         self.highest
     }
 
+    /// Highest promise known when this box's last ballot began.
+    pub fn outbid(&self) -> u64 {
+        self.outbid
+    }
+
     pub fn is_steady(&self) -> bool {
         self.phase == Phase::Steady
     }
@@ -371,6 +388,7 @@
         self.doubted = None;
         self.demoted = false;
         self.foreign = None;
+        self.rival = None;
         self.set_acceptors();
         true
     }
@@ -389,6 +407,9 @@
     }
 
     fn note_promised(&mut self, promised: u64, now: Duration) {
+        if promised > self.highest.max(self.term) && promised != self.ours {
+            self.rival = Some(now);
+        }
         self.highest = self.highest.max(promised);
         self.seen = self.seen.max(promised);
         if self.highest > self.term && self.above.is_none() {
@@ -404,6 +425,7 @@
         self.highest = highest.max(self.term);
         if self.highest == self.term {
             self.above = None;
+            self.rival = None;
         }
     }
 
--- a/src/decisions/replace/ballot.rs
+++ b/src/decisions/replace/ballot.rs
@@ -19,6 +19,8 @@
 
     pub(super) fn start_ballot(&mut self, now: Duration, rest: Option<Duration>) -> u64 {
         let term = self.next_term();
+        self.outbid = self.highest.max(self.term);
+        self.ours = term;
         self.highest = term;
         self.seen = self.seen.max(term);
         self.phase = Phase::Fencing {
--- a/src/decisions/replace/doubt.rs
+++ b/src/decisions/replace/doubt.rs
@@ -96,10 +96,13 @@
         (gone && !live) || (far && !fine)
     }
 
-    /// Whether another box has taken the duty and is to have its time.
+    /// Whether another box has taken the duty, or fenced a member, and is to have its
+    /// time: ballots against each other end with no majority for any.
     pub(super) fn is_foreign(&self, now: Duration) -> bool {
-        let lasts = self.settings.abandoned;
-        self.foreign.is_some_and(|since| now < since + lasts)
+        let duty = self.settings.abandoned;
+        let ballot = self.settings.courtesy;
+        let within = |since: Option<Duration>, lasts| since.is_some_and(|s| now < s + lasts);
+        within(self.foreign, duty) || within(self.rival, ballot)
     }
 
     /// Another box has taken the duty.
@@ -131,9 +134,14 @@
 
     /// Takes the outcome of a claim.
     pub fn claimed(&mut self, won: bool, now: Duration) -> Vec<Step> {
-        let Phase::Claiming { left, .. } = self.phase else {
+        let Phase::Claiming { left, since } = self.phase else {
             return Vec::new();
         };
+        let rivalled = self.rival.is_some_and(|rival| rival >= since);
+        if rivalled && !self.settings.courtesy.is_zero() {
+            self.phase = Phase::Steady;
+            return Vec::new();
+        }
         if !won {
             self.phase = Phase::Steady;
             self.foreign = Some(now);
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -68,10 +68,10 @@
                 });
             }
             Action::Fence { member, term } => {
-                let replaced = owned.group.term();
+                let bid = owned.group.bid(term);
                 let border = owned.members[member].clone();
                 self.spawn(id, async move {
-                    let answer = border.fence(term, replaced).await;
+                    let answer = border.fence(&bid).await;
                     Event::Fenced {
                         member,
                         term,
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -13,7 +13,9 @@
 
 use super::upstream::OWN;
 use super::words::position;
-use crate::borders::member::{Address, Member, MemberError, Members, Order, Role, Status, Stream};
+use crate::borders::member::{
+    Address, Bid, Member, MemberError, Members, Order, Role, Status, Stream,
+};
 use crate::borders::upstream::{ConnectError, Task, Unrun, UpstreamError, Verdict};
 use crate::decisions::position::Position;
 use crate::declarations::resource::Member as Declared;
@@ -154,9 +156,10 @@
         self.ask("STATUS").await
     }
 
-    async fn fence(&self, term: u64, replaced: u64) -> Result<Status, MemberError> {
+    async fn fence(&self, bid: &Bid) -> Result<Status, MemberError> {
+        let term = bid.term;
         let known = self.status().await?;
-        if known.log.term > replaced {
+        if known.log.term > bid.replaced || known.promised > bid.seen.max(bid.replaced) {
             let promised = known.promised;
             return Err(MemberError::Fenced { promised });
         }
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -19,6 +19,7 @@
 
 use super::faults::{Faults, Gate};
 use super::member::{Batch, Member};
+use crate::borders::member::Bid;
 use crate::borders::member::{
     Address, Member as Border, MemberError, Members, Order, Status, Stream,
 };
@@ -158,7 +159,8 @@
         self.status_of(&Request::Status).await
     }
 
-    async fn fence(&self, term: u64, _: u64) -> Result<Status, MemberError> {
+    async fn fence(&self, bid: &Bid) -> Result<Status, MemberError> {
+        let term = bid.term;
         self.status_of(&Request::Fence { term }).await
     }
 
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -602,3 +602,44 @@
     }
     expect_that!(group.is_cut_off(now), eq(true));
 }
+
+/// On trouble-2 of mlg-cartes-grown ten boxes that did not get through to the store
+/// fenced against each other for four seconds.
+#[gtest]
+fn a_ballot_that_finds_another_under_way_gives_it_its_time() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    let (term, fences) = (
+        bench.term(),
+        bench.asked(|a| matches!(a, Action::Fence { .. })),
+    );
+    expect_that!(bench.group.bid(term).seen, eq(1));
+    // Two members have taken the fence of another box meanwhile.
+    for member in [1, 2] {
+        let answer = Err(MemberError::Fenced { promised: term + 1 });
+        bench.tell(Event::Fenced {
+            member,
+            term,
+            answer,
+        });
+    }
+    let rest = |bench: &mut Bench, length: Duration| {
+        let end = bench.now + length;
+        while bench.now < end {
+            bench.pass(ms(50));
+            bench.report(1, status(Role::Replica, 1, term + 1, 10));
+            bench.report(2, status(Role::Replica, 1, term + 1, 10));
+        }
+    };
+    rest(&mut bench, ms(1_500));
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(1));
+    // It led to nothing.
+    rest(&mut bench, ms(1_000));
+    bench.tell(Event::Claimed { won: true });
+    expect_that!(bench.asked(|a| *a == Action::Claim), eq(2));
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Fence { .. })),
+        gt(fences)
+    );
+    expect_that!(bench.group.bid(bench.term()).seen, eq(term + 1));
+}
--- a/tests/unit/orders.rs
+++ b/tests/unit/orders.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::member::{MemberError, Role, Status, Stream};
+use larkfall::borders::member::{Bid, MemberError, Role, Status, Stream};
 use larkfall::decisions::duty::{Claim, Duty, taken};
 use larkfall::decisions::group::{Action, Event, Group};
 use larkfall::decisions::position::Position;
@@ -65,8 +65,7 @@
     Fence {
         by: usize,
         member: usize,
-        term: u64,
-        replaced: u64,
+        bid: Bid,
     },
     Pause {
         by: usize,
@@ -224,13 +223,8 @@
         match action {
             Action::Probe { member } => self.soon(Step::Status { by, member, began }),
             Action::Fence { member, term } => {
-                let replaced = self.boxes[by].term();
-                self.soon(Step::Fence {
-                    by,
-                    member,
-                    term,
-                    replaced,
-                });
+                let bid = self.boxes[by].bid(term);
+                self.soon(Step::Fence { by, member, bid });
             }
             Action::Release { member } => self.soon(Step::Resume { member }),
             Action::Follow { member, term, .. } => self.soon(Step::Follow { member, term }),
@@ -320,12 +314,7 @@
             Step::Tell(by, event) => self.tell(by, event),
             Step::Wake(by) => self.wake(by),
             Step::Status { by, member, began } => self.status(by, member, began),
-            Step::Fence {
-                by,
-                member,
-                term,
-                replaced,
-            } => self.fence(by, member, term, replaced),
+            Step::Fence { by, member, bid } => self.fence(by, member, bid),
             Step::Pause { by, member, term } => self.pause(by, member, term),
             Step::Resume { member } => self.members[member].held = 0,
             Step::Follow { member, term } => self.follow(member, term),
@@ -389,13 +378,14 @@
         self.at(after, Step::Tell(by, event));
     }
 
-    fn fence(&mut self, by: usize, member: usize, term: u64, replaced: u64) {
+    fn fence(&mut self, by: usize, member: usize, bid: Bid) {
         let known = self.members[member];
+        let promised = known.status().promised;
+        let outbid = promised > bid.seen.max(bid.replaced);
+        let term = bid.term;
         let answer = match known.dark {
             true => Err(MemberError::Silent),
-            false if known.term > replaced => Err(MemberError::Fenced {
-                promised: known.status().promised,
-            }),
+            false if known.term > bid.replaced || outbid => Err(MemberError::Fenced { promised }),
             false => return self.soon(Step::Pause { by, member, term }),
         };
         self.fenced(by, member, term, answer);
