fix(reach): owners that can't tell bring nobody back in the middle of a cut

Now an owner says whether it reaches a majority only once it has found out, and words that tell nothing change nothing.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -292,13 +292,14 @@
         self.replace.is_deposing()
     }
 
-    /// Whether this owner reaches no majority. One that has not seen a primary yet
-    /// holds members for reachable until it has found out.
-    pub fn is_cut_off(&self, now: Duration) -> bool {
-        match self.replace.primary {
-            Some(_) => !self.sees_majority(),
-            None => now >= self.born + self.settings.detect.period && !self.may_see_majority(),
+    /// Whether this owner reaches a majority; none while it has not found out.
+    pub fn reaches(&self, now: Duration) -> Option<bool> {
+        if self.sees_majority() {
+            return Some(true);
         }
+        let looked = now >= self.born + self.settings.detect.period;
+        let known = self.replace.primary.is_some() || (looked && !self.may_see_majority());
+        known.then_some(false)
     }
 
     /// Whether this owner finds the primary suspect, for a peer who asks.
--- a/src/decisions/reach.rs
+++ b/src/decisions/reach.rs
@@ -19,17 +19,20 @@
     pub groups: usize,
     /// Groups this box owns.
     pub owned: usize,
-    /// Owned groups of whose members it reaches no majority.
+    /// Owned groups of whose members it reaches a majority.
+    pub reached: usize,
+    /// Owned groups of whose members it reaches none; it has not found out yet about
+    /// the rest.
     pub cut_off: usize,
 }
 
 impl View {
     /// What its own groups tell by themselves, if they tell enough.
     fn verdict(&self) -> Option<bool> {
-        if self.cut_off < self.owned {
+        if self.reached > 0 {
             return Some(false);
         }
-        (self.owned == self.groups).then_some(self.owned > 0)
+        (self.owned == self.groups).then_some(self.owned > 0 && self.cut_off == self.owned)
     }
 }
 
@@ -79,10 +82,14 @@
         self.asked = Some(now);
     }
 
-    /// Takes the owners' word: whether none of them reaches a majority.
-    pub fn answer(&mut self, cut_off: bool) {
-        if self.view.verdict().is_none() {
-            self.cut_off = cut_off;
+    /// Takes the owners' words: whether each reaches a majority of its group, as far as
+    /// they can tell. Those that have just started can't, and would bring back a whole
+    /// failure domain in the middle of a cut.
+    pub fn answer(&mut self, words: &[Option<bool>]) {
+        let told = words.iter().flatten();
+        if self.view.verdict().is_some() || told.clone().count() == 0 {
+            return;
         }
+        self.cut_off = told.clone().all(|reached| !reached);
     }
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -178,10 +178,11 @@
             }
             Message::Listed => self.tell_listed(),
             Message::Refused => self.reach.refuse(self.context.now()),
-            Message::Reached { cut_off } => self.reach.answer(cut_off),
+            Message::Reached(words) => self.reach.answer(&words),
             Message::Reach { group, reply } => {
+                let now = self.context.now();
                 let owned = self.groups.get(&group);
-                let _ = reply.send(owned.map(|owned| !owned.group.is_cut_off(self.context.now())));
+                let _ = reply.send(owned.and_then(|owned| owned.group.reaches(now)));
             }
             Message::Opinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -21,12 +21,19 @@
             return;
         }
         let now = self.context.now();
-        let cut_off = self.groups.values().filter(|o| o.group.is_cut_off(now));
-        self.reach.see(View {
+        let mut view = View {
             groups: self.snapshot.groups.len(),
             owned: self.groups.len(),
-            cut_off: cut_off.count(),
-        });
+            ..View::default()
+        };
+        for owned in self.groups.values() {
+            match owned.group.reaches(now) {
+                Some(true) => view.reached += 1,
+                Some(false) => view.cut_off += 1,
+                None => {}
+            }
+        }
+        self.reach.see(view);
         if self.reach.due(now).is_some_and(|due| due <= now) {
             self.reach.ask(now);
             self.ask_reach();
@@ -65,9 +72,8 @@
         let asked: Vec<_> = asked.collect();
         let decisions = self.context.decisions.clone();
         tokio::task::spawn_local(async move {
-            let reached = futures::future::join_all(asked).await;
-            let cut_off = reached.into_iter().all(|reached| !reached);
-            let _ = decisions.send(Message::Reached { cut_off });
+            let words = futures::future::join_all(asked).await;
+            let _ = decisions.send(Message::Reached(words));
         });
     }
 
@@ -81,11 +87,12 @@
 }
 
 /// Whether the first owner that can tell reaches a majority of the group.
-async fn reaches(context: Rc<Context>, group: Arc<str>, owners: Vec<Arc<str>>) -> bool {
+async fn reaches(context: Rc<Context>, group: Arc<str>, owners: Vec<Arc<str>>) -> Option<bool> {
     for owner in owners {
-        if let Some(reached) = peers::reaches(&context, &owner, &group).await {
-            return reached;
+        let told = peers::reaches(&context, &owner, &group).await;
+        if told.is_some() {
+            return told;
         }
     }
-    false
+    None
 }
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -129,10 +129,9 @@
     Listed,
     /// An exchange was refused because its owner reached no majority.
     Refused,
-    /// Other owners have said whether they reach a majority of any group.
-    Reached {
-        cut_off: bool,
-    },
+    /// Owners of other groups have said whether they reach a majority, as far as they
+    /// can tell.
+    Reached(Vec<Option<bool>>),
     /// Whether this box, as an owner, reaches a majority of the group.
     Reach {
         group: Arc<str>,
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -584,7 +584,7 @@
     let mut group = Group::new(plan(members), "d0".into(), 0, settings(), 1, ms(0));
     let mut now = ms(0);
     group.handle(Event::Tick, now);
-    expect_that!(group.is_cut_off(now), eq(false));
+    expect_that!(group.reaches(now), none());
     while now < ms(3_000) {
         now += ms(50);
         let answer = Ok(status(Role::Replica, 1, 1, 10));
@@ -600,7 +600,7 @@
             group.handle(Event::Unreached { member }, now);
         }
     }
-    expect_that!(group.is_cut_off(now), eq(true));
+    expect_that!(group.reaches(now), some(eq(false)));
 }
 
 /// On trouble-2 of mlg-cartes-grown ten boxes that did not get through to the store
--- a/tests/unit/reach.rs
+++ b/tests/unit/reach.rs
@@ -9,6 +9,7 @@
     View {
         groups,
         owned,
+        reached: owned - cut_off,
         cut_off,
     }
 }
@@ -21,7 +22,7 @@
     reach.see(view(3, 3, 3));
     expect_that!(reach.is_cut_off(), eq(true));
     expect_that!(reach.due(ms(10)), none());
-    reach.answer(false);
+    reach.answer(&[Some(false), Some(true)]);
     expect_that!(reach.is_cut_off(), eq(true));
 }
 
@@ -35,17 +36,17 @@
     reach.see(view(8, 0, 0));
     expect_that!(reach.due(ms(10)), some(anything()));
     reach.ask(ms(10));
-    reach.answer(false);
+    reach.answer(&[Some(false), Some(true)]);
     expect_that!(reach.due(ms(900)), none());
     reach.refuse(ms(1_000));
     expect_that!(reach.due(ms(1_000)), some(le(ms(1_000))));
     reach.ask(ms(1_000));
-    reach.answer(true);
+    reach.answer(&[Some(false), None, Some(false)]);
     expect_that!(reach.is_cut_off(), eq(true));
     // No caller comes any more, so it asks until it hears better.
     expect_that!(reach.due(ms(9_000)), some(eq(ms(1_500))));
     reach.ask(ms(9_000));
-    reach.answer(false);
+    reach.answer(&[Some(false), Some(true)]);
     expect_that!(reach.is_cut_off(), eq(false));
     expect_that!(reach.due(ms(9_000)), none());
 }
@@ -57,8 +58,30 @@
     expect_that!(reach.is_cut_off(), eq(false));
     expect_that!(reach.due(ms(10)), some(anything()));
     reach.ask(ms(10));
-    reach.answer(false);
+    reach.answer(&[Some(false), Some(true)]);
     expect_that!(reach.is_cut_off(), eq(false));
     reach.see(view(8, 1, 0));
     expect_that!(reach.due(ms(20)), none());
 }
+
+/// A box that came back in the middle of a cut had not looked yet, said that it was
+/// fine, and brought all its neighbours back.
+#[gtest]
+fn owners_that_cannot_tell_yet_change_nothing() {
+    let mut reach = Reach::default();
+    reach.see(view(8, 0, 0));
+    reach.ask(ms(10));
+    reach.answer(&[None, None]);
+    expect_that!(reach.is_cut_off(), eq(false));
+    reach.answer(&[Some(false), None]);
+    expect_that!(reach.is_cut_off(), eq(true));
+    reach.answer(&[None, None]);
+    expect_that!(reach.is_cut_off(), eq(true));
+    // What it has not found out itself is no word either.
+    reach.see(View {
+        groups: 8,
+        owned: 1,
+        ..View::default()
+    });
+    expect_that!(reach.is_cut_off(), eq(true));
+}
