--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use slog::Logger;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -95,32 +96,19 @@
 
     /// Takes over what one row declares.
     fn declare(&mut self, row: &Row) -> Result<(), String> {
+        let revision = row.revision;
         if let Some(group) = row.key.strip_prefix(PRIMARY) {
             self.primaries.remove(group);
-            let Some(value) = &row.value else {
-                return Ok(());
-            };
-            let primary: Primary =
-                serde_json::from_value(value.clone()).map_err(|error| error.to_string())?;
-            let revision = row.revision;
-            self.primaries.insert(
-                group.into(),
-                Primary {
-                    revision,
-                    ..primary
-                },
-            );
+            let told = parsed::<Primary>(row)?;
+            let primary = told.map(|told| (group.into(), Primary { revision, ..told }));
+            self.primaries.extend(primary);
             return Ok(());
         }
         if let Some(group) = row.key.strip_prefix(DUTY) {
             self.duties.remove(group);
-            let Some(value) = &row.value else {
-                return Ok(());
-            };
-            let duty: Duty =
-                serde_json::from_value(value.clone()).map_err(|error| error.to_string())?;
-            let revision = row.revision;
-            self.duties.insert(group.into(), Duty { revision, ..duty });
+            let told = parsed::<Duty>(row)?;
+            let duty = told.map(|told| (group.into(), Duty { revision, ..told }));
+            self.duties.extend(duty);
             return Ok(());
         }
         let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
@@ -153,6 +141,12 @@
     }
 }
 
+/// What a row holds, none if it was deleted.
+fn parsed<T: DeserializeOwned>(row: &Row) -> Result<Option<T>, String> {
+    let value = row.value.clone().map(serde_json::from_value);
+    value.transpose().map_err(|error| error.to_string())
+}
+
 /// A row's part of the digest; none while it is not known.
 fn mark(key: &str, revision: u64) -> u64 {
     match revision {
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -1,6 +1,8 @@
 //! The store as the product's table: the operator's manifest, the members' entries
 //! and larkfall's own rows, each kept up by a wait for changes.
 
+mod source;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -21,6 +23,7 @@
 use crate::borders::table::{Commit, Pace, Row, Scan, Table, TableError, Verdict};
 use crate::events;
 use crate::node::configuration::RESOURCE;
+use source::Source;
 
 /// Key of the manifest.
 const MANIFEST: &str = "config";
@@ -32,54 +35,6 @@
 /// Time between questions to peers while the store gives no answer.
 const DOWN_POLL: Duration = Duration::from_millis(500);
 
-/// A table of the store that is kept up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Source {
-    /// The operator's rows.
-    Operator,
-    /// The members' entries.
-    Members,
-    /// Larkfall's own rows.
-    Own,
-}
-
-impl Source {
-    const ALL: [Source; 3] = [Source::Operator, Source::Members, Source::Own];
-
-    fn table(self) -> &'static str {
-        match self {
-            Source::Operator => "op",
-            Source::Members => "servers",
-            Source::Own => "larkfall",
-        }
-    }
-
-    /// Length of one wait for changes. A wait that the store forgot is noticed only
-    /// when it ends, so it is shorter where news is urgent; each costs a call.
-    fn wait(self, pace: Pace) -> Duration {
-        match (self, pace) {
-            // Its end tells those who follow that the store still answers.
-            (Source::Operator, Pace::Brisk) => Duration::from_secs(1),
-            (Source::Operator, _) => Duration::from_secs(8),
-            (Source::Members, Pace::Brisk) => Duration::from_secs(3),
-            (Source::Members, _) => Duration::from_secs(12),
-            (Source::Own, _) => Duration::from_secs(25),
-        }
-    }
-}
-
-impl Source {
-    /// Rest after news, in which further changes gather: each call has its price, and
-    /// when all boxes or members start, every one of them changes a row.
-    fn rest(self) -> Duration {
-        match self {
-            Source::Operator => Duration::from_millis(200),
-            Source::Members => Duration::from_millis(400),
-            Source::Own => Duration::from_secs(2),
-        }
-    }
-}
-
 /// What is known of the store.
 #[derive(Default)]
 struct Cache {
--- /dev/null
+++ b/src/platform/table/source.rs
@@ -0,0 +1,51 @@
+//! The tables of the store that a box keeps up with, and how it waits for their news.
+
+use std::time::Duration;
+
+use crate::borders::table::Pace;
+
+/// A table of the store that is kept up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The operator's rows.
+    Operator,
+    /// The members' entries.
+    Members,
+    /// Larkfall's own rows.
+    Own,
+}
+
+impl Source {
+    pub const ALL: [Source; 3] = [Source::Operator, Source::Members, Source::Own];
+
+    pub fn table(self) -> &'static str {
+        match self {
+            Source::Operator => "op",
+            Source::Members => "servers",
+            Source::Own => "larkfall",
+        }
+    }
+
+    /// Length of one wait for changes. A wait that the store forgot is noticed only
+    /// when it ends, so it is shorter where news is urgent; each costs a call.
+    pub fn wait(self, pace: Pace) -> Duration {
+        match (self, pace) {
+            // Its end tells those who follow that the store still answers.
+            (Source::Operator, Pace::Brisk) => Duration::from_secs(1),
+            (Source::Operator, _) => Duration::from_secs(8),
+            (Source::Members, Pace::Brisk) => Duration::from_secs(3),
+            (Source::Members, _) => Duration::from_secs(12),
+            (Source::Own, _) => Duration::from_secs(25),
+        }
+    }
+
+    /// Rest after news, in which further changes gather: each call has its price, and
+    /// when all boxes or members start, every one of them changes a row.
+    pub fn rest(self) -> Duration {
+        match self {
+            Source::Operator => Duration::from_millis(200),
+            Source::Members => Duration::from_millis(400),
+            Source::Own => Duration::from_secs(2),
+        }
+    }
+}
