--- a/src/decisions/reach.rs
+++ b/src/decisions/reach.rs
@@ -19,6 +19,8 @@
     pub groups: usize,
     /// Groups this box owns.
     pub owned: usize,
+    /// The list of boxes, and so of owners, is not just filling.
+    pub listed: bool,
     /// Owned groups of whose members it reaches a majority.
     pub reached: usize,
     /// Owned groups of whose members it reaches none; it has not found out yet about
@@ -70,8 +72,10 @@
             return None;
         }
         let doubted = self.refused.is_some_and(|refused| now < refused + DOUBT);
-        // A box that starts in a cut failure domain is to know it before callers do.
-        let fresh = self.asked.is_none() && self.view.groups > 0;
+        // A box that starts again in a cut failure domain is to know it before callers
+        // do. When all boxes start for the first time, all would ask the few that the
+        // list names by then.
+        let fresh = self.asked.is_none() && self.view.listed;
         let wanted = self.cut_off || self.view.owned > 0 || doubted || fresh;
         let next = self.asked.map_or(now, |asked| asked + AGAIN);
         wanted.then_some(next)
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -24,6 +24,7 @@
         let mut view = View {
             groups: self.snapshot.groups.len(),
             owned: self.groups.len(),
+            listed: self.is_listed(),
             ..View::default()
         };
         for owned in self.groups.values() {
--- a/tests/unit/reach.rs
+++ b/tests/unit/reach.rs
@@ -9,6 +9,7 @@
     View {
         groups,
         owned,
+        listed: true,
         reached: owned - cut_off,
         cut_off,
     }
@@ -32,6 +33,11 @@
 fn a_box_that_owns_nothing_asks_only_after_a_refusal_and_goes_by_the_owners_word() {
     let mut reach = Reach::default();
     expect_that!(reach.due(ms(5)), none());
+    reach.see(View {
+        listed: false,
+        ..view(8, 0, 0)
+    });
+    expect_that!(reach.due(ms(8)), none());
     // It asks once at its start: it may have started in a cut.
     reach.see(view(8, 0, 0));
     expect_that!(reach.due(ms(10)), some(anything()));
