fix(group): a promotion that a look shows first is won all the same

The other replica stayed paused at the ballot's term, no majority kept to the new one, and for three seconds no owner acknowledged a write (event 402 again and again, and the primary refused what the paused replica could have read).

Now a look that shows the member which this box has ordered to lead counts as the order's answer.

Ruled out: the other boxes' adoption (they see the primary at the same moment) and the lease.

--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -205,9 +205,14 @@
     }
 
     pub(super) fn adopt(&mut self, term: u64, member: usize, now: Duration, out: &mut Vec<Action>) {
+        let promoted = self.replace.is_promoting(member);
         if !self.replace.adopt(term, member, now) {
             return;
         }
+        if promoted {
+            // The look was faster than the answer to the order.
+            return self.won(member, term, now, out);
+        }
         out.push(Action::Note(Note::Adopted { term, member }));
         self.enter_term(now, out);
     }
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -319,6 +319,11 @@
         )
     }
 
+    /// Whether this box has ordered the promotion of a member.
+    pub fn is_promoting(&self, member: usize) -> bool {
+        matches!(self.phase, Phase::Promoting { winner, .. } if winner == member)
+    }
+
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Steady => "steady",
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -643,3 +643,31 @@
     );
     expect_that!(bench.group.bid(bench.term()).seen, eq(term + 1));
 }
+
+/// On an incident of cosecha-larkfall-grown the new primary was seen before its order's
+/// answer came: nobody told the other replica to receive again, and for three seconds no
+/// write was acknowledged.
+#[gtest]
+fn a_promotion_that_a_look_shows_first_is_won_all_the_same() {
+    let mut bench = Bench::new(0);
+    bench.ballot();
+    bench.grant(1, 12);
+    bench.grant(2, 10);
+    let term = bench.term();
+    bench.tell(Event::Revoked { term });
+    expect_that!(bench.asked(promotes), eq(1));
+    bench.report(1, status(Role::Primary, 2, 2, 12));
+    let follows = |bench: &Bench, i: usize| {
+        bench.asked(|a| matches!(a, Action::Follow { member, term: 2, primary: 1 } if *member == i))
+    };
+    expect_that!(follows(&bench, 0), eq(1));
+    expect_that!(follows(&bench, 2), eq(1));
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Note(Note::Won { .. }))),
+        eq(1)
+    );
+    // The order's own answer changes nothing more.
+    let answer = Ok(status(Role::Primary, 2, 2, 12));
+    bench.tell(Event::Promoted { term, answer });
+    expect_that!(follows(&bench, 2), eq(1));
+}
