--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -90,7 +90,7 @@
     pub replaced: u64,
     /// The highest promise known when the ballot began. Where members do not arbitrate,
     /// one that has promised more since is left to the ballot it did so for.
-    pub seen: u64,
+    pub known: u64,
 }
 
 /// Control half of a member: status, fence, promote, follow.
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -283,7 +283,7 @@
         Bid {
             term,
             replaced: self.replace.term,
-            seen: self.replace.outbid(),
+            known: self.replace.known(),
         }
     }
 
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -11,6 +11,7 @@
 
 mod ballot;
 mod doubt;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -215,7 +216,7 @@
     highest: u64,
     /// Term of this box's last ballot, and the highest promise known when it began.
     ours: u64,
-    outbid: u64,
+    known: u64,
     /// When a member was last seen to have taken another box's fence.
     rival: Option<Duration>,
     /// Highest promise seen since the present term began, also if it was taken back.
@@ -244,7 +245,7 @@
             primary: None,
             highest: 0,
             ours: 0,
-            outbid: 0,
+            known: 0,
             rival: None,
             seen: 0,
             above: None,
@@ -303,8 +304,8 @@
     }
 
     /// Highest promise known when this box's last ballot began.
-    pub fn outbid(&self) -> u64 {
-        self.outbid
+    pub fn known(&self) -> u64 {
+        self.known
     }
 
     pub fn is_steady(&self) -> bool {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -291,8 +291,6 @@
             }
         }
     }
-
-    // Which groups this box owns.
 }
 
 /// Boxes that own a group, best first.
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -159,7 +159,7 @@
     async fn fence(&self, bid: &Bid) -> Result<Status, MemberError> {
         let term = bid.term;
         let known = self.status().await?;
-        if known.log.term > bid.replaced || known.promised > bid.seen.max(bid.replaced) {
+        if known.log.term > bid.replaced || known.promised > bid.known.max(bid.replaced) {
             let promised = known.promised;
             return Err(MemberError::Fenced { promised });
         }
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -613,7 +613,7 @@
         bench.term(),
         bench.asked(|a| matches!(a, Action::Fence { .. })),
     );
-    expect_that!(bench.group.bid(term).seen, eq(1));
+    expect_that!(bench.group.bid(term).known, eq(1));
     // Two members have taken the fence of another box meanwhile.
     for member in [1, 2] {
         let answer = Err(MemberError::Fenced { promised: term + 1 });
@@ -641,7 +641,7 @@
         bench.asked(|a| matches!(a, Action::Fence { .. })),
         gt(fences)
     );
-    expect_that!(bench.group.bid(bench.term()).seen, eq(term + 1));
+    expect_that!(bench.group.bid(bench.term()).known, eq(term + 1));
 }
 
 /// On an incident of cosecha-larkfall-grown the new primary was seen before its order's
--- a/tests/unit/orders.rs
+++ b/tests/unit/orders.rs
@@ -381,7 +381,7 @@
     fn fence(&mut self, by: usize, member: usize, bid: Bid) {
         let known = self.members[member];
         let promised = known.status().promised;
-        let outbid = promised > bid.seen.max(bid.replaced);
+        let outbid = promised > bid.known.max(bid.replaced);
         let term = bid.term;
         let answer = match known.dark {
             true => Err(MemberError::Silent),
