fix(api): an operator's change is logged

Event 500 stood in the catalogue and was never written. Now each resource of a commit that was taken is named with its revision. events::an_operators_change_is_logged_by_resource_and_revision did not compile before.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -265,14 +265,32 @@
             Work::Abandon(lease) => owner.abandon(lease),
             Work::Commit(commit, reply) => {
                 let table = context.table.clone();
+                let log = context.log.clone();
                 tokio::task::spawn_local(async move {
-                    let _ = reply.send(committed(&*table, &commit).await);
+                    let verdict = committed(&*table, &commit).await;
+                    if let Ok(Verdict::Done(revision)) = &verdict {
+                        note_changed(&log, &commit, *revision);
+                    }
+                    let _ = reply.send(verdict);
                 });
             }
         }
     }
 }
 
+/// Names the resources that an operator has changed.
+pub fn note_changed(log: &Logger, commit: &Commit, revision: u64) {
+    for write in &commit.writes {
+        let deleted = write.value.is_none();
+        let fields: [(_, &dyn std::fmt::Display); 3] = [
+            ("resource", &write.key),
+            ("revision", &revision),
+            ("deleted", &deleted),
+        ];
+        events::emit(log, &events::CHANGED, &fields);
+    }
+}
+
 /// Commits, asking again with the same nonce when the answer is lost.
 async fn committed(table: &dyn Table, commit: &Commit) -> Result<Verdict, TableError> {
     let mut last = Err(TableError::Down("not asked".to_owned()));
--- a/tests/unit/events.rs
+++ b/tests/unit/events.rs
@@ -1,5 +1,11 @@
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+
 use googletest::prelude::*;
+use larkfall::borders::table::{self, Commit};
 use larkfall::events::ALL;
+use larkfall::node::run::note_changed;
+use slog::Drain;
 
 #[gtest]
 fn the_catalogue_and_the_code_agree() {
@@ -25,3 +31,48 @@
         .collect();
     expect_that!(rows, eq(&code));
 }
+
+/// Takes log lines as JSON.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut lines = self.0.lock().expect("no panic under the lock");
+        lines.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// It stood in the catalogue and was never written.
+#[gtest]
+fn an_operators_change_is_logged_by_resource_and_revision() {
+    let lines = Lines::default();
+    let drain = Mutex::new(slog_json::Json::default(lines.clone())).fuse();
+    let log = slog::Logger::root(drain, slog::o!());
+    let write = |key: &str, value| table::Write {
+        key: key.into(),
+        expect: None,
+        value,
+    };
+    let commit = Commit {
+        nonce: "n".to_owned(),
+        writes: vec![
+            write("resource/group/p/g", Some(serde_json::json!({}))),
+            write("resource/member/p/m", None),
+        ],
+    };
+    note_changed(&log, &commit, 7);
+    let text = lines.0.lock().expect("no panic under the lock").clone();
+    let text = String::from_utf8(text).expect("JSON is text");
+    expect_that!(text.lines().count(), eq(2));
+    for line in text.lines() {
+        expect_that!(line, contains_substring("\"event\":500"));
+        expect_that!(line, contains_substring("\"revision\":\"7\""));
+    }
+    expect_that!(text, contains_substring("resource/group/p/g"));
+}
