fix(configuration): what a whole section lacks is gone, and nobody brings it back

Cause: rows were merged one by one, by their revisions and marks of removal. The operator's manifest and a table that is read anew leave a removed row out without naming it. Ruled out: a change lost between a read and the wait after it; the log shows the change arriving.

Now a scan names the sections of which it leaves nothing out and the revision of that: an older row that it lacks is gone, and an unknown row older than that is not taken. The digest goes by what is there, so that followers notice a difference and ask for all.

The test in restarts hangs on the old code.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant};
 
 use larkfall::borders::roster::Listing;
-use larkfall::borders::table::{Row, Scan};
+use larkfall::borders::table::{RESOURCE, Row, Scan};
 use larkfall::decisions::owners::Ranking;
 use larkfall::events::{Format, logger};
-use larkfall::node::configuration::{RESOURCE, Store};
+use larkfall::node::configuration::Store;
 use larkfall::standin::faults::Faults;
 use larkfall::trial::client::Client;
 use larkfall::trial::cluster::{Cluster, Shape, operator_token};
@@ -199,6 +199,7 @@
         let scan = Scan {
             head: 2,
             rows: rows(count),
+            ..Scan::default()
         };
         let size = serde_json::to_vec(&scan).map_or(0, |bytes| bytes.len());
         let mut store = Store::default();
--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -1,5 +1,6 @@
 //! Border to the platform's transactional table service.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +9,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+/// Prefix of rows that operators declare.
+pub const RESOURCE: &str = "resource/";
+/// What follows it for a member.
+const MEMBER: &str = "member/";
+
 /// A row as committed. `value` is none when the row was deleted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -41,11 +47,39 @@
     Conflict { key: Arc<str>, found: u64 },
 }
 
+/// Rows that are read together, apart from the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Section {
+    /// What operators declare, without the members.
+    Declarations,
+    Members,
+    /// What boxes record for each other.
+    Records,
+}
+
+impl Section {
+    pub const ALL: [Section; 3] = [Section::Declarations, Section::Members, Section::Records];
+
+    /// The section of a row.
+    pub fn of(key: &str) -> Self {
+        match key.strip_prefix(RESOURCE) {
+            Some(resource) if resource.starts_with(MEMBER) => Section::Members,
+            Some(_) => Section::Declarations,
+            None => Section::Records,
+        }
+    }
+}
+
 /// Rows newer than a revision, in revision order.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Scan {
     pub head: u64,
     pub rows: Vec<Row>,
+    /// Sections of which no row is left out, and the revision at which they were read:
+    /// an older row that is not among `rows` is gone. Whoever reads a document after
+    /// one of its rows was removed can't name that row, only leave it out.
+    #[serde(default)]
+    pub whole: BTreeMap<Section, u64>,
 }
 
 /// Why the table gave no verdict. The commit may have taken effect.
--- a/src/node/api/resources.rs
+++ b/src/node/api/resources.rs
@@ -13,13 +13,13 @@
 use tokio::sync::oneshot;
 
 use super::{Api, Shared, Work};
-use crate::borders::table::{Commit, TableError, Verdict, Write};
+use crate::borders::table::{Commit, RESOURCE, TableError, Verdict, Write};
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
 use crate::declarations::finding::Finding;
 use crate::declarations::resource::{Key, Kind, Spec};
 use crate::declarations::snapshot::{Snapshot, Stored, group_id};
-use crate::node::configuration::{self, Question, RESOURCE};
+use crate::node::configuration::{self, Question};
 use crate::secret;
 
 /// Time that an accepted change gets to come into force on the box that took it.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -3,6 +3,7 @@
 
 mod store;
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +22,6 @@
 
 pub use store::Store;
 
-pub const RESOURCE: &str = "resource/";
 pub const PRIMARY: &str = "primary/";
 /// Peers are asked when the table has given no answer for this long: when all boxes
 /// start together, the table answers before any peer does.
@@ -131,7 +131,7 @@
         if question.digest == self.store.digest() {
             return Scan {
                 head: self.store.revision(),
-                rows: Vec::new(),
+                ..Scan::default()
             };
         }
         self.store.scan(question.since)
@@ -144,16 +144,23 @@
             taken: self.store.taken(),
         };
         let told = question.cursor.filter(|told| told.epoch == self.epoch);
-        let rows = match question.digest == self.store.digest() {
+        let same = question.digest == self.store.digest();
+        let rows = match same {
             true => Vec::new(),
             false => self.store.taken_after(told.map_or(0, |told| told.taken)),
         };
+        let whole = match same || told.is_some() {
+            true => BTreeMap::new(),
+            false => self.store.whole().clone(),
+        };
         let newer = self.boxes_revision > question.boxes;
         let heard = self.context.table.heard();
         relay::Answer {
             cursor,
             head: self.store.revision(),
             rows,
+            whole,
+            digest: self.store.digest(),
             boxes: newer.then(|| self.boxes.borrow().to_vec()),
             boxes_revision: self.boxes_revision,
             heard_ms: heard.map(|age| age.as_millis() as u64),
@@ -164,6 +171,7 @@
         let scan = Scan {
             head: answer.head,
             rows: answer.rows,
+            whole: answer.whole,
         };
         self.accept(0, scan);
         if let Some(boxes) = answer.boxes
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -1,15 +1,15 @@
 //! All rows that a box knows, and what they declare.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use slog::Logger;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{PRIMARY, RESOURCE};
-use crate::borders::table::{Row, Scan};
+use super::PRIMARY;
+use crate::borders::table::{RESOURCE, Row, Scan, Section};
 use crate::decisions::duty::Duty;
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
@@ -35,7 +35,10 @@
     resources: BTreeMap<Key, Stored>,
     primaries: BTreeMap<Arc<str>, Primary>,
     duties: BTreeMap<Arc<str>, Duty>,
-    /// Changes with every row and its revision, whatever the order they came in.
+    /// Revisions at which sections were last known whole.
+    whole: BTreeMap<Section, u64>,
+    /// Changes with every row that is there and its value, whatever the order they came
+    /// in.
     digest: u64,
 }
 
@@ -62,38 +65,83 @@
         newer.map(|known| known.row.clone()).collect()
     }
 
-    fn revision_of(&self, key: &str) -> u64 {
-        self.rows.get(key).map_or(0, |known| known.row.revision)
+    /// Revisions at which sections were last known whole.
+    pub fn whole(&self) -> &BTreeMap<Section, u64> {
+        &self.whole
     }
 
     /// Takes rows written after `since`, none of them missing. False if they
     /// are old or leave a gap. What is no valid resource is left out and logged.
     pub fn take(&mut self, since: u64, scan: &Scan, log: &Logger) -> bool {
-        let newer = |row: &Row| row.revision > self.revision_of(&row.key);
-        let fresh = scan.head > self.revision || scan.rows.iter().any(newer);
-        if since > self.revision || !fresh {
+        if since > self.revision {
+            return false;
+        }
+        let whole = self.newly_whole(scan);
+        let mut news = self.gone(scan, &whole);
+        let newer = scan.rows.iter().filter(|row| self.is_news(row, &whole));
+        news.extend(newer.cloned());
+        self.whole.extend(whole);
+        if scan.head <= self.revision && news.is_empty() {
             return false;
         }
         self.taken += 1;
-        for row in &scan.rows {
-            let known = self.revision_of(&row.key);
-            if row.revision <= known {
-                continue;
-            }
-            if let Err(error) = self.declare(row) {
-                let fields: [(_, &dyn std::fmt::Display); 2] =
-                    [("row", &row.key), ("error", &error)];
-                events::emit(log, &events::BAD_ROW, &fields);
-            }
-            self.digest ^= mark(&row.key, known) ^ mark(&row.key, row.revision);
-            let taken = self.taken;
-            let row = row.clone();
-            self.rows.insert(row.key.clone(), Known { row, taken });
+        for row in news {
+            self.put(row, log);
         }
         self.revision = self.revision.max(scan.head);
         true
     }
 
+    /// Sections that a scan knows whole, at least as late as this box does.
+    fn newly_whole(&self, scan: &Scan) -> BTreeMap<Section, u64> {
+        let known = |section: &Section| self.whole.get(section).copied().unwrap_or_default();
+        let whole = scan.whole.iter().map(|(section, at)| (*section, *at));
+        whole
+            .filter(|(section, at)| *at >= known(section))
+            .collect()
+    }
+
+    /// Rows that are not there any more, since a section that is known whole lacks them.
+    fn gone(&self, scan: &Scan, whole: &BTreeMap<Section, u64>) -> Vec<Row> {
+        if whole.is_empty() {
+            return Vec::new();
+        }
+        let listed: BTreeSet<&Arc<str>> = scan.rows.iter().map(|row| &row.key).collect();
+        let gone = |known: &Known| {
+            let row = &known.row;
+            let at = *whole.get(&Section::of(&row.key))?;
+            let lacks = row.value.is_some() && row.revision <= at && !listed.contains(&row.key);
+            lacks.then(|| Row {
+                key: row.key.clone(),
+                revision: at,
+                value: None,
+            })
+        };
+        self.rows.values().filter_map(gone).collect()
+    }
+
+    /// Whether a row is newer than what is known. One that is not known may have been
+    /// removed before its section was read: then it would bring back an older state.
+    fn is_news(&self, row: &Row, whole: &BTreeMap<Section, u64>) -> bool {
+        if let Some(known) = self.rows.get(&row.key) {
+            return row.revision > known.row.revision;
+        }
+        let section = Section::of(&row.key);
+        let read = self.whole.get(&section).copied().unwrap_or_default();
+        row.revision > read || whole.contains_key(&section)
+    }
+
+    fn put(&mut self, row: Row, log: &Logger) {
+        if let Err(error) = self.declare(&row) {
+            let fields: [(_, &dyn std::fmt::Display); 2] = [("row", &row.key), ("error", &error)];
+            events::emit(log, &events::BAD_ROW, &fields);
+        }
+        let taken = self.taken;
+        self.digest ^= mark(&row);
+        let known = self.rows.insert(row.key.clone(), Known { row, taken });
+        self.digest ^= known.map_or(0, |known| mark(&known.row));
+    }
+
     /// Takes over what one row declares.
     fn declare(&mut self, row: &Row) -> Result<(), String> {
         let revision = row.revision;
@@ -128,6 +176,10 @@
         Scan {
             head: self.revision,
             rows: newer.cloned().collect(),
+            whole: match since {
+                0 => self.whole.clone(),
+                _ => BTreeMap::new(),
+            },
         }
     }
 
@@ -147,12 +199,14 @@
     value.transpose().map_err(|error| error.to_string())
 }
 
-/// A row's part of the digest; none while it is not known.
-fn mark(key: &str, revision: u64) -> u64 {
-    match revision {
-        0 => 0,
-        revision => xxh3_64_with_seed(key.as_bytes(), revision),
-    }
+/// A row's part of the digest; none once it is gone. The revision has no part in it:
+/// boxes that learn of a row by different ways may know it by different ones.
+fn mark(row: &Row) -> u64 {
+    let Some(value) = &row.value else {
+        return 0;
+    };
+    let value = xxh3_64(value.to_string().as_bytes());
+    xxh3_64_with_seed(row.key.as_bytes(), value)
 }
 
 fn resource(row: &Row, key: &Key, value: &Value) -> Result<Stored, String> {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -1,7 +1,7 @@
 //! Passes on what the table holds, from the boxes that read it to the others of their
 //! failure domain.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use super::context::Context;
 use super::peers;
 use crate::borders::roster::Listing;
-use crate::borders::table::Row;
+use crate::borders::table::{Row, Section};
 use crate::decisions::relay::Relay;
 use crate::declarations::snapshot::Snapshot;
 use crate::events;
@@ -53,6 +53,10 @@
     /// Revision of the table up to which the reader has read.
     pub head: u64,
     pub rows: Vec<Row>,
+    /// Sections of which `rows` leaves out nothing, as in a scan.
+    pub whole: BTreeMap<Section, u64>,
+    /// Digest of all the reader's rows.
+    pub digest: u64,
     /// The whole list, if it is newer.
     pub boxes: Option<Vec<Listing>>,
     pub boxes_revision: u64,
@@ -100,7 +104,7 @@
         context: context.clone(),
         keeper,
         relay: Relay::default(),
-        cursors: HashMap::new(),
+        told: HashMap::new(),
     };
     loop {
         let settings = &context.settings;
@@ -123,7 +127,27 @@
     keeper: Sender,
     relay: Relay,
     /// By reader.
-    cursors: HashMap<Arc<str>, Cursor>,
+    told: HashMap<Arc<str>, Told>,
+}
+
+/// What a reader has told last.
+struct Told {
+    cursor: Cursor,
+    digest: u64,
+    /// Own digest with which all rows were asked for, since the reader's differed.
+    compared: Option<u64>,
+}
+
+impl Told {
+    /// Where the reader goes on; from the start where both should have the same rows and
+    /// have not: a row that the reader never knew can't be among its changes.
+    fn cursor(&mut self, digest: u64) -> Option<Cursor> {
+        if self.digest == digest || self.compared == Some(digest) {
+            return Some(self.cursor);
+        }
+        self.compared = Some(digest);
+        None
+    }
 }
 
 impl Follower {
@@ -144,9 +168,12 @@
     async fn ask_in_time(&mut self, reader: &Arc<str>) {
         let context = self.context.clone();
         let stale = self.relay.stale_at().unwrap_or_default();
+        let Some(question) = self.question(reader).await else {
+            return self.relay.failed(reader, context.now());
+        };
         let left = stale.saturating_sub(context.now());
         let answer = {
-            let asked = self.ask(reader);
+            let asked = peers::follow(&context, reader, &question, WAIT + MARGIN);
             tokio::pin!(asked);
             match tokio::time::timeout(left, &mut asked).await {
                 Ok(answer) => answer,
@@ -162,21 +189,30 @@
         }
     }
 
-    async fn ask(&self, reader: &Arc<str>) -> Option<Answer> {
+    /// What is asked of a reader; none when the keeper has ended.
+    async fn question(&mut self, reader: &Arc<str>) -> Option<Question> {
         let (reply, known) = oneshot::channel();
         let _ = self.keeper.send(Request::Known { reply });
         let (digest, boxes) = known.await.ok()?;
-        let question = Question {
-            cursor: self.cursors.get(reader).copied(),
+        Some(Question {
+            cursor: self
+                .told
+                .get_mut(reader)
+                .and_then(|told| told.cursor(digest)),
             digest,
             boxes,
-        };
-        peers::follow(&self.context, reader, &question, WAIT + MARGIN).await
+        })
     }
 
     fn take(&mut self, reader: &Arc<str>, answer: Answer) {
         let age = answer.heard_ms.map(Duration::from_millis);
-        self.cursors.insert(reader.clone(), answer.cursor);
+        let before = self.told.remove(reader);
+        let told = Told {
+            cursor: answer.cursor,
+            digest: answer.digest,
+            compared: before.and_then(|told| told.compared),
+        };
+        self.told.insert(reader.clone(), told);
         self.relay.heard(reader, age, self.context.now());
         let _ = self.keeper.send(Request::Relayed(answer));
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -20,9 +20,10 @@
 use super::members;
 use super::store::{Change, Row as Raw, Rows, Store, StoreError};
 use crate::borders::roster::{Listing, Roster, Tagged};
-use crate::borders::table::{Commit, Pace, Row, Scan, Table, TableError, Verdict};
+use crate::borders::table::{
+    Commit, Pace, RESOURCE, Row, Scan, Section, Table, TableError, Verdict,
+};
 use crate::events;
-use crate::node::configuration::RESOURCE;
 use source::Source;
 
 /// Key of the manifest.
@@ -45,6 +46,10 @@
     /// Keys of product rows that changed since they were last fetched.
     fresh: BTreeSet<Arc<str>>,
     boxes: BTreeMap<Arc<str>, Listing>,
+    /// Sections to be told whole the next time.
+    whole: BTreeSet<Section>,
+    /// Versions up to which sections are known; the newest of all is the head.
+    read: BTreeMap<Section, u64>,
     head: u64,
     /// Version that last changed the list of boxes.
     roster: u64,
@@ -197,6 +202,7 @@
             changed |= self.take_row(&mut cache, source, row);
         }
         if whole {
+            cache.whole.insert(source.section());
             let gone = |(s, key): &&(Source, Arc<str>)| *s == source && !listed.contains(key);
             let gone: Vec<_> = cache.raw.keys().filter(gone).cloned().collect();
             for (_, key) in gone {
@@ -204,6 +210,8 @@
                 self.put(&mut cache, source, &key, rows.schema_version, None);
             }
         }
+        let read = cache.read.entry(source.section()).or_default();
+        *read = rows.schema_version.max(*read);
         cache.head = cache.head.max(rows.schema_version);
         drop(cache);
         if changed || whole {
@@ -247,7 +255,11 @@
                 cache.raw.insert((source, key.clone()), raw);
             }
             None => {
-                cache.raw.remove(&(source, key.clone()));
+                let known = cache.raw.remove(&(source, key.clone()));
+                if known.is_none() {
+                    // Others may know the row, and we can't say what it declared.
+                    cache.whole.insert(source.section());
+                }
             }
         }
         match source {
@@ -266,9 +278,9 @@
             Ok(manifest) => manifest,
             Err(error) => return self.bad_row(MANIFEST, &error),
         };
+        cache.whole.insert(Section::Declarations);
         let declared = manifest.declarations();
-        let member = |key: &&Arc<str>| key.starts_with("resource/member/");
-        let product = |key: &&Arc<str>| key.starts_with(RESOURCE) && !member(key);
+        let product = |key: &&Arc<str>| Section::of(key) == Section::Declarations;
         let before: Vec<Arc<str>> = cache.rows.keys().filter(product).cloned().collect();
         let after = rows_of(declared);
         for key in before {
@@ -283,8 +295,7 @@
 
     fn put_member(&self, cache: &mut Cache, id: &Arc<str>, version: u64, value: Option<&[u8]>) {
         let suffix = format!(".{id}");
-        let own =
-            |key: &&Arc<str>| key.starts_with("resource/member/") && key.ends_with(suffix.as_str());
+        let own = |key: &&Arc<str>| Section::of(key) == Section::Members && key.ends_with(&suffix);
         let before: Vec<Arc<str>> = cache.rows.keys().filter(own).cloned().collect();
         let declared = match value
             .map(|bytes| members::declaration(id, bytes))
@@ -371,10 +382,13 @@
             return Err(TableError::Down("the manifest was not read yet".to_owned()));
         }
         let fresh = std::mem::take(&mut cache.fresh);
-        let rows = fresh.iter().filter_map(|key| cache.rows.get(key));
+        let whole = std::mem::take(&mut cache.whole);
+        let told = |row: &&Row| fresh.contains(&row.key) || whole.contains(&Section::of(&row.key));
+        let rows = cache.rows.values().filter(told);
         Ok(Scan {
             head: cache.head,
             rows: rows.cloned().collect(),
+            whole: whole.into_iter().map(|s| (s, cache.read[&s])).collect(),
         })
     }
 
--- a/src/platform/table/source.rs
+++ b/src/platform/table/source.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::borders::table::Pace;
+use crate::borders::table::{Pace, Section};
 
 /// A table of the store that is kept up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,6 +26,15 @@
         }
     }
 
+    /// The product's rows that it holds.
+    pub fn section(self) -> Section {
+        match self {
+            Source::Operator => Section::Declarations,
+            Source::Members => Section::Members,
+            Source::Own => Section::Records,
+        }
+    }
+
     /// Length of one wait for changes. A wait that the store forgot is noticed only
     /// when it ends, so it is shorter where news is urgent; each costs a call.
     pub fn wait(self, pace: Pace) -> Duration {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -80,6 +80,7 @@
         Scan {
             head: self.revision,
             rows,
+            ..Scan::default()
         }
     }
 }
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -84,6 +84,26 @@
     read_until(&mut client, None).await;
 }
 
+/// On trouble-3 of brackenmoor-lab a box served a database that had been removed between
+/// what a peer told it and its own first look at the store.
+#[gtest]
+#[tokio::test]
+async fn a_database_that_only_a_peer_knew_of_is_gone_once_the_store_lacks_it() {
+    let mut world = World::start(2).await;
+    world.store.set_fault(Fault::Busy);
+    let mut place = Place::new("box-9", "zone-0", world.store_address);
+    place.seeds = vec![world.boxes[0].place.control];
+    world.boxes.push(Process::start(place));
+    world.boxes[2].wait_ready().await;
+    let mut client = world.client(2, STRICT, "a").await;
+    read_until(&mut client, None).await;
+    // Nobody is left who saw it go.
+    world.boxes.drain(..2);
+    remove_route(&world, 20);
+    world.store.set_fault(Fault::None);
+    read_until(&mut client, Some("NODB")).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_forgotten_history_and_lost_answers_of_the_store_lose_no_change() {
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of single modules and of the decisions in virtual time.
 
 mod classify;
+mod configuration;
 mod declarations;
 mod events;
 mod fair;
