fix(group): a replica without a fence is no evidence for the lease by itself

Evidence for the lease is now a replica that received what the primary wrote later, by an answer or a look; or all members seen without a fence and none of them leading another term. A write to an idle group costs a look while a member is out of sight.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -64,8 +64,14 @@
     latency: Latency,
     /// It reports that it is a replica.
     demoted: bool,
-    /// Newest moment at which it is known to have kept to the present term.
+    /// Newest moment at which it is known to have kept to the present term: a primary
+    /// led, or a replica received what the primary wrote later.
     kept: Option<Duration>,
+    /// Newest moment at which it was seen without a fence. Where fences end with a
+    /// promotion this says nothing of the others.
+    clear: Option<Duration>,
+    /// When it was last told to follow the primary.
+    told: Option<Duration>,
     /// Statements at once that its connections allow, as far as was found out.
     room: usize,
     /// When one more is tried.
@@ -92,6 +98,8 @@
             latency: Latency::new(settings.service),
             demoted: false,
             kept: None,
+            clear: None,
+            told: None,
             room: capacity,
             widen: now,
             missing: None,
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -53,10 +53,6 @@
         known.view = Some((status, began));
         known.applied = status.applied;
         known.demoted = status.role == Role::Replica;
-        let leads = Some(member) != self.replace.primary || !known.demoted;
-        if status.promised <= self.replace.term && leads {
-            self.keep(member, began);
-        }
         if Some(member) == self.replace.primary {
             let demoted = status.role == Role::Replica;
             self.replace.set_demoted(demoted);
@@ -66,6 +62,9 @@
         if status.role == Role::Primary && status.log.term == status.promised {
             self.adopt(status.log.term, member, now, out);
         }
+        if status.promised <= self.replace.term {
+            self.note_clear(member, &status, began);
+        }
         if Some(member) == self.replace.primary && status.promised == self.replace.term {
             self.history.observe(began, status.log.index);
         }
@@ -76,12 +75,42 @@
         }
         self.settle_leased(now, out);
         self.note_held();
-        self.repair(member, &status, out);
+        self.repair(member, &status, now, out);
         self.wake_floorless(now, out);
         self.wake_lagging(now, out);
         self.want_for_confirmation(now);
     }
 
+    /// A member was seen without a fence.
+    fn note_clear(&mut self, member: usize, status: &Status, began: Duration) {
+        let fences_end = self.settings.replace.fences_end;
+        if Some(member) == self.replace.primary {
+            if status.role == Role::Primary {
+                self.keep(member, began);
+            }
+            return;
+        }
+        if !fences_end {
+            return self.keep(member, began);
+        }
+        if began > self.revoked {
+            let known = &mut self.members[member];
+            known.clear = known.clear.max(Some(began));
+        }
+        if status.log.term == self.replace.term {
+            self.received(member, status.log.index);
+        }
+    }
+
+    /// A replica holds an entry of the present term. A fenced one receives nothing, and
+    /// after a promotion it follows the new primary: so it kept to the term when the
+    /// primary had not yet come so far.
+    pub(super) fn received(&mut self, member: usize, index: u64) {
+        if let Some(moment) = self.history.before(index) {
+            self.keep(member, moment);
+        }
+    }
+
     /// A member is known to have kept to the present term at a moment.
     pub(super) fn keep(&mut self, member: usize, moment: Duration) {
         if moment > self.revoked {
@@ -95,6 +124,7 @@
         self.revoked = now;
         for member in &mut self.members {
             member.kept = None;
+            member.clear = None;
         }
     }
 
@@ -120,7 +150,13 @@
     }
 
     /// Has a member that strays follow the primary.
-    pub(super) fn repair(&self, member: usize, status: &Status, out: &mut Vec<Action>) {
+    pub(super) fn repair(
+        &mut self,
+        member: usize,
+        status: &Status,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
         let Some(primary) = self.replace.primary else {
             return;
         };
@@ -128,7 +164,10 @@
         let strays = status.promised < term
             || status.role == Role::Primary
             || (status.log.term < term && status.stream != crate::borders::member::Stream::Live);
-        if member != primary && status.promised <= term && strays {
+        let told = self.members[member].told;
+        let rested = told.is_none_or(|told| now >= told + self.settings.follow_gap);
+        if member != primary && status.promised <= term && strays && rested {
+            self.members[member].told = Some(now);
             out.push(Action::Follow {
                 member,
                 term,
@@ -224,6 +263,8 @@
         self.history.clear();
         for member in &mut self.members {
             member.kept = None;
+            member.clear = None;
+            member.told = None;
         }
         self.set_periods();
         self.want_all();
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -191,12 +191,19 @@
     /// Looks at no more members than the lease needs: each look has its price.
     fn want_for_lease(&mut self, now: Duration) {
         let lease = self.settings.replace.lease;
-        let missing = |member: &Member| member.kept.is_none_or(|kept| now >= kept + lease / 2);
+        let late = |seen: Option<Duration>| seen.is_none_or(|seen| now >= seen + lease / 2);
+        let newest = self.history.newest();
+        // One that was just seen can show more only once the primary has written more.
+        let helps = |member: &Member| {
+            let shown = member.status().map(|status| status.log.index);
+            late(member.clear) || shown < newest
+        };
         let acceptors = self.present().filter(|i| self.replace.accepts(*i));
         let (late, fresh): (Vec<usize>, Vec<usize>) =
-            acceptors.partition(|i| missing(&self.members[*i]));
+            acceptors.partition(|i| late(self.members[*i].kept));
         let mut needed = self.replace.majority().saturating_sub(fresh.len());
-        let mut late = late;
+        let late = late.into_iter().filter(|i| helps(&self.members[*i]));
+        let mut late: Vec<usize> = late.collect();
         late.sort_by_key(|i| {
             let member = &self.members[*i];
             let far = member.spec.domain != self.domain;
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -249,8 +249,17 @@
         candidates
     }
 
-    /// Newest moment at which our term is known not to have been replaced.
+    /// Newest moment at which our term is known not to have been replaced: a majority
+    /// kept to it, or every member was seen without a fence, and none led another.
     pub(super) fn verified(&self) -> Option<Duration> {
+        let member = |i: usize| &self.members[i];
+        let clear = |i: usize| member(i).kept.max(member(i).clear);
+        // Nothing is less than any moment.
+        let all = self.present().map(clear).min().flatten();
+        self.majority_kept().max(all)
+    }
+
+    fn majority_kept(&self) -> Option<Duration> {
         let ours = |(i, member): (usize, &Member)| member.kept.filter(|_| self.replace.accepts(i));
         let members = self.members.iter().enumerate();
         let mut moments: Vec<Duration> = members.filter_map(ours).collect();
@@ -434,11 +443,6 @@
             self.history.observe(began, position.index);
             return;
         }
-        // It received the entry after the primary wrote it; a fenced replica
-        // receives nothing. So it kept to the term when the primary had not yet
-        // come so far.
-        if let Some(moment) = self.history.before(position.index) {
-            self.keep(member, moment);
-        }
+        self.received(member, position.index);
     }
 }
--- a/src/decisions/group/settings.rs
+++ b/src/decisions/group/settings.rs
@@ -22,6 +22,8 @@
     pub leave_most: Duration,
     /// Least time between two probes of a member on behalf of waiting requests.
     pub probe_gap: Duration,
+    /// Least time between two orders to a member to follow the primary.
+    pub follow_gap: Duration,
     /// Time that a refused caller is told to wait while no majority is in sight.
     pub cut_off_retry: Duration,
     /// Guess of a statement's time before any was measured.
@@ -60,6 +62,7 @@
             leave_grace: Duration::from_millis(1_500),
             leave_most: Duration::from_secs(5),
             probe_gap: Duration::from_millis(2),
+            follow_gap: Duration::from_millis(100),
             cut_off_retry: Duration::from_secs(1),
             service: Duration::from_millis(2),
             lease_margin: Duration::from_millis(50),
--- a/src/decisions/route.rs
+++ b/src/decisions/route.rs
@@ -36,6 +36,11 @@
         self.samples.push_back((began, index));
     }
 
+    /// Greatest index that the primary was seen at.
+    pub fn newest(&self) -> Option<u64> {
+        self.samples.back().map(|sample| sample.1)
+    }
+
     pub fn clear(&mut self) {
         self.samples.clear();
     }
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -253,6 +253,25 @@
     expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
 }
 
+/// A promotion ends the fences of all members, the winner's and the others': a replica
+/// without one is no sign that nobody was promoted where the third can't be seen. On
+/// mlg-cartes-mix-add_nodes-78-11 the old primary's writes were acknowledged so.
+#[gtest]
+fn a_replica_without_a_fence_proves_nothing_while_another_member_is_out_of_sight() {
+    let mut bench = Bench::new(0);
+    bench.pass(ms(900));
+    bench.report(0, status(Role::Primary, 1, 1, 12));
+    bench.report(1, status(Role::Replica, 1, 1, 10));
+    bench.write(1);
+    expect_that!(bench.outcome(1), none());
+    // What it receives from our primary, it receives while our primary leads.
+    bench.now += ms(5);
+    bench.report(0, status(Role::Primary, 1, 1, 12));
+    bench.report(1, status(Role::Replica, 1, 1, 13));
+    bench.report(0, status(Role::Primary, 1, 1, 13));
+    expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+}
+
 #[gtest]
 fn a_replica_that_shows_nothing_new_does_not_renew_the_lease() {
     let mut bench = Bench::new(0);
@@ -525,6 +544,20 @@
     );
 }
 
+/// A member takes some time to follow; orders sent at each look took its slots.
+#[gtest]
+fn a_member_that_does_not_follow_yet_is_told_so_now_and_then() {
+    let mut bench = Bench::new(0);
+    bench.report(1, status(Role::Primary, 2, 2, 10));
+    bench.actions.clear();
+    for _ in 0..40 {
+        bench.now += ms(20);
+        bench.report(2, status(Role::Replica, 1, 1, 10));
+    }
+    let told = bench.asked(|a| matches!(a, Action::Follow { member: 2, .. }));
+    expect_that!(told, all!(ge(2), le(3)));
+}
+
 #[gtest]
 fn who_stays_is_promoted_rather_than_who_leaves() {
     let mut bench = Bench::new(0);
