perf(fair): no decision walks the queue

Cause: `withdraw` and `expire` walked all that wait, `expire` with every release. Now requests are found by id and by deadline. Behaviour as before; the tests stand unchanged.

--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -5,15 +5,21 @@
 //! was quiet starts at the present, so it neither saves up nor is made to wait.
 //! Admission is by deadline: a request whose expected wait passes its deadline
 //! is refused at once, with the time to come back.
+//!
+//! No decision's cost grows with the number of requests that wait.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// By how much a tag grows with a request of weight 1.
 const SCALE: u64 = 1_000_000;
+/// Answers over which the mean is taken, about.
 const SMOOTHING: u32 = 16;
 const SERVICES_KEPT: u32 = 2;
 const WAIT_SHARE_KEPT: u32 = 4;
+/// Partners that are remembered; beyond it, those of whom nothing waits are forgotten.
+const MOST_LINES: usize = 1_024;
 
 /// What becomes of an arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +32,9 @@
     Refuse { retry_after: Duration },
 }
 
+/// Finish tag, and order of arrival among equal ones.
+type Turn = (u64, u64);
+
 #[derive(Clone, Debug)]
 struct Waiter {
     id: u64,
@@ -33,14 +42,26 @@
     deadline: Duration,
 }
 
+/// One partner's requests.
+#[derive(Clone, Debug, Default)]
+struct Line {
+    /// Tag of the last one.
+    finish: u64,
+    waiting: usize,
+}
+
 /// A queue before `capacity` places.
 #[derive(Clone, Debug)]
 pub struct Fair {
     capacity: usize,
     running: usize,
-    waiting: BTreeMap<(u64, u64), Waiter>,
-    finish: BTreeMap<Arc<str>, u64>,
-    queued: BTreeMap<Arc<str>, usize>,
+    waiting: BTreeMap<Turn, Waiter>,
+    /// By request.
+    turns: HashMap<u64, Turn>,
+    deadlines: BTreeSet<(Duration, u64)>,
+    lines: BTreeMap<Arc<str>, Line>,
+    /// Partners of whom something waits.
+    active: usize,
     virtual_time: u64,
     sequence: u64,
     /// Time a place is held.
@@ -54,8 +75,10 @@
             capacity,
             running: 0,
             waiting: BTreeMap::new(),
-            finish: BTreeMap::new(),
-            queued: BTreeMap::new(),
+            turns: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            active: 0,
             virtual_time: 0,
             sequence: 0,
             service,
@@ -91,24 +114,34 @@
             self.running += 1;
             return Admission::Run;
         }
-        let own = self.queued.get(partner).copied().unwrap_or_default();
-        let wait = self.expected(own, self.queued.len().max(1));
+        let own = self.lines.get(partner).map_or(0, |line| line.waiting);
+        let wait = self.expected(own, self.active.max(1));
         if now + wait + self.allowance(wait) > deadline {
             return Admission::Refuse { retry_after: wait };
         }
-        let start = self.finish.get(partner).copied().unwrap_or_default();
-        let tag = start.max(self.virtual_time) + SCALE / u64::from(weight.max(1));
-        self.finish.insert(partner.clone(), tag);
-        *self.queued.entry(partner.clone()).or_default() += 1;
+        self.enqueue(id, partner, weight, deadline);
+        Admission::Wait
+    }
+
+    fn enqueue(&mut self, id: u64, partner: &Arc<str>, weight: u32, deadline: Duration) {
+        if self.lines.len() >= MOST_LINES {
+            self.lines.retain(|_, line| line.waiting > 0);
+        }
+        let line = self.lines.entry(partner.clone()).or_default();
+        line.finish = line.finish.max(self.virtual_time) + SCALE / u64::from(weight.max(1));
+        self.active += usize::from(line.waiting == 0);
+        line.waiting += 1;
         self.sequence += 1;
+        let turn = (line.finish, self.sequence);
+        self.turns.insert(id, turn);
+        self.deadlines.insert((deadline, id));
         let partner = partner.clone();
         let waiter = Waiter {
             id,
             partner,
             deadline,
         };
-        self.waiting.insert((tag, self.sequence), waiter);
-        Admission::Wait
+        self.waiting.insert(turn, waiter);
     }
 
     /// Expected wait behind `own` of the partner's requests with `active` partners.
@@ -146,21 +179,20 @@
         if self.running >= self.capacity {
             return None;
         }
-        let ((tag, _), waiter) = self.waiting.pop_first()?;
-        self.virtual_time = self.virtual_time.max(tag);
-        self.forget(&waiter.partner);
+        let (turn, waiter) = self.waiting.pop_first()?;
+        self.virtual_time = self.virtual_time.max(turn.0);
+        self.forget(&waiter);
         self.running += 1;
         Some(waiter.id)
     }
 
     /// Takes out a waiter that gave up. False when it runs already.
     pub fn withdraw(&mut self, id: u64) -> bool {
-        let found = self.waiting.iter().find(|(_, waiter)| waiter.id == id);
-        let Some(key) = found.map(|(key, _)| *key) else {
+        let Some(turn) = self.turns.get(&id).copied() else {
             return false;
         };
-        let waiter = self.waiting.remove(&key).expect("just found");
-        self.forget(&waiter.partner);
+        let waiter = self.waiting.remove(&turn).expect("who has a turn waits");
+        self.forget(&waiter);
         true
     }
 
@@ -168,8 +200,9 @@
     /// answered at once.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
         let end = now + self.run();
-        let late = self.waiting.iter().filter(|(_, w)| w.deadline < end);
-        let ids: Vec<u64> = late.map(|(_, waiter)| waiter.id).collect();
+        let late = self.deadlines.iter();
+        let late = late.take_while(|(deadline, _)| *deadline < end);
+        let ids: Vec<u64> = late.map(|(_, id)| *id).collect();
         for id in &ids {
             self.withdraw(*id);
         }
@@ -178,7 +211,12 @@
 
     /// Takes out all who wait.
     pub fn drain(&mut self) -> Vec<u64> {
-        self.queued.clear();
+        self.turns.clear();
+        self.deadlines.clear();
+        self.active = 0;
+        for line in self.lines.values_mut() {
+            line.waiting = 0;
+        }
         let waiting = std::mem::take(&mut self.waiting);
         waiting.into_values().map(|waiter| waiter.id).collect()
     }
@@ -188,13 +226,12 @@
         self.service * (self.waiting.len() as u32 / self.capacity.max(1) as u32 + 1)
     }
 
-    fn forget(&mut self, partner: &Arc<str>) {
-        let Some(count) = self.queued.get_mut(partner) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            self.queued.remove(partner);
-        }
+    fn forget(&mut self, waiter: &Waiter) {
+        self.turns.remove(&waiter.id);
+        self.deadlines.remove(&(waiter.deadline, waiter.id));
+        let line = self.lines.get_mut(&waiter.partner);
+        let line = line.expect("whoever waits has a line");
+        line.waiting -= 1;
+        self.active -= usize::from(line.waiting == 0);
     }
 }
