feat(placing): a primary without a majority serves reads as old as its last evidence

Cause: in a cut failure domain a replica there serves reads until its age passes their bound (1.5 and 2.5 s), but the groups whose primary is there served none: the primary counted as one only while a majority is seen. Its log holds all that was acknowledged up to the newest moment at which it is known not to have been replaced, so it is that old.

--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -209,16 +209,26 @@
         }
     }
 
-    /// The primary, where it may relieve slow replicas.
+    /// The primary, where it may relieve slow replicas. One that may have been replaced
+    /// unseen is as old as the newest moment at which it had not been: in a cut failure
+    /// domain it serves reads for as long as a replica there would.
     fn primary_as_candidate(&self, now: Duration) -> Option<Candidate> {
         let cost = self.settings.primary_cost?;
-        let primary = self.writable()?;
+        let primary = self.replace.primary?;
         let member = &self.members[primary];
+        let leaves = self.overstayed || (member.spec.leaving && !self.settings.serve_leaving);
+        if member.suspected || member.gone || leaves || self.replace.is_deposing() {
+            return None;
+        }
+        let age = match self.writable() {
+            Some(_) => Some(Duration::ZERO),
+            None => self.verified().map(|moment| now.saturating_sub(moment)),
+        };
         Some(Candidate {
             member: primary,
             domain: member.spec.domain.clone(),
             applied: member.applied,
-            age: Some(Duration::ZERO),
+            age,
             wait: member.wait(now, self.plan.group.slots as usize) + cost,
         })
     }
@@ -357,12 +367,13 @@
 
     /// Whether a member still meets what a request demanded when it was queued.
     pub(super) fn still_fits(&self, request: &Request, member: usize, now: Duration) -> bool {
-        if Some(member) == self.replace.primary {
-            return true;
-        }
+        let leads = Some(member) == self.replace.primary;
         let Some(demand) = demand_of(request) else {
-            return false;
+            return leads;
         };
+        if self.writable() == Some(member) {
+            return true;
+        }
         let candidates = self.candidates(now);
         candidates
             .iter()
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -130,6 +130,22 @@
         });
     }
 
+    /// A read comes that may be this old, with 700 ms left.
+    fn read(&mut self, id: u64, max_age: Duration) {
+        let now = self.now;
+        self.tell(Event::Arrive(Request {
+            id,
+            partner: "p".into(),
+            weight: 1,
+            target: Target::Replica { max_age },
+            floor: Some(Position::ZERO),
+            believed: true,
+            arrived: now,
+            deadline: now + ms(700),
+            aim: None,
+        }));
+    }
+
     /// A write comes, with 700 ms left.
     fn arrive(&mut self, id: u64) {
         let now = self.now;
@@ -612,6 +628,39 @@
     expect_that!(running(&bench), eq(before));
 }
 
+/// In a cut failure domain a replica serves reads until its age passes their bound; the
+/// primary there may do the same, but no longer.
+#[gtest]
+fn a_primary_without_a_majority_serves_reads_until_they_would_be_too_old() {
+    let mut bench = Bench::new(0);
+    for member in [1, 2] {
+        bench.tell(Event::Broken { member });
+    }
+    bench.pass(ms(900));
+    bench.report(0, status(Role::Primary, 1, 1, 11));
+    bench.read(1, ms(2_500));
+    bench.write(2);
+    expect_that!(
+        bench.asked(|a| matches!(
+            a,
+            Action::Assign {
+                id: 1,
+                member: 0,
+                ..
+            }
+        )),
+        eq(1)
+    );
+    expect_that!(bench.outcome(2), none());
+    bench.pass(ms(2_500));
+    bench.report(0, status(Role::Primary, 1, 1, 11));
+    bench.read(3, ms(2_500));
+    expect_that!(
+        bench.asked(|a| matches!(a, Action::Assign { id: 3, .. })),
+        eq(0)
+    );
+}
+
 #[gtest]
 fn a_member_that_takes_no_more_connections_gets_less_and_slowly_more() {
     let mut bench = Bench::new(0);
