test(platform): open connections that go silent for good

The loopback proxy can silence the connections open at a moment while new ones work; the soak draws it as a fault.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,4 +14,5 @@
 mod replacement;
 mod restarts;
 mod sessions;
+mod silence;
 mod soak;
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that harms connections from outside the processes.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
 pub struct Proxy {
     pub address: SocketAddr,
     harm: Arc<Mutex<watch::Sender<Harm>>>,
+    /// How often the connections open at the time went silent.
+    hushed: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -36,30 +39,58 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let (harm, seen) = watch::channel(Harm::None);
+        let hushed = Arc::new(AtomicU64::new(0));
+        let counted = hushed.clone();
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 let seen = seen.clone();
+                let hush = Hush::new(counted.clone());
                 tokio::spawn(async move {
-                    let _ = carry(caller, upstream, seen).await;
+                    let _ = carry(caller, upstream, seen, hush).await;
                 });
             }
         });
         Self {
             address,
             harm: Arc::new(Mutex::new(harm)),
+            hushed,
         }
     }
 
+    /// All connections that are open now carry nothing any more; new ones work.
+    pub fn hush(&self) {
+        self.hushed.fetch_add(1, Ordering::SeqCst);
+    }
+
     pub fn set(&self, harm: Harm) {
         let sender = self.harm.lock().expect("no panic under the lock");
         sender.send_replace(harm);
     }
 }
 
+/// Whether one connection went silent for good.
+#[derive(Clone)]
+struct Hush {
+    count: Arc<AtomicU64>,
+    opened: u64,
+}
+
+impl Hush {
+    fn new(count: Arc<AtomicU64>) -> Self {
+        let opened = count.load(Ordering::SeqCst);
+        Self { count, opened }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.count.load(Ordering::SeqCst) > self.opened
+    }
+}
+
 async fn carry(
     caller: TcpStream,
     upstream: SocketAddr,
     harm: watch::Receiver<Harm>,
+    hush: Hush,
 ) -> std::io::Result<()> {
     if *harm.borrow() == Harm::Reset {
         return Ok(());
@@ -70,8 +101,9 @@
     let (from_caller, to_caller) = caller.into_split();
     let (from_member, to_member) = member.into_split();
     let mut reset = harm.clone();
-    let there = pass(from_caller, to_member, harm.clone(), &[Harm::Silent]);
-    let back = pass(from_member, to_caller, harm, &[Harm::Silent, Harm::OneWay]);
+    let held: &[Harm] = &[Harm::Silent, Harm::OneWay];
+    let there = pass(from_caller, to_member, harm.clone(), &held[..1], &hush);
+    let back = pass(from_member, to_caller, harm, held, &hush);
     tokio::select! {
         done = there => done,
         done = back => done,
@@ -84,6 +116,7 @@
     mut to: OwnedWriteHalf,
     mut harm: watch::Receiver<Harm>,
     held: &[Harm],
+    hush: &Hush,
 ) -> std::io::Result<()> {
     let mut bytes = vec![0; 16 * 1024];
     loop {
@@ -94,6 +127,9 @@
         if harm.wait_for(|harm| !held.contains(harm)).await.is_err() {
             return Ok(());
         }
+        if hush.is_silent() {
+            continue;
+        }
         let now = *harm.borrow();
         if let Harm::Delay(ms) = now {
             tokio::time::sleep(Duration::from_millis(ms)).await;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -13,7 +13,6 @@
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
 
 use super::boxes::Process;
 use super::client::Client;
@@ -183,7 +182,7 @@
     let member = dice.random_range(0..world.members.len());
     let index = dice.random_range(0..world.boxes.len());
     let id = world.members[member].0.clone();
-    match dice.random_range(0..11) {
+    match dice.random_range(0..12) {
         0 => {
             world.boxes[index].kill();
             tokio::time::sleep(lasts / 4).await;
@@ -246,6 +245,10 @@
             );
             "history forgotten, manifest changed".to_owned()
         }
+        9 => {
+            proxies[member].hush();
+            format!("open connections to {id} go silent")
+        }
         _ => {
             let harms = [Harm::Silent, Harm::OneWay, Harm::Reset, Harm::Delay(30)];
             let chosen = harms[dice.random_range(0..harms.len())];
@@ -259,24 +262,7 @@
 
 /// Plays one seed.
 async fn play(seed: u64, length: Duration) -> (Seen, Vec<String>) {
-    let mut world = World::without_boxes().await;
-    let mut proxies = Vec::new();
-    for (i, (id, address, _)) in world.members.iter().enumerate() {
-        let proxy = Proxy::start(*address).await;
-        let entry = json!({
-            "backend": "db1", "address": proxy.address.to_string(),
-            "zone": format!("zone-{i}"), "state": "ready",
-        });
-        world.store.put("servers", id, &entry);
-        proxies.push(proxy);
-    }
-    for i in 0..BOXES {
-        world.add_box(i);
-    }
-    for started in &world.boxes {
-        started.wait_ready().await;
-    }
-    world.wait_primary().await;
+    let (mut world, proxies) = World::behind_proxies(BOXES).await;
     let watch = Arc::new(Watch {
         history: Mutex::default(),
         stop: AtomicBool::new(false),
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -9,6 +9,7 @@
 use super::client::Client;
 use super::group::Group;
 use super::member::{self, Switch};
+use super::proxy::Proxy;
 use super::store::Store;
 
 /// Databases that callers name, by what their reads must see.
@@ -59,6 +60,27 @@
         world
     }
 
+    /// The same with a proxy before each member.
+    pub async fn behind_proxies(boxes: usize) -> (Self, Vec<Proxy>) {
+        let mut world = Self::without_boxes().await;
+        let mut proxies = Vec::new();
+        for (i, (id, address, _)) in world.members.iter().enumerate() {
+            let proxy = Proxy::start(*address).await;
+            world
+                .store
+                .put("servers", id, &entry(i, proxy.address, "ready"));
+            proxies.push(proxy);
+        }
+        for i in 0..boxes {
+            world.add_box(i);
+        }
+        for started in &world.boxes {
+            started.wait_ready().await;
+        }
+        world.wait_primary().await;
+        (world, proxies)
+    }
+
     pub async fn without_boxes() -> Self {
         let store = Store::default();
         let store_address = store.start().await;
