--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -333,12 +333,6 @@
                 led,
             } => self.answered(member, began, position, led, now, &mut out),
             Event::Release { member, took } => self.release(member, took, now, &mut out),
-            Event::Doubted { domain } => {
-                let near = |member: &&mut Member| member.spec.domain == domain;
-                for member in self.members.iter_mut().filter(near) {
-                    member.detector.hurry(now);
-                }
-            }
             Event::Late { member, after } => {
                 self.members[member].latency.late(after, now);
                 self.members[member].detector.hurry(now);
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -133,10 +133,6 @@
         member: usize,
         took: Duration,
     },
-    /// A member of another group in this failure domain is suspected.
-    Doubted {
-        domain: Arc<str>,
-    },
     /// A member's answer is not waited for any more.
     Late {
         member: usize,
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -216,34 +216,15 @@
         });
     }
 
-    /// A failure domain that is cut off shows at one group first: the others' members
-    /// there are looked at before their turn. Without it a box in a cut failure domain
-    /// knew 1.4 s after the cut that it reached no group, 0.7 s after its first suspicion.
-    fn doubt(&self, domain: &Arc<str>) {
-        if *domain != self.context.settings.domain {
-            let domain = domain.clone();
-            let _ = self.context.decisions.send(Message::Doubted { domain });
-        }
-    }
-
-    pub(super) fn tell_doubted(&mut self, domain: &Arc<str>) {
-        let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
-        for id in groups {
-            let domain = domain.clone();
-            self.handle(&id, Event::Doubted { domain });
-        }
-    }
-
     pub(super) fn note(&self, id: &Arc<str>, group: &Group, note: &Note) {
         let name = |member: usize| group.plan.members[member].name.clone();
         let log = &self.context.log;
         match note {
-            Note::Suspected { member } => {
-                let fields: [(_, &dyn std::fmt::Display); 2] =
-                    [("group", id), ("member", &name(*member))];
-                events::emit(log, &events::SUSPECTED, &fields);
-                self.doubt(&group.plan.members[*member].domain);
-            }
+            Note::Suspected { member } => events::emit(
+                log,
+                &events::SUSPECTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
             Note::Trusted { member } => events::emit(
                 log,
                 &events::TRUSTED,
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -125,10 +125,6 @@
         group: Arc<str>,
         reply: oneshot::Sender<bool>,
     },
-    /// A member in this failure domain is suspected.
-    Doubted {
-        domain: Arc<str>,
-    },
     /// Enough time has passed since this box was listed.
     Listed,
     /// An exchange was refused because its owner reached no majority.
