--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -42,7 +42,10 @@
         }
         /// Run a box on the users' platform, by the settings file that
         /// LARKFALL_NODE_FILE names.
-        cmd serve {}
+        cmd serve {
+            /// Port that shows the metrics apart from the rest; none if not given.
+            optional --metrics-port port: u16
+        }
         /// Run a small stand-in for an outside system.
         cmd stand-in {
             /// A member of a database group, with SQLite inside.
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -5,13 +5,14 @@
 use tokio::sync::watch;
 
 use super::{Exit, print_findings, stopped};
+use crate::configs::run::Run;
 use crate::declarations::finding::Finding;
 use crate::events;
 use crate::node;
 use crate::platform::{file, ports, ready, settings};
 
 /// Runs a box with the settings file at `path`.
-pub async fn run(path: Option<String>) -> anyhow::Result<Exit> {
+pub async fn run(path: Option<String>, metrics_port: Option<u16>) -> anyhow::Result<Exit> {
     let read = path.ok_or_else(no_path).and_then(|path| read(&path));
     let file = match read {
         Ok(file) => file,
@@ -20,7 +21,10 @@
             return Ok(Exit::BadInput);
         }
     };
-    let run = file.run();
+    let run = Run {
+        metrics_port,
+        ..file.run()
+    };
     let log = events::logger(run.log);
     let at = file.listen_addrs.ready;
     let listener = TcpListener::bind(at).await;
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -20,6 +20,9 @@
     pub port: u16,
     /// Port of peers, the resource API, metrics and dump.
     pub api_port: u16,
+    /// Port that shows the metrics apart from the rest, at the same for all boxes where
+    /// the API's port differs from day to day.
+    pub metrics_port: Option<u16>,
     /// `IP:port` of the platform.
     pub platform: Arc<str>,
     /// `IP:port` of peers to ask when the platform is down at the start.
@@ -59,6 +62,7 @@
             ip: IpAddr::from([127, 0, 0, 1]),
             port: 5432,
             api_port: 8432,
+            metrics_port: None,
             platform: "".into(),
             peers: Vec::new(),
             admin: None,
@@ -189,6 +193,7 @@
             ip: reader.optional("ip", defaults.ip, "an IP number", |t| t.parse().ok()),
             port: reader.number("port", defaults.port),
             api_port: reader.number("api-port", defaults.api_port),
+            metrics_port: defaults.metrics_port,
             platform: reader.required("platform", defaults.platform, "IP:port", address),
             peers: reader.optional(
                 "peer",
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -466,9 +466,7 @@
                 Vec::new()
             }
             Phase::Claiming { .. } => Vec::new(),
-            Phase::Steady if doubt == Doubt::None && self.is_settled(now) => {
-                self.release_or_look()
-            }
+            Phase::Steady if doubt == Doubt::None && self.is_settled(now) => self.release_or_look(),
             Phase::Steady if doubt == Doubt::Suspected || abandoned => self.start_doubt(now),
             Phase::Steady => Vec::new(),
             Phase::Doubt { .. } => self.weigh(doubt, abandoned, now),
--- a/src/main.rs
+++ b/src/main.rs
@@ -45,7 +45,7 @@
             })
             .await
         }
-        LarkfallCmd::Serve(_) => serve::run(variable(file::VARIABLE)).await,
+        LarkfallCmd::Serve(flags) => serve::run(variable(file::VARIABLE), flags.metrics_port).await,
         LarkfallCmd::StandIn(kind) => match kind.subcommand {
             StandInCmd::Member(flags) => {
                 let flag = |name: &str| member_flag(&flags, name);
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -80,6 +80,12 @@
     axum::serve(listener, router).await
 }
 
+/// Serves the metrics alone until the listener fails.
+pub async fn serve_metrics(registry: Registry, listener: TcpListener) -> std::io::Result<()> {
+    let text = move || async move { metrics::render(&registry) };
+    axum::serve(listener, Router::new().route("/metrics", get(text))).await
+}
+
 // Peers.
 
 fn packed<T: Serialize>(value: &T) -> Response {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -90,6 +90,10 @@
 ) -> anyhow::Result<()> {
     let callers = bind(&settings, settings.port).await?;
     let operators = bind(&settings, settings.api_port).await?;
+    let metrics = match settings.metrics_port {
+        Some(port) => Some(bind(&settings, port).await?),
+        None => None,
+    };
     let (decisions_tx, decisions_rx) = mpsc::unbounded_channel();
     let (keeper_tx, keeper_rx) = mpsc::unbounded_channel();
     let (work_tx, work_rx) = mpsc::unbounded_channel();
@@ -153,6 +157,12 @@
         tokio::task::spawn_local(enter(context.clone())),
         tokio::task::spawn_local(serve_api(api, operators)),
     ];
+    if let Some(metrics) = metrics {
+        let registry = context.metrics.registry();
+        background.push(tokio::task::spawn_local(async move {
+            let _ = api::serve_metrics(registry, metrics).await;
+        }));
+    }
     if context.settings.relay {
         let following = relay::follow(context.clone(), keeper_tx);
         background.push(tokio::task::spawn_local(following));
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -19,6 +19,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
+    pub metrics: SocketAddr,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
 }
@@ -47,6 +48,7 @@
             front: at(5432),
             ready: at(8080),
             control: at(8432),
+            metrics: at(9464),
             store,
             seeds: Vec::new(),
         }
@@ -93,7 +95,9 @@
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, place.file()).expect("a settings file can be written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_larkfall"));
-        command.arg("serve").env("LARKFALL_NODE_FILE", &file);
+        command.arg("serve");
+        command.args(["--metrics-port", &place.metrics.port().to_string()]);
+        command.env("LARKFALL_NODE_FILE", &file);
         let child = command.stdout(Stdio::null()).spawn().expect("a box starts");
         Self { place, child, file }
     }
@@ -124,6 +128,13 @@
         }
     }
 
+    /// Counters and histograms, as text.
+    pub async fn metrics(&self) -> String {
+        get(self.place.metrics, "/metrics")
+            .await
+            .unwrap_or_default()
+    }
+
     /// The box's own state, as JSON text.
     pub async fn dump(&self) -> String {
         get(self.place.control, "/dump").await.unwrap_or_default()
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -42,6 +42,17 @@
     expect_that!(world.boxes[0].is_running(), eq(true));
 }
 
+#[gtest]
+#[tokio::test]
+async fn metrics_stand_at_a_port_of_their_own() {
+    let world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    client.run("READ farm").await.unwrap();
+    let text = world.boxes[0].metrics().await;
+    expect_that!(text, contains_substring("# TYPE"));
+    expect_that!(text, contains_substring("_bucket{"));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_stop_lets_open_transactions_end_and_takes_callers_until_they_are_sent_elsewhere() {
