refactor(node): no circle between configuration, peers and followers; names

What boxes tell each other stands in node/news.rs, below the three that use it; owners of a group are a method of their ranking; a member's address stands with what is declared of it; the server's version with the reports. That undoes four of the six circles of imports (configuration with peers and relay, context with driver and routes, borders with declarations, entry with session). `relay` named three things: who reads the table is now decisions/readers.rs, asking readers is node/follow.rs. No behaviour changes; tests stand but for the names that they import.

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decisions::position::Position;
-use crate::declarations::resource::Member as Declared;
+use crate::declarations::resource::{Address, Member as Declared};
 
 /// What a member does in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,15 +72,6 @@
     pub generation: u64,
 }
 
-/// Where a member listens.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Address {
-    /// `IP:port` of the PostgreSQL protocol.
-    pub sql: Arc<str>,
-    /// `IP:port` of the control protocol.
-    pub control: Arc<str>,
-}
-
 /// What a ballot asks of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bid {
--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -49,7 +49,7 @@
     /// Promotions are ordered under a generation number that is kept in the table.
     pub duty: bool,
     /// Where a failure domain has many boxes, a few of them read the table for all.
-    pub relay: bool,
+    pub follow: bool,
     /// Width of the box's link, in Mbit/s; 0 where that is not known.
     pub link_mbps: u32,
 }
@@ -76,7 +76,7 @@
             retry_percent: 10,
             retry_most: 20,
             duty: false,
-            relay: false,
+            follow: false,
             link_mbps: 0,
         }
     }
@@ -220,7 +220,7 @@
             retry_percent: defaults.retry_percent,
             retry_most: defaults.retry_most,
             duty: defaults.duty,
-            relay: defaults.relay,
+            follow: defaults.follow,
             link_mbps: defaults.link_mbps,
         };
         match reader.findings.is_empty() {
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -12,7 +12,7 @@
 pub mod owners;
 pub mod position;
 pub mod reach;
-pub mod relay;
+pub mod readers;
 pub mod replace;
 pub mod route;
 pub mod setup;
--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::borders::roster::Listing;
+use crate::declarations::snapshot::Plan;
 
 /// The boxes that may own, hashed once for all groups.
 #[derive(Clone, Debug, Default)]
@@ -68,6 +69,14 @@
         owners
     }
 
+    /// Owners of a declared group, best first.
+    pub fn owners_of(&self, plan: &Plan) -> Vec<&Listing> {
+        let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
+        let group = &plan.group;
+        let count = count(group.owners, group.connections, group.slots, self.len());
+        self.owners(&plan.id, count, &domains)
+    }
+
     /// Fewer domains than owners are wanted: the rest by weight alone.
     fn fill<'a>(&'a self, owners: &mut Vec<&'a Listing>, weight: impl Fn(&u64) -> u64) {
         let mut rest: Vec<&(u64, Listing)> = self.boxes.iter().collect();
--- a/src/decisions/relay.rs
+++ b/src/decisions/readers.rs
@@ -56,7 +56,7 @@
 
 /// Reading as one box does it.
 #[derive(Debug, Default)]
-pub struct Relay {
+pub struct Readers {
     role: Role,
     /// Addresses of the readers, while this box asks them.
     readers: Vec<Arc<str>>,
@@ -66,7 +66,7 @@
     informed: Option<Duration>,
 }
 
-impl Relay {
+impl Readers {
     /// Takes a new list of boxes.
     pub fn set_boxes(&mut self, boxes: &[Listing], name: &str, domain: &str) {
         let chosen = readers(boxes, domain);
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -11,7 +11,7 @@
 use super::resource::{
     Access, Database, Durability, Group, Key, Kind, Member, Once, OwnWrites, Partner, Read, Spec,
 };
-use crate::borders::member::Address;
+use crate::declarations::resource::Address;
 
 const DEFAULT_WEIGHT: u64 = 1;
 const DEFAULT_SLOTS: u64 = 3;
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -5,8 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::borders::member::Address;
-
 /// Kinds of resource, by their names in files and paths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -124,6 +122,15 @@
     pub idle_ms: Option<u64>,
 }
 
+/// Where a member listens.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Address {
+    /// `IP:port` of the PostgreSQL protocol.
+    pub sql: Arc<str>,
+    /// `IP:port` of the control protocol.
+    pub control: Arc<str>,
+}
+
 /// A member of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -19,10 +19,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::configuration::{self, News};
+use super::configuration;
 use super::exchange::{Exchange, Failure, Reply};
 use super::message::{Dump, Message, Sender};
-use super::{peers, relay};
+use super::news::News;
+use super::{follow, peers};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, TableError, Verdict};
 use crate::declarations::snapshot::Snapshot;
@@ -136,7 +137,7 @@
 async fn follow(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let question = unpacked(&body)?;
     let (snapshot, boxes) = (api.snapshot.clone(), api.boxes.clone());
-    let answer = relay::answer(question, &api.keeper, snapshot, boxes).await;
+    let answer = follow::answer(question, &api.keeper, snapshot, boxes).await;
     let answer = answer.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     Ok(packed(&answer))
 }
--- a/src/node/api/resources.rs
+++ b/src/node/api/resources.rs
@@ -19,7 +19,8 @@
 use crate::declarations::finding::Finding;
 use crate::declarations::resource::{Key, Kind, Spec};
 use crate::declarations::snapshot::{Snapshot, Stored, group_id};
-use crate::node::configuration::{self, Question};
+use crate::node::configuration;
+use crate::node::news::Question;
 use crate::secret;
 
 /// Time that an accepted change gets to come into force on the box that took it.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::context::Context;
 use super::message::Message;
-use super::{peers, relay};
+use super::news::{Answer, Cursor, News, Question, State};
+use super::peers;
 use crate::borders::roster::Listing;
 use crate::borders::table::Scan;
 use crate::declarations::snapshot::Snapshot;
@@ -27,23 +27,6 @@
 /// start together, the table answers before any peer does.
 const PEER_AFTER: Duration = Duration::from_millis(600);
 
-/// News that one peer tells another: the rows written after `since`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct News {
-    pub from: Arc<str>,
-    pub since: u64,
-    pub scan: Scan,
-}
-
-/// What a peer has, when it asks for the rest.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Question {
-    /// It has all rows up to this revision; 0 where that can't be said.
-    pub since: u64,
-    /// Digest of all its rows.
-    pub digest: u64,
-}
-
 /// What is said to the keeper.
 #[derive(Debug)]
 pub enum Request {
@@ -55,15 +38,15 @@
     News(News),
     /// What a follower lacks of the rows and of the list of boxes.
     Follow {
-        question: relay::Question,
-        reply: oneshot::Sender<relay::Answer>,
+        state: State,
+        reply: oneshot::Sender<Answer>,
     },
     /// Digest of all rows, and revision of the list of boxes.
     Known {
         reply: oneshot::Sender<(u64, u64)>,
     },
     /// What a reader of the table has passed on.
-    Relayed(relay::Answer),
+    Followed(Answer),
     /// Look at the table now.
     Poll,
 }
@@ -138,13 +121,13 @@
     }
 
     /// What a follower does not have yet.
-    fn relay(&self, question: &relay::Question) -> relay::Answer {
-        let cursor = relay::Cursor {
+    fn follow(&self, state: &State) -> Answer {
+        let cursor = Cursor {
             epoch: self.epoch,
             taken: self.store.taken(),
         };
-        let told = question.cursor.filter(|told| told.epoch == self.epoch);
-        let same = question.digest == self.store.digest();
+        let told = state.cursor.filter(|told| told.epoch == self.epoch);
+        let same = state.digest == self.store.digest();
         let rows = match same {
             true => Vec::new(),
             false => self.store.taken_after(told.map_or(0, |told| told.taken)),
@@ -153,9 +136,9 @@
             true => BTreeMap::new(),
             false => self.store.whole().clone(),
         };
-        let newer = self.boxes_revision > question.boxes;
+        let newer = self.boxes_revision > state.boxes;
         let heard = self.context.table.heard();
-        relay::Answer {
+        Answer {
             cursor,
             head: self.store.revision(),
             rows,
@@ -167,7 +150,7 @@
         }
     }
 
-    fn take_relayed(&mut self, answer: relay::Answer) {
+    fn take_followed(&mut self, answer: Answer) {
         let scan = Scan {
             head: answer.head,
             rows: answer.rows,
@@ -203,13 +186,13 @@
                 let _ = reply.send(self.scan(&question));
             }
             Request::News(news) => self.news(news).await,
-            Request::Follow { question, reply } => {
-                let _ = reply.send(self.relay(&question));
+            Request::Follow { state, reply } => {
+                let _ = reply.send(self.follow(&state));
             }
             Request::Known { reply } => {
                 let _ = reply.send((self.store.digest(), self.boxes_revision));
             }
-            Request::Relayed(answer) => self.take_relayed(answer),
+            Request::Followed(answer) => self.take_followed(answer),
             Request::Poll => self.poll().await,
         }
     }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -7,7 +7,7 @@
 mod owning;
 mod reaching;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 use crate::decisions::confirm::Outcome;
 use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
-use crate::decisions::owners::{self, Ranking};
+use crate::decisions::owners::Ranking;
 use crate::decisions::reach::Reach;
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
@@ -293,14 +293,6 @@
     }
 }
 
-/// Boxes that own a group, best first.
-pub fn group_owners<'a>(plan: &Plan, ranking: &'a Ranking) -> Vec<&'a Listing> {
-    let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
-    let group = &plan.group;
-    let count = owners::count(group.owners, group.connections, group.slots, ranking.len());
-    ranking.owners(&plan.id, count, &domains)
-}
-
 /// Tells the group whenever a member's process is seen to be gone.
 async fn watch_member(
     context: Rc<Context>,
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -165,7 +165,7 @@
         let plan = &owned.group.plan;
         let term = owned.group.term();
         let own = &self.context.settings.name;
-        let owners = group_owners(plan, &self.ranking).into_iter();
+        let owners = self.ranking.owners_of(plan).into_iter();
         let others = owners.filter(|listing| listing.name != *own);
         for listing in others.take(MOST_ASKED) {
             let near = listing.domain == self.context.settings.domain;
@@ -191,7 +191,7 @@
     /// list may be old, the wait goes on to its end.
     pub(super) fn revoke(&self, id: &Arc<str>, owned: &Owned, term: u64) {
         let own = &self.context.settings.name;
-        let owners = group_owners(&owned.group.plan, &self.ranking);
+        let owners = self.ranking.owners_of(&owned.group.plan);
         if !self.ranking.is_everybody(owners.len()) {
             // Another box may take itself for an owner by an older list.
             return;
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -14,7 +14,7 @@
         let name = self.context.settings.name.clone();
         let mut mine: BTreeMap<Arc<str>, (Arc<Plan>, u32, u32)> = BTreeMap::new();
         for (id, plan) in &self.snapshot.groups {
-            let chosen = group_owners(plan, &self.ranking);
+            let chosen = self.ranking.owners_of(plan);
             let rank = chosen.iter().position(|listing| listing.name == name);
             if let Some(rank) = rank
                 && !plan.members.is_empty()
--- a/src/node/relay.rs
+++ b/src/node/follow.rs
@@ -1,21 +1,20 @@
 //! Passes on what the table holds, from the boxes that read it to the others of their
 //! failure domain.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use super::configuration::{Request, Sender};
 use super::context::Context;
+use super::news::{Answer, Cursor, State};
 use super::peers;
 use crate::borders::roster::Listing;
-use crate::borders::table::{Row, Section};
-use crate::decisions::relay::Relay;
+use crate::decisions::readers::Readers;
 use crate::declarations::snapshot::Snapshot;
 use crate::events;
 
@@ -27,54 +26,9 @@
 /// Pause while there is no reader to ask.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// How far a reader has told what it knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Cursor {
-    /// Names one start of the reader.
-    pub epoch: u64,
-    pub taken: u64,
-}
-
-/// What a follower has, when it asks for the rest.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Question {
-    /// None before the reader's first answer.
-    pub cursor: Option<Cursor>,
-    /// Digest of all rows.
-    pub digest: u64,
-    /// Revision of the list of boxes.
-    pub boxes: u64,
-}
-
-/// What the follower lacks.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Answer {
-    pub cursor: Cursor,
-    /// Revision of the table up to which the reader has read.
-    pub head: u64,
-    pub rows: Vec<Row>,
-    /// Sections of which `rows` leaves out nothing, as in a scan.
-    pub whole: BTreeMap<Section, u64>,
-    /// Digest of all the reader's rows.
-    pub digest: u64,
-    /// The whole list, if it is newer.
-    pub boxes: Option<Vec<Listing>>,
-    pub boxes_revision: u64,
-    /// Milliseconds since the table last answered the reader; none when it does not.
-    pub heard_ms: Option<u64>,
-}
-
-impl Answer {
-    /// Whether it is worth sending before its time.
-    fn is_news(&self, question: &Question) -> bool {
-        let first = question.cursor.is_none_or(|c| c.epoch != self.cursor.epoch);
-        first || !self.rows.is_empty() || self.boxes.is_some() || self.heard_ms.is_none()
-    }
-}
-
 /// Answers a follower as soon as there is news.
 pub async fn answer(
-    question: Question,
+    state: State,
     keeper: &Sender,
     mut snapshot: watch::Receiver<Arc<Snapshot>>,
     mut boxes: watch::Receiver<Arc<[Listing]>>,
@@ -84,9 +38,9 @@
         snapshot.mark_unchanged();
         boxes.mark_unchanged();
         let (reply, answered) = oneshot::channel();
-        let _ = keeper.send(Request::Follow { question, reply });
+        let _ = keeper.send(Request::Follow { state, reply });
         let answer = answered.await.ok()?;
-        if answer.is_news(&question) || Instant::now() >= end {
+        if answer.is_news(&state) || Instant::now() >= end {
             return Some(answer);
         }
         tokio::select! {
@@ -103,17 +57,17 @@
     let mut follower = Follower {
         context: context.clone(),
         keeper,
-        relay: Relay::default(),
+        readers: Readers::default(),
         told: HashMap::new(),
     };
     loop {
         let settings = &context.settings;
         let listed = boxes.borrow_and_update().clone();
         follower
-            .relay
+            .readers
             .set_boxes(&listed, &settings.name, &settings.domain);
         follower.set_pace();
-        match follower.relay.next(context.now()) {
+        match follower.readers.next(context.now()) {
             Some(reader) => follower.ask_in_time(&reader).await,
             None => {
                 let _ = tokio::time::timeout(PAUSE, boxes.changed()).await;
@@ -125,7 +79,7 @@
 struct Follower {
     context: Rc<Context>,
     keeper: Sender,
-    relay: Relay,
+    readers: Readers,
     /// By reader.
     told: HashMap<Arc<str>, Told>,
 }
@@ -152,13 +106,13 @@
 
 impl Follower {
     fn set_pace(&self) {
-        let pace = self.relay.pace(self.context.now());
+        let pace = self.readers.pace(self.context.now());
         let before = self.context.pace.replace(pace);
         if before == pace {
             return;
         }
         self.context.table.set_pace(pace);
-        let informed = self.relay.stale_at().unwrap_or_default();
+        let informed = self.readers.stale_at().unwrap_or_default();
         let fields: [(_, &dyn std::fmt::Display); 2] =
             [("pace", &pace), ("good_until_ms", &informed.as_millis())];
         events::emit(&self.context.log, &events::PACE, &fields);
@@ -167,9 +121,9 @@
     /// Asks one reader; the table is read again as soon as what is known grows stale.
     async fn ask_in_time(&mut self, reader: &Arc<str>) {
         let context = self.context.clone();
-        let stale = self.relay.stale_at().unwrap_or_default();
+        let stale = self.readers.stale_at().unwrap_or_default();
         let Some(question) = self.question(reader).await else {
-            return self.relay.failed(reader, context.now());
+            return self.readers.failed(reader, context.now());
         };
         let left = stale.saturating_sub(context.now());
         let answer = {
@@ -185,16 +139,16 @@
         };
         match answer {
             Some(answer) => self.take(reader, answer),
-            None => self.relay.failed(reader, context.now()),
+            None => self.readers.failed(reader, context.now()),
         }
     }
 
     /// What is asked of a reader; none when the keeper has ended.
-    async fn question(&mut self, reader: &Arc<str>) -> Option<Question> {
+    async fn question(&mut self, reader: &Arc<str>) -> Option<State> {
         let (reply, known) = oneshot::channel();
         let _ = self.keeper.send(Request::Known { reply });
         let (digest, boxes) = known.await.ok()?;
-        Some(Question {
+        Some(State {
             cursor: self
                 .told
                 .get_mut(reader)
@@ -213,7 +167,7 @@
             compared: before.and_then(|told| told.compared),
         };
         self.told.insert(reader.clone(), told);
-        self.relay.heard(reader, age, self.context.now());
-        let _ = self.keeper.send(Request::Relayed(answer));
+        self.readers.heard(reader, age, self.context.now());
+        let _ = self.keeper.send(Request::Followed(answer));
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,10 +7,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::configuration::{News, PRIMARY, Question};
+use super::configuration::PRIMARY;
 use super::context::Context;
 use super::exchange::{Effect, Exchange, Failure, Reply};
-use super::relay;
+use super::news::{Answer, News, Question, State};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Scan, Verdict, Write};
 use crate::declarations::snapshot::Primary;
@@ -120,10 +120,10 @@
 pub async fn follow(
     context: &Context,
     reader: &str,
-    question: &relay::Question,
+    state: &State,
     wait: Duration,
-) -> Option<relay::Answer> {
-    call(context, reader, FOLLOW, question, wait).await.ok()
+) -> Option<Answer> {
+    call(context, reader, FOLLOW, state, wait).await.ok()
 }
 
 pub async fn boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -8,7 +8,6 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::driver::group_owners;
 use crate::borders::roster::Listing;
 use crate::configs::run::Run;
 use crate::decisions::classify::{Class, classify};
@@ -95,7 +94,7 @@
     let Some(plan) = snapshot.groups.get(group) else {
         return Rc::from([]);
     };
-    let mut owners: Vec<Listing> = group_owners(plan, ranking).into_iter().cloned().collect();
+    let mut owners: Vec<Listing> = ranking.owners_of(plan).into_iter().cloned().collect();
     // Boxes that own nothing of the group spread over its owners.
     let spread = xxh3_64(settings.name.as_bytes()) as usize;
     let turn = spread % owners.len().max(1);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -17,9 +17,9 @@
 use super::context::Context;
 use super::driver::Driver;
 use super::entry::Entry;
+use super::follow;
 use super::owner::Owner;
 use super::pool::Pool;
-use super::relay;
 use super::routes::{Classes, Routes};
 use crate::borders::clock::{Clock, System};
 use crate::borders::member::Members;
@@ -163,8 +163,8 @@
             let _ = api::serve_metrics(registry, metrics).await;
         }));
     }
-    if context.settings.relay {
-        let following = relay::follow(context.clone(), keeper_tx);
+    if context.settings.follow {
+        let following = follow::follow(context.clone(), keeper_tx);
         background.push(tokio::task::spawn_local(following));
     }
     let mut configured = snapshot;
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -13,12 +13,10 @@
 
 use super::upstream::OWN;
 use super::words::position;
-use crate::borders::member::{
-    Address, Bid, Member, MemberError, Members, Order, Role, Status, Stream,
-};
+use crate::borders::member::{Bid, Member, MemberError, Members, Order, Role, Status, Stream};
 use crate::borders::upstream::{ConnectError, Task, Unrun, UpstreamError, Verdict};
 use crate::decisions::position::Position;
-use crate::declarations::resource::Member as Declared;
+use crate::declarations::resource::{Address, Member as Declared};
 use crate::http::{Call, Client};
 use crate::node::pool::Pool;
 
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -120,7 +120,7 @@
             retry_percent: RETRY_PERCENT,
             retry_most: RETRY_MOST,
             duty: true,
-            relay: true,
+            follow: true,
             link_mbps: self.limits.link_mbps as u32,
             ..Run::default()
         }
--- a/src/postgres/entry.rs
+++ b/src/postgres/entry.rs
@@ -26,9 +26,6 @@
 use crate::node::owner::Owner;
 use crate::secret;
 
-/// What callers are told the server is.
-pub const SERVER_VERSION: &str = "15.0 (larkfall)";
-
 type Key = (i32, i32);
 
 /// Takes callers that speak PostgreSQL.
@@ -192,7 +189,7 @@
     ) -> Result<(), ChannelError> {
         let key: Key = (rand::rng().random_range(1..i32::MAX), rand::rng().random());
         channel.queue_back(&Back::Authentication(Authentication::Ok))?;
-        for (name, value) in [("server_version", SERVER_VERSION)]
+        for (name, value) in [("server_version", report::SERVER_VERSION)]
             .into_iter()
             .chain(report::SESSION)
         {
--- a/src/postgres/report.rs
+++ b/src/postgres/report.rs
@@ -4,6 +4,9 @@
 use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
 use pgwire::messages::startup::ParameterStatus;
 
+/// What callers are told the server is.
+pub const SERVER_VERSION: &str = "15.0 (larkfall)";
+
 /// Parameter in which a member reports the position its answers reach.
 pub const POSITION: &str = "larkfall.position";
 /// Parameter in which a box hands the session's token to the caller.
--- a/src/postgres/session.rs
+++ b/src/postgres/session.rs
@@ -338,7 +338,7 @@
                     .token()
                     .map_or(String::new(), Position::token),
             ),
-            "server_version" => Some(super::entry::SERVER_VERSION.to_owned()),
+            "server_version" => Some(report::SERVER_VERSION.to_owned()),
             "transaction.isolation.level" => Some("read committed".to_owned()),
             "standard_conforming_strings" => Some("on".to_owned()),
             _ => None,
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -20,10 +20,8 @@
 use super::faults::{Faults, Gate};
 use super::member::{Batch, Member};
 use crate::borders::member::Bid;
-use crate::borders::member::{
-    Address, Member as Border, MemberError, Members, Order, Status, Stream,
-};
-use crate::declarations::resource::Member as Declared;
+use crate::borders::member::{Member as Border, MemberError, Members, Order, Status, Stream};
+use crate::declarations::resource::{Address, Member as Declared};
 use crate::http::{Client, HttpError};
 
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
--- a/src/standin/member.rs
+++ b/src/standin/member.rs
@@ -15,8 +15,9 @@
 
 use super::engine::{Engine, Fault, Prepared, Verb};
 use super::faults::Gate;
-use crate::borders::member::{Address, MemberError, Role, Status, Stream};
+use crate::borders::member::{MemberError, Role, Status, Stream};
 use crate::decisions::position::Position;
+use crate::declarations::resource::Address;
 
 /// A silent stream is one without a word for this long.
 pub const STREAM_SILENT: Duration = Duration::from_millis(400);
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -8,11 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use larkfall::borders::member::{Address, MemberError, Role, Status, Stream};
+use larkfall::borders::member::{MemberError, Role, Status, Stream};
 use larkfall::decisions::confirm::Outcome;
 use larkfall::decisions::group::{Action, Event, Group, Request, Settings, Target};
 use larkfall::decisions::position::Position;
-use larkfall::declarations::resource::{Durability, Group as GroupSpec, Member as MemberSpec};
+use larkfall::declarations::resource::{
+    Address, Durability, Group as GroupSpec, Member as MemberSpec,
+};
 use larkfall::declarations::snapshot::Plan;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::member::{Address, MemberError, Role, Status, Stream};
+use larkfall::borders::member::{MemberError, Role, Status, Stream};
 use larkfall::decisions::confirm::Outcome;
 use larkfall::decisions::group::{
     Action, Event, Group, Note, Reason, Request, Settings, Target, Via,
 };
 use larkfall::decisions::position::Position;
-use larkfall::declarations::resource::{Durability, Group as Declared, Member};
+use larkfall::declarations::resource::{Address, Durability, Group as Declared, Member};
 use larkfall::declarations::snapshot::Plan;
 use larkfall::platform::settings::decisions;
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -13,6 +13,6 @@
 mod owners;
 mod randomised;
 mod reach;
-mod relay;
+mod readers;
 mod settings;
 mod setup;
