--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -296,6 +296,10 @@
         term: u64,
         member: usize,
     },
+    /// A member's fence is taken back.
+    Released {
+        member: usize,
+    },
     /// A member's report can't be true and was not taken.
     Nonsense {
         member: usize,
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -107,7 +107,10 @@
                     }
                     out.push(Action::Fence { member, term });
                 }
-                Step::Release { member } => out.push(Action::Release { member }),
+                Step::Release { member } => {
+                    out.push(Action::Note(Note::Released { member }));
+                    out.push(Action::Release { member });
+                }
                 Step::Promote { member, term } => out.push(Action::Promote { member, term }),
                 Step::Lost { term } => out.push(Action::Note(Note::Lost { term })),
                 Step::Won { member, term } => self.won(member, term, now, out),
--- a/src/events.rs
+++ b/src/events.rs
@@ -49,6 +49,7 @@
     STATEMENT_LOST = 308, Warning, "a member's answer is not coming; its connection is closed";
     DUTY_TAKEN = 309, Info, "a promotion is ordered under this generation";
     DUTY_ALONE = 310, Warning, "the table gives no answer; the generation follows the last one known";
+    RELEASED = 311, Info, "a fence that no primary followed is taken back";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller broke the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "a write's outcome is unknown";
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -230,6 +230,11 @@
                 &events::TRUSTED,
                 &[("group", id), ("member", &name(*member))],
             ),
+            Note::Released { member } => events::emit(
+                log,
+                &events::RELEASED,
+                &[("group", id), ("member", &name(*member))],
+            ),
             Note::Nonsense { member } => events::emit(
                 log,
                 &events::NONSENSE,
