fix(confirm): an answer that waits is not confirmed by a replica without a fence

Cause, found by reading: the lease no longer takes such a replica as evidence, but an answer that waited without a lease still did, with two looks. A write now waits until another member shows that it received it, a strict read until the term is seen not to have been replaced after it arrived, by the same evidence as the lease's. The stricter test fails on the code before with both outcomes confirmed.

--- a/src/decisions/confirm.rs
+++ b/src/decisions/confirm.rs
@@ -26,13 +26,16 @@
     Holds(Position),
     /// Only that no term above this one was promised.
     Unfenced(u64),
+    /// The same for a write: another member received it, or its term is seen later not
+    /// to have been replaced.
+    Received(Position),
 }
 
 impl Need {
     /// Term in which it must be met.
     pub fn term(self) -> u64 {
         match self {
-            Need::Holds(position) => position.term,
+            Need::Holds(position) | Need::Received(position) => position.term,
             Need::Unfenced(term) => term,
         }
     }
@@ -89,13 +92,16 @@
         waiters.any(|waiter| !waiter.seen.contains(&member))
     }
 
-    /// Takes an observation begun at `began`; tells whose wait it ends.
+    /// Takes an observation begun at `began`; tells whose wait it ends. `vouches` says
+    /// that a member without a fence shows that nobody was promoted, as it does where
+    /// fences do not end.
     pub fn observe(
         &mut self,
         member: usize,
         status: &Status,
         began: Duration,
         majority: usize,
+        vouches: bool,
     ) -> Vec<(u64, Outcome)> {
         let mut ended = Vec::new();
         for (id, waiter) in &mut self.waiters {
@@ -107,10 +113,10 @@
                 continue;
             }
             let holds = match waiter.need {
-                Need::Holds(position) => {
+                Need::Holds(position) | Need::Received(position) => {
                     status.log.term == position.term && status.log.index >= position.index
                 }
-                Need::Unfenced(_) => true,
+                Need::Unfenced(_) => vouches,
             };
             if holds {
                 waiter.seen.insert(member);
@@ -128,7 +134,16 @@
     /// Ends the waits that need no more than that `term` was not replaced, which the
     /// lease says.
     pub fn leased(&mut self, term: u64) -> Vec<(u64, Outcome)> {
-        let met = |waiter: &Waiter| waiter.need == Need::Unfenced(term);
+        self.unreplaced(term, Duration::MAX)
+    }
+
+    /// Ends the waits that began by a moment at which `term` had not been replaced, and
+    /// need no more than that.
+    pub fn unreplaced(&mut self, term: u64, moment: Duration) -> Vec<(u64, Outcome)> {
+        let met = |waiter: &Waiter| {
+            let enough = !matches!(waiter.need, Need::Holds(_));
+            enough && waiter.need.term() == term && waiter.since <= moment
+        };
         let ended: Vec<u64> = self
             .waiters
             .iter()
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -369,7 +369,7 @@
             } => {
                 let need = self.read_need(term, position);
                 let since = match need {
-                    Need::Holds(_) => now,
+                    Need::Holds(_) | Need::Received(_) => now,
                     Need::Unfenced(_) => since,
                 };
                 self.verify(id, need, since, deadline, now, &mut out);
--- a/src/decisions/group/confirming.rs
+++ b/src/decisions/group/confirming.rs
@@ -16,7 +16,7 @@
     ) {
         let alone = self.plan.group.durability != Durability::Majority;
         if alone && !self.settings.replace.lease.is_zero() {
-            return self.wrote_alone(id, member, deadline, now, out);
+            return self.wrote_alone(id, member, position, deadline, now, out);
         }
         let outcome = if alone {
             Some(Outcome::Confirmed)
@@ -41,6 +41,7 @@
         &mut self,
         id: u64,
         member: usize,
+        position: Position,
         deadline: Duration,
         now: Duration,
         out: &mut Vec<Action>,
@@ -54,8 +55,9 @@
         if Self::settle_now(id, outcome, out) {
             return;
         }
-        let need = Need::Unfenced(self.replace.term);
-        self.confirm.add(id, need, None, now, deadline);
+        // A primary that has not written yet in its term may show the one before.
+        let need = Need::Received(Position::new(self.replace.term, position.index));
+        self.confirm.add(id, need, Some(member), now, deadline);
         self.want_for_confirmation(now);
     }
 
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -70,7 +70,10 @@
         }
         if self.replace.accepts(member) && !self.is_demoted(member) {
             let majority = self.replace.majority();
-            let ended = self.confirm.observe(member, &status, began, majority);
+            let vouches = !self.settings.replace.fences_end;
+            let ended = self
+                .confirm
+                .observe(member, &status, began, majority, vouches);
             Self::settle(ended, out);
         }
         self.settle_leased(now, out);
@@ -130,10 +133,13 @@
 
     /// Ends the waits that need no more than the lease.
     pub(super) fn settle_leased(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.is_leased(now) {
-            let ended = self.confirm.leased(self.replace.term);
-            Self::settle(ended, out);
-        }
+        let term = self.replace.term;
+        let ended = match (self.is_leased(now), self.verified()) {
+            (true, _) => self.confirm.leased(term),
+            (false, Some(moment)) => self.confirm.unreplaced(term, moment),
+            (false, None) => return,
+        };
+        Self::settle(ended, out);
     }
 
     /// A primary that leads no more vouches for nothing.
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -280,12 +280,31 @@
     bench.report(1, status(Role::Replica, 1, 1, 10));
     bench.write(1);
     expect_that!(bench.outcome(1), none());
+    // Nor do looks that began after the write's answer, nor for a read.
+    let now = bench.now;
+    bench.tell(Event::Verify {
+        id: 2,
+        term: 1,
+        since: now,
+        position: None,
+        deadline: now + ms(700),
+    });
+    bench.report(0, status(Role::Primary, 1, 1, 12));
+    bench.report(1, status(Role::Replica, 1, 1, 10));
+    expect_that!(bench.outcome(1), none());
+    expect_that!(bench.outcome(2), none());
     // What it receives from our primary, it receives while our primary leads.
     bench.now += ms(5);
     bench.report(0, status(Role::Primary, 1, 1, 12));
     bench.report(1, status(Role::Replica, 1, 1, 13));
     bench.report(0, status(Role::Primary, 1, 1, 13));
     expect_that!(bench.outcome(1), some(eq(Outcome::Confirmed)));
+    // Or when the third member is seen not to lead either.
+    for member in [1, 2] {
+        bench.report(member, status(Role::Replica, 1, 1, 13));
+    }
+    bench.report(0, status(Role::Primary, 1, 1, 13));
+    expect_that!(bench.outcome(2), some(eq(Outcome::Confirmed)));
 }
 
 #[gtest]
