fix(control): entries of a later term are none of the one that a member still names

The adapter put the row's term before the entry's number, so the replica passed for one that had received the old primary's write 1.136, and the answer that waited for that went out at 15.506 s. The row's term is now the later of the two.

--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -120,8 +120,8 @@
     }
 }
 
-/// Reads a row of role, term, position received, term held, lag, busy, connections.
-fn report(lines: &str, applied: Option<Position>) -> Result<Status, MemberError> {
+/// Reads a status row: role, term, position received, term held, lag, busy, connections.
+pub fn report(lines: &str, applied: Option<Position>) -> Result<Status, MemberError> {
     let nonsense = || MemberError::Nonsense(lines.to_owned());
     let row = lines.strip_prefix("DATA ").ok_or_else(nonsense)?;
     let words: Vec<&str> = row.split_whitespace().collect();
@@ -137,13 +137,15 @@
     let held: u64 = held.parse().map_err(|_| nonsense())?;
     let received = position(received).unwrap_or_default();
     let applied = applied.unwrap_or_default().index.min(received.index);
+    // A member that follows a term has taken over that term's history, also before the
+    // first entry of it; one that receives a later term's entries before it says so is
+    // none of the earlier term's.
+    let follows = term.max(received.term);
     Ok(Status {
-        promised: term.max(held),
+        promised: follows.max(held),
         role,
-        // A member that follows a term has taken over that term's history, also
-        // before the first entry of it.
-        log: Position::new(term, received.index),
-        applied: Position::new(term, applied),
+        log: Position::new(follows, received.index),
+        applied: Position::new(follows, applied),
         stream: Stream::None,
     })
 }
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -13,6 +13,7 @@
 use larkfall::decisions::position::Position;
 use larkfall::declarations::resource::{Address, Durability, Group as Declared, Member};
 use larkfall::declarations::snapshot::Plan;
+use larkfall::platform::control::report;
 use larkfall::platform::settings::decisions;
 
 use super::fake::ms;
@@ -548,6 +549,17 @@
     expect_that!(bench.asked(|a| matches!(a, Action::Fence { .. })), eq(0));
 }
 
+/// A replica that reached the new primary again received its entries before it named its
+/// term, and passed for one that had received the old primary's last write.
+#[gtest]
+fn entries_of_a_later_term_are_none_of_the_one_that_a_member_still_names() {
+    let row = "DATA replica 1 2.136 0 0 0 8";
+    let found = report(row, Some(Position::new(2, 130))).expect("a status row");
+    expect_that!(found.log, eq(Position::new(2, 136)));
+    expect_that!(found.promised, eq(2));
+    expect_that!(found.applied, eq(Position::new(2, 130)));
+}
+
 /// On cosecha-larkfall-mix-primary_cut-501-26 a primary that was cut off while another
 /// was promoted won the next ballot by its greater log: what had been lost came back.
 #[gtest]
