fix(group): a member that joined and never answered keeps no idle group from being served

Such a member counts now only once it has answered; one that was there when the box began to watch the group counts always, since it may lead beyond a cut.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -70,6 +70,8 @@
     /// Newest moment at which it was seen without a fence. Where fences end with a
     /// promotion this says nothing of the others.
     clear: Option<Duration>,
+    /// It came into the list while this box watched the group.
+    joined: bool,
     /// When it was last told to follow the primary.
     told: Option<Duration>,
     /// Statements at once that its connections allow, as far as was found out.
@@ -99,6 +101,7 @@
             demoted: false,
             kept: None,
             clear: None,
+            joined: false,
             told: None,
             room: capacity,
             widen: now,
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -37,7 +37,8 @@
         }
         for spec in &plan.members {
             if !members.contains(spec) {
-                let member = Member::new(spec.clone(), 1, &self.settings, now);
+                let mut member = Member::new(spec.clone(), 1, &self.settings, now);
+                member.joined = true;
                 self.members.push(member);
                 members.push(spec.clone());
             }
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -265,8 +265,11 @@
     pub(super) fn verified(&self) -> Option<Duration> {
         let member = |i: usize| &self.members[i];
         let clear = |i: usize| member(i).kept.max(member(i).clear);
+        // One that joined and never answered may be no member at all; it must not keep an
+        // idle group from being served.
+        let known = |i: &usize| !member(*i).joined || member(*i).view.is_some();
         // Nothing is less than any moment.
-        let all = self.present().map(clear).min().flatten();
+        let all = self.present().filter(known).map(clear).min().flatten();
         self.majority_kept().max(all)
     }
 
