feat(events): a configuration in force names whom it came from

Cause: event 200 named only the revision. Whether a box had read the operator's declarations itself or knew them from a peer, and as of when, could only be guessed from events of the store around it; the incident's hypotheses (a row that only a peer knew, a box that hears nothing, an older row brought back) differ in just that.

Now: the revision as of which all declarations are known, the count of rows, and table, peer or reader.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -4,6 +4,7 @@
 mod store;
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use super::news::{Answer, Cursor, News, Question, State};
 use super::peers;
 use crate::borders::roster::Listing;
-use crate::borders::table::Scan;
+use crate::borders::table::{Scan, Section};
 use crate::declarations::snapshot::Snapshot;
 use crate::events;
 
@@ -27,6 +28,26 @@
 /// start together, the table answers before any peer does.
 const PEER_AFTER: Duration = Duration::from_millis(600);
 
+/// Where rows came from, as logs name it.
+#[derive(Clone, Debug)]
+enum Origin {
+    Table,
+    /// A box at this address.
+    Peer(Arc<str>),
+    /// A reader of the table, which this box follows.
+    Reader,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Origin::Table => f.write_str("table"),
+            Origin::Peer(address) => write!(f, "peer {address}"),
+            Origin::Reader => f.write_str("reader"),
+        }
+    }
+}
+
 /// What is said to the keeper.
 #[derive(Debug)]
 pub enum Request {
@@ -156,7 +177,7 @@
             rows: answer.rows,
             whole: answer.whole,
         };
-        self.accept(0, scan);
+        self.accept(&Origin::Reader, 0, scan);
         if let Some(boxes) = answer.boxes
             && answer.boxes_revision > self.boxes_revision
         {
@@ -237,7 +258,7 @@
     async fn fetch(&mut self) {
         let since = self.store.revision();
         if let Ok(scan) = self.context.table.scan(since).await {
-            self.accept(since, scan);
+            self.accept(&Origin::Table, since, scan);
         }
     }
 
@@ -268,17 +289,19 @@
     }
 
     /// Puts newer rows in force and tells some peers.
-    fn accept(&mut self, since: u64, scan: Scan) -> bool {
+    fn accept(&mut self, origin: &Origin, since: u64, scan: Scan) -> bool {
         if !self.store.take(since, &scan, &self.context.log) {
             return false;
         }
         let snapshot = Arc::new(self.store.snapshot());
-        let revision = snapshot.revision;
-        events::emit(
-            &self.context.log,
-            &events::CONFIGURED,
-            &[("revision", &revision)],
-        );
+        let known = self.store.whole().get(&Section::Declarations);
+        let fields: [(_, &dyn fmt::Display); 4] = [
+            ("revision", &snapshot.revision),
+            ("declarations", known.unwrap_or(&0)),
+            ("rows", &scan.rows.len()),
+            ("from", origin),
+        ];
+        events::emit(&self.context.log, &events::CONFIGURED, &fields);
         self.snapshot.send_replace(snapshot.clone());
         let _ = self.context.decisions.send(Message::Snapshot(snapshot));
         self.tell_peers(since, scan);
@@ -325,7 +348,8 @@
         if news.scan.head <= self.store.revision() && self.context.table.is_ordered() {
             return;
         }
-        if self.accept(news.since, news.scan) {
+        let origin = Origin::Peer(news.from.clone());
+        if self.accept(&origin, news.since, news.scan) {
             return;
         }
         self.fetch_from(&news.from).await;
@@ -334,7 +358,7 @@
     async fn fetch_from(&mut self, peer: &str) {
         let question = self.question();
         if let Some(scan) = peers::scan(&self.context, peer, &question).await {
-            self.accept(question.since, scan);
+            self.accept(&Origin::Peer(peer.into()), question.since, scan);
         }
     }
 
