test(silence): connections that go silent delay a change too long, known red

Two tests, both red: the waits' lengths taken together (5.1 s of 4.0 s), and a keeper that answers nobody while it waits for a silent peer.

--- a/src/http.rs
+++ b/src/http.rs
@@ -13,10 +13,12 @@
 
 const IDLE: Duration = Duration::from_secs(20);
 /// Time for a new connection: a few ways there and back, and no lost packet.
-const CONNECT_WAIT: Duration = Duration::from_millis(400);
+pub const CONNECT_WAIT: Duration = Duration::from_millis(400);
 /// Rest after which the other end is probed, and time between two probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 const KEEPALIVE_TRIES: u32 = 3;
+/// Time after which an open connection is given up whose other end says nothing more.
+pub const SILENCE: Duration = KEEPALIVE.saturating_mul(1 + KEEPALIVE_TRIES);
 
 /// Why a call has no body to show.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -32,7 +32,7 @@
 const BOXES: &str = "box/";
 /// Pause before a source is asked again after an error: at most this, drawn anew
 /// each time, so that boxes do not ask in step after an outage.
-const AGAIN: Duration = Duration::from_millis(700);
+pub const AGAIN: Duration = Duration::from_millis(700);
 /// Time between questions to peers while the store gives no answer.
 const DOWN_POLL: Duration = Duration::from_millis(500);
 
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -1,10 +1,28 @@
 //! Open connections that go silent for good, without a reset, while new ones work.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
+use larkfall::http::{self, Client};
+use larkfall::node::news::Question;
+use larkfall::node::peers;
+use larkfall::platform::table;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 
+use super::boxes::{Place, Process};
 use super::restarts::read_until;
+use super::store::Fault;
 use super::world::{OWN, STRICT, World};
 
+/// Time after which a box on whose connections nothing is wrong any more has to know all
+/// changes: the least that a deployment of the users states.
+const CONTACT: Duration = Duration::from_secs(4);
+/// Questions that a silent peer is asked at most before a test gives up.
+const MOST_QUESTIONS: usize = 20;
+/// Far less than a box waits for a peer's answer.
+const WHILE: Duration = Duration::from_millis(100);
+
 #[gtest]
 #[tokio::test]
 async fn a_silent_connection_replaces_nobody_and_its_write_is_not_called_unrun() {
@@ -47,3 +65,59 @@
     }
     expect_that!(world.store.orders(), is_empty());
 }
+
+/// What users saw: a database that had been added four seconds before was refused, on
+/// several boxes at once.
+///
+/// Order of events: all open connections go silent; half a second later a change is
+/// acknowledged; three seconds after that boxes still refuse what it added.
+///
+/// Cause: three waits, one after the other, made the change too late. A silent wait for
+/// changes was given up after 4.0 s; the table was asked again up to 0.7 s later; and then
+/// the keeper of the configuration was itself waiting 0.5 s for a peer, silent as well.
+///
+/// Evidence: on every box the logs have 205 for the operator's rows 4.0 s after the
+/// silence, 206 between 4.2 and 4.7 s, and 200 up to 0.4 s after that, on six boxes within
+/// 15 ms of each other, as their questions to peers ended.
+#[gtest]
+fn a_wait_on_a_silent_connection_is_over_and_asked_again_in_time() {
+    let latest = http::SILENCE + table::AGAIN + http::CONNECT_WAIT;
+    expect_that!(latest, le(CONTACT));
+}
+
+/// The third wait of the story above.
+#[gtest]
+#[tokio::test]
+async fn a_box_that_waits_for_a_silent_peer_goes_on_meanwhile() {
+    let peer = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let world = World::without_boxes().await;
+    world.store.set_fault(Fault::Busy);
+    let mut place = Place::new("box-0", "zone-0", world.store_address);
+    place.seeds = vec![peer.local_addr().expect("bound")];
+    let control = place.control;
+    let _box = Process::start(place);
+    let client = Client::new([127, 0, 0, 1].into());
+    let question = rmp_serde::to_vec(&Question {
+        since: 0,
+        digest: 1,
+    });
+    let question = question.expect("plain data");
+    for _ in 0..MOST_QUESTIONS {
+        let (mut asked, _) = peer.accept().await.expect("a question");
+        let address = control.to_string();
+        let answer = client.post(&address, peers::SCAN, question.clone(), CONTACT);
+        expect_that!(answer.await.is_ok(), eq(true));
+        if is_open_for(&mut asked, WHILE).await {
+            return;
+        }
+    }
+    panic!("the keeper answered only when it waited for no peer");
+}
+
+async fn is_open_for(stream: &mut TcpStream, time: Duration) -> bool {
+    let closed = async {
+        let mut bytes = [0; 1_024];
+        while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
+    };
+    tokio::time::timeout(time, closed).await.is_err()
+}
