fix(silence): a silent connection holds up no change; the keeper waits for no peer

Cause: three waits in a row. A wait for changes on a silent connection was given up after 4.0 s, the table asked again up to 0.7 s later, and by then the keeper of the configuration was waiting for a peer that was silent too, up to 0.4 s more. Ruled out: a change lost between two waits (the first answer after the silence names it), a slow answer of the store (206 and the rows come together).

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -3,12 +3,14 @@
 
 mod store;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::LocalBoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
 use rand::seq::IndexedRandom;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -74,6 +76,16 @@
 
 pub type Sender = mpsc::UnboundedSender<Request>;
 
+/// What a peer has answered; none if it has not.
+enum Heard {
+    Rows {
+        peer: Arc<str>,
+        since: u64,
+        scan: Option<Scan>,
+    },
+    Boxes(Option<Vec<Listing>>),
+}
+
 /// The keeper of the configuration on one box.
 pub struct Keeper {
     context: Rc<Context>,
@@ -89,6 +101,11 @@
     boxes_revision: u64,
     /// Names this start of the box.
     epoch: u64,
+    /// Questions to peers under way. The keeper goes on meanwhile: while it waited for
+    /// them one by one, silent peers held up a change that the table had told by 0.4 s.
+    questions: FuturesUnordered<LocalBoxFuture<'static, Heard>>,
+    /// Peers that are asked for rows now.
+    asked: BTreeSet<Arc<str>>,
 }
 
 impl Keeper {
@@ -109,6 +126,8 @@
             tag: String::new(),
             boxes_revision: 0,
             epoch: rand::random(),
+            questions: FuturesUnordered::new(),
+            asked: BTreeSet::new(),
         }
     }
 
@@ -124,6 +143,7 @@
                         Some(request) => self.take(request).await,
                         None => return,
                     },
+                    Some(heard) = self.questions.next() => self.hear(heard),
                     () = &mut news => break,
                 }
             }
@@ -206,7 +226,7 @@
             Request::Scan { question, reply } => {
                 let _ = reply.send(self.scan(&question));
             }
-            Request::News(news) => self.news(news).await,
+            Request::News(news) => self.news(news),
             Request::Follow { state, reply } => {
                 let _ = reply.send(self.follow(&state));
             }
@@ -235,7 +255,7 @@
             Err(_) => {
                 self.note_table(false);
                 if self.context.now() >= self.down_since + PEER_AFTER {
-                    self.ask_a_peer().await;
+                    self.ask_a_peer();
                 }
             }
         }
@@ -344,7 +364,7 @@
         chosen.cloned().collect()
     }
 
-    async fn news(&mut self, news: News) {
+    fn news(&mut self, news: News) {
         if news.scan.head <= self.store.revision() && self.context.table.is_ordered() {
             return;
         }
@@ -352,31 +372,59 @@
         if self.accept(&origin, news.since, news.scan) {
             return;
         }
-        self.fetch_from(&news.from).await;
+        self.ask_for_rows(news.from);
     }
 
-    async fn fetch_from(&mut self, peer: &str) {
+    /// Asks a peer for rows, unless it is being asked.
+    fn ask_for_rows(&mut self, peer: Arc<str>) {
+        if !self.asked.insert(peer.clone()) {
+            return;
+        }
+        let context = self.context.clone();
         let question = self.question();
-        if let Some(scan) = peers::scan(&self.context, peer, &question).await {
-            self.accept(&Origin::Peer(peer.into()), question.since, scan);
+        let asked = async move {
+            let scan = peers::scan(&context, &peer, &question).await;
+            let since = question.since;
+            Heard::Rows { peer, since, scan }
+        };
+        self.questions.push(Box::pin(asked));
+    }
+
+    fn ask_for_boxes(&mut self, peer: Arc<str>) {
+        let context = self.context.clone();
+        let asked = async move { Heard::Boxes(peers::boxes(&context, &peer).await) };
+        self.questions.push(Box::pin(asked));
+    }
+
+    fn hear(&mut self, heard: Heard) {
+        match heard {
+            Heard::Rows { peer, since, scan } => {
+                self.asked.remove(&peer);
+                if let Some(scan) = scan {
+                    self.accept(&Origin::Peer(peer), since, scan);
+                }
+            }
+            Heard::Boxes(Some(boxes)) if self.boxes.borrow().is_empty() => {
+                self.set_boxes(boxes.into());
+            }
+            Heard::Boxes(_) => {}
         }
     }
 
     /// While the table is down, a peer may know more.
-    async fn ask_a_peer(&mut self) {
+    fn ask_a_peer(&mut self) {
         let own = self.context.own_api_address();
         let seeds = self.context.settings.peers.iter();
         let seeds: Vec<Arc<str>> = seeds.filter(|seed| ***seed != *own).cloned().collect();
         if self.boxes.borrow().is_empty()
             && let Some(seed) = seeds.choose(&mut rand::rng())
+            && !self.asked.contains(seed)
         {
-            if let Some(boxes) = peers::boxes(&self.context, seed).await {
-                self.set_boxes(boxes.into());
-            }
-            self.fetch_from(seed).await;
+            self.ask_for_boxes(seed.clone());
+            self.ask_for_rows(seed.clone());
         }
         for listing in self.some_peers(1) {
-            self.fetch_from(&listing.address).await;
+            self.ask_for_rows(listing.address);
         }
     }
 }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -32,7 +32,10 @@
 const BOXES: &str = "box/";
 /// Pause before a source is asked again after an error: at most this, drawn anew
 /// each time, so that boxes do not ask in step after an outage.
-pub const AGAIN: Duration = Duration::from_millis(700);
+const AGAIN: Duration = Duration::from_millis(700);
+/// The same after the first error: often only the connection is gone, and a change may
+/// have been missed meanwhile.
+pub const FIRST_AGAIN: Duration = Duration::from_millis(200);
 /// Time between questions to peers while the store gives no answer.
 const DOWN_POLL: Duration = Duration::from_millis(500);
 
@@ -135,11 +138,13 @@
                 }
                 Err(StoreError::HistoryGone) => {
                     after = None;
-                    tokio::time::sleep(jittered(AGAIN / 4)).await;
+                    tokio::time::sleep(jittered(FIRST_AGAIN)).await;
                 }
                 Err(error) => {
+                    let first = self.up.borrow().contains(&source);
                     self.note(source, Some(&error));
-                    tokio::time::sleep(jittered(AGAIN)).await;
+                    let most = if first { FIRST_AGAIN } else { AGAIN };
+                    tokio::time::sleep(jittered(most)).await;
                 }
             }
         }
