--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -150,17 +150,6 @@
         }
     }
 
-    /// What a peer does not have yet.
-    fn scan(&self, question: &Question) -> Scan {
-        if question.digest == self.store.digest() {
-            return Scan {
-                head: self.store.revision(),
-                ..Scan::default()
-            };
-        }
-        self.store.scan(question.since)
-    }
-
     /// What a follower does not have yet.
     fn follow(&self, state: &State) -> Answer {
         let cursor = Cursor {
@@ -224,7 +213,7 @@
     async fn take(&mut self, request: Request) {
         match request {
             Request::Scan { question, reply } => {
-                let _ = reply.send(self.scan(&question));
+                let _ = reply.send(self.store.answer(&question));
             }
             Request::News(news) => self.news(news),
             Request::Follow { state, reply } => {
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -17,6 +17,7 @@
 use crate::declarations::snapshot::{Primary, Snapshot, Stored};
 use crate::events;
 use crate::node::duty::DUTY;
+use crate::node::news::Question;
 
 /// A row, and when it was taken.
 struct Known {
@@ -170,6 +171,17 @@
         Ok(())
     }
 
+    /// What a peer does not have yet.
+    pub fn answer(&self, question: &Question) -> Scan {
+        if question.digest == self.digest {
+            return Scan {
+                head: self.revision,
+                ..Scan::default()
+            };
+        }
+        self.scan(question.since)
+    }
+
     pub fn scan(&self, since: u64) -> Scan {
         let rows = self.rows.values().map(|known| &known.row);
         let newer = rows.filter(|row| row.revision > since);
