fix(configuration): what a box has read whole holds against older news

Cause: a row's revision says when whoever told it saw it change, not as of when it holds. Rows were compared by it alone: a removal that a box knew counted as old as itself though the section was read since; a row that a whole section names by an older revision was not taken, for good; and a box that was told that it has the same rows did not learn as of when.

Now a row is news only if it is newer than the last whole reading too; a whole section overrules older rows whatever revision it names; an answer to a box with the same rows says as of when.

--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -80,6 +80,10 @@
     /// one of its rows was removed can't name that row, only leave it out.
     #[serde(default)]
     pub whole: BTreeMap<Section, u64>,
+    /// Digest of the rows of whoever asked, if they are those of whoever answers: then
+    /// `rows` is empty, and `whole` says as of when both know them.
+    #[serde(default)]
+    pub same_as: Option<u64>,
 }
 
 /// Why the table gave no verdict. The commit may have taken effect.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -162,7 +162,7 @@
             true => Vec::new(),
             false => self.store.taken_after(told.map_or(0, |told| told.taken)),
         };
-        let whole = match same || told.is_some() {
+        let whole = match told.is_some() && !same {
             true => BTreeMap::new(),
             false => self.store.whole().clone(),
         };
@@ -173,6 +173,7 @@
             head: self.store.revision(),
             rows,
             whole,
+            same_as: same.then_some(state.digest),
             digest: self.store.digest(),
             boxes: newer.then(|| self.boxes.borrow().to_vec()),
             boxes_revision: self.boxes_revision,
@@ -185,6 +186,7 @@
             head: answer.head,
             rows: answer.rows,
             whole: answer.whole,
+            same_as: answer.same_as,
         };
         self.accept(&Origin::Reader, 0, scan);
         if let Some(boxes) = answer.boxes
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -77,10 +77,13 @@
         if since > self.revision {
             return false;
         }
-        let whole = self.newly_whole(scan);
+        let mut whole = self.newly_whole(&scan.whole);
+        if let Some(digest) = scan.same_as {
+            self.confirm(digest, std::mem::take(&mut whole));
+        }
         let mut news = self.gone(scan, &whole);
-        let newer = scan.rows.iter().filter(|row| self.is_news(row, &whole));
-        news.extend(newer.cloned());
+        let told = scan.rows.iter();
+        news.extend(told.filter_map(|row| self.news(row, &whole)));
         self.whole.extend(whole);
         if scan.head <= self.revision && news.is_empty() {
             return false;
@@ -93,15 +96,26 @@
         true
     }
 
-    /// Sections that a scan knows whole, at least as late as this box does.
-    fn newly_whole(&self, scan: &Scan) -> BTreeMap<Section, u64> {
-        let known = |section: &Section| self.whole.get(section).copied().unwrap_or_default();
-        let whole = scan.whole.iter().map(|(section, at)| (*section, *at));
-        whole
-            .filter(|(section, at)| *at >= known(section))
+    /// Another box has the same rows, and knows sections whole as of these revisions: so
+    /// does this one, unless its rows changed meanwhile.
+    fn confirm(&mut self, digest: u64, whole: BTreeMap<Section, u64>) {
+        if digest == self.digest {
+            self.whole.extend(whole);
+        }
+    }
+
+    /// Those of the sections that another knows whole at least as late as this box does.
+    fn newly_whole(&self, told: &BTreeMap<Section, u64>) -> BTreeMap<Section, u64> {
+        let told = told.iter().map(|(section, at)| (*section, *at));
+        told.filter(|(section, at)| *at >= self.whole_at(*section))
             .collect()
     }
 
+    /// Revision as of which a section is known whole; 0 where it is not.
+    fn whole_at(&self, section: Section) -> u64 {
+        self.whole.get(&section).copied().unwrap_or_default()
+    }
+
     /// Rows that are not there any more, since a section that is known whole lacks them.
     fn gone(&self, scan: &Scan, whole: &BTreeMap<Section, u64>) -> Vec<Row> {
         if whole.is_empty() {
@@ -121,15 +135,28 @@
         self.rows.values().filter_map(gone).collect()
     }
 
-    /// Whether a row is newer than what is known. One that is not known may have been
-    /// removed before its section was read: then it would bring back an older state.
-    fn is_news(&self, row: &Row, whole: &BTreeMap<Section, u64>) -> bool {
-        if let Some(known) = self.rows.get(&row.key) {
-            return row.revision > known.row.revision;
-        }
+    /// A row as it is to be taken, none if it is no news.
+    ///
+    /// A row's revision says when whoever told it saw it change, not as of when it holds:
+    /// a change that was taken back, or a row that came and went, leaves no mark with a box
+    /// that read only before and after. What a section that is known whole says goes
+    /// before older rows, by whatever revision it names them.
+    fn news(&self, row: &Row, whole: &BTreeMap<Section, u64>) -> Option<Row> {
         let section = Section::of(&row.key);
-        let read = self.whole.get(&section).copied().unwrap_or_default();
-        row.revision > read || whole.contains_key(&section)
+        let known = self.rows.get(&row.key).map(|known| &known.row);
+        let newest = known.map_or(0, |known| known.revision);
+        let Some(at) = whole.get(&section) else {
+            let newer = row.revision > newest.max(self.whole_at(section));
+            return newer.then(|| row.clone());
+        };
+        if row.revision > newest {
+            return Some(row.clone());
+        }
+        let overruled = newest < *at && known.is_some_and(|known| known.value != row.value);
+        overruled.then(|| Row {
+            revision: *at,
+            ..row.clone()
+        })
     }
 
     fn put(&mut self, row: Row, log: &Logger) {
@@ -176,6 +203,8 @@
         if question.digest == self.digest {
             return Scan {
                 head: self.revision,
+                whole: self.whole.clone(),
+                same_as: Some(self.digest),
                 ..Scan::default()
             };
         }
@@ -192,6 +221,7 @@
                 0 => self.whole.clone(),
                 _ => BTreeMap::new(),
             },
+            same_as: None,
         }
     }
 
--- a/src/node/news.rs
+++ b/src/node/news.rs
@@ -54,6 +54,8 @@
     pub rows: Vec<Row>,
     /// Sections of which `rows` leaves out nothing, as in a scan.
     pub whole: BTreeMap<Section, u64>,
+    /// The follower's digest if it has the same rows, as in a scan.
+    pub same_as: Option<u64>,
     /// Digest of all the reader's rows.
     pub digest: u64,
     /// The whole list, if it is newer.
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -394,6 +394,7 @@
             head: cache.head,
             rows: rows.cloned().collect(),
             whole: whole.into_iter().map(|s| (s, cache.read[&s])).collect(),
+            same_as: None,
         })
     }
 
