--- /dev/null
+++ b/tests/platform/reading.rs
@@ -0,0 +1,120 @@
+//! What a box takes from the store's tables: no version, row or change is missed.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use larkfall::borders::roster::{Listing, Roster};
+use larkfall::borders::table::{Row, Table};
+use larkfall::http::Client;
+use larkfall::platform::store::Store as Reader;
+use larkfall::platform::table::Mirror;
+use serde_json::json;
+use tokio::task::LocalSet;
+
+use super::store::Store;
+use super::world::manifest;
+
+const PAUSE: Duration = Duration::from_millis(5);
+
+async fn reader(store: &Store) -> Reader {
+    let address = store.start().await;
+    let client = Client::new(address.ip());
+    Reader::new(client, address.to_string().into())
+}
+
+async fn mirror(store: &Store) -> Rc<Mirror> {
+    Mirror::start(
+        reader(store).await,
+        slog::Logger::root(slog::Discard, slog::o!()),
+    )
+}
+
+/// Rows of a mirror as it tells them, until one with this key has come.
+async fn rows_until(mirror: &Mirror, key: &str) -> Vec<Row> {
+    let mut told = Vec::new();
+    loop {
+        told.extend(mirror.scan(0).await.map_or(Vec::new(), |scan| scan.rows));
+        if told.iter().any(|row| *row.key == *key) {
+            return told;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// A row on the first page is changed before the second is read. The version of the last
+/// page is newer than that, so that whoever goes on from there never hears of it.
+#[gtest]
+#[tokio::test]
+async fn a_row_that_changes_while_its_table_is_read_page_by_page_is_told_afterwards() {
+    let store = Store::default();
+    for key in ["a", "b", "c"] {
+        store.put("servers", key, &json!(1));
+    }
+    store.page(1, ("servers", "a", &json!(2)));
+    let reader = reader(&store).await;
+    let read = reader.read("servers").await.unwrap();
+    expect_that!(read.rows.len(), eq(3));
+    let later = reader.changes("servers", read.schema_version, Duration::ZERO);
+    let told = later.await.unwrap().rows.into_iter();
+    let told: Vec<Arc<str>> = told.map(|row| row.tls_key).collect();
+    expect_that!(told, contains(eq(&Arc::<str>::from("a"))));
+}
+
+/// Whoever reads a record in order to replace it names the version of its row.
+#[gtest]
+#[tokio::test]
+async fn a_record_that_is_written_again_unchanged_has_its_new_version() {
+    let store = Store::default();
+    store.put("op", "config", &manifest(3, 3_000));
+    store.put("larkfall", "duty/a", &json!({"holder": "b"}));
+    let check = async {
+        let mirror = mirror(&store).await;
+        let first = rows_until(&mirror, "duty/a").await;
+        store.put("larkfall", "duty/a", &json!({"holder": "b"}));
+        store.put("larkfall", "duty/b", &json!({"holder": "b"}));
+        let later = rows_until(&mirror, "duty/b").await;
+        let version = |rows: &[Row]| {
+            let found = rows.iter().rfind(|row| *row.key == *"duty/a");
+            found.map(|row| row.revision)
+        };
+        expect_that!(version(&later), gt(version(&first)));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+/// A box that reads the list after a removal can't name it; by the newest row alone its
+/// list would pass for older than one that still has the removed box.
+#[gtest]
+#[tokio::test]
+async fn a_list_of_boxes_that_is_read_whole_is_as_new_as_its_reading() {
+    let store = Store::default();
+    let listing = Listing {
+        name: "a".into(),
+        address: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        leaving: false,
+        link_mbps: 10,
+    };
+    let value = serde_json::to_value(&listing).expect("plain data");
+    store.put("larkfall", "box/a", &value);
+    store.put("larkfall", "box/b", &value);
+    let check = async {
+        let older = listed(mirror(&store).await).await;
+        store.put_raw("larkfall", "box/b", None);
+        let newer = listed(mirror(&store).await).await;
+        expect_that!(newer, gt(older));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+/// Revision of the list of boxes once it was read.
+async fn listed(mirror: Rc<Mirror>) -> u64 {
+    loop {
+        match mirror.boxes("").await.expect("it is known") {
+            Some(listed) if !listed.boxes.is_empty() => return listed.revision,
+            _ => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -44,6 +44,18 @@
     fault: Fault,
     /// A table that answers nobody.
     silent: Option<String>,
+    /// Rows of one answer to a reading; none for all.
+    page: Option<usize>,
+    /// A row that is put right after the next page that is not the last.
+    meanwhile: Option<(String, String, Value)>,
+}
+
+impl Rows {
+    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let row = (self.version, value);
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
 }
 
 /// A promotion as it was ordered.
@@ -141,15 +153,18 @@
 
     /// Puts a value that need be no base64, or removes the row.
     pub fn put_raw(&self, table: &str, key: &str, value: Option<String>) {
-        let mut rows = self.rows();
-        rows.version += 1;
-        let version = rows.version;
-        rows.rows
-            .insert((table.to_owned(), key.to_owned()), (version, value));
-        drop(rows);
+        self.rows().put(table, key, value);
         self.changed.notify_waiters();
     }
 
+    /// Has readings take several answers, and a row be put between the first two.
+    pub fn page(&self, size: usize, meanwhile: (&str, &str, &Value)) {
+        let (table, key, value) = meanwhile;
+        let mut rows = self.rows();
+        rows.page = Some(size);
+        rows.meanwhile = Some((table.to_owned(), key.to_owned(), value.clone()));
+    }
+
     /// Forgets all changes up to now.
     pub fn forget_history(&self) {
         let mut rows = self.rows();
@@ -199,6 +214,8 @@
 struct Asked {
     table: String,
     #[serde(default)]
+    from: String,
+    #[serde(default)]
     after: u64,
     #[serde(default)]
     wait_ms: u64,
@@ -208,11 +225,20 @@
     if let Some(refusal) = store.gate(&asked.table).await {
         return refusal;
     }
-    let rows = store.rows();
+    let mut rows = store.rows();
     let found = rows.rows.iter();
-    let found = found.filter(|((table, _), (_, value))| *table == asked.table && value.is_some());
-    let found: Vec<Value> = found.map(|((_, key), known)| row(key, known)).collect();
-    Json(json!({"rows": found, "has_more": false, "schema_version": rows.version})).into_response()
+    let found = found.filter(|((table, key), (_, value))| {
+        *table == asked.table && *key >= asked.from && value.is_some()
+    });
+    let mut found: Vec<Value> = found.map(|((_, key), known)| row(key, known)).collect();
+    let size = rows.page.unwrap_or(usize::MAX);
+    let more = found.len() > size;
+    found.truncate(size);
+    let page = json!({"rows": found, "has_more": more, "schema_version": rows.version});
+    if more && let Some((table, key, value)) = rows.meanwhile.take() {
+        rows.put(&table, &key, Some(BASE64.encode(value.to_string())));
+    }
+    Json(page).into_response()
 }
 
 async fn feed(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
