fix(platform): pages, unchanged records and lists read whole lose no version

Cause: the version of a reading was that of its last page, though rows on earlier pages may have changed before it; a value that stayed as it was kept the revision of its first row, also in records whose writers have to name it; a list of boxes took its revision from its newest row alone.

Now a reading goes by its first page, a record has its row's own version, and a list of boxes that is read whole is as new as the reading.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -118,23 +118,25 @@
         Self { client, address }
     }
 
-    /// All rows of a table, and the version they were read at.
+    /// All rows of a table, and a version up to which they are known: that of the first
+    /// page. What changed while further pages were read is newer than that, so that
+    /// whoever asks for later changes is told of it.
     pub async fn read(&self, table: &str) -> Result<Rows, StoreError> {
-        let mut all: Vec<Row> = Vec::new();
-        loop {
-            let from = all.last().map(|row| after(&row.tls_key));
-            let from = from.map_or(String::new(), |key| format!("&from={key}"));
-            let path = format!("/v1/rows-get?table={table}&part={from}");
-            let page: Rows = decode(&self.get(&path, CALL_WAIT).await?)?;
-            all.extend(page.rows);
-            if !page.has_more {
-                return Ok(Rows {
-                    rows: all,
-                    has_more: false,
-                    schema_version: page.schema_version,
-                });
-            }
+        let mut all = self.page(table, None).await?;
+        while all.has_more {
+            let page = self.page(table, all.rows.last()).await?;
+            all.has_more = page.has_more && !page.rows.is_empty();
+            all.rows.extend(page.rows);
         }
+        Ok(all)
+    }
+
+    /// Rows of a table behind one of them, as many as the store tells at once.
+    async fn page(&self, table: &str, last: Option<&Row>) -> Result<Rows, StoreError> {
+        let from = last.map(|row| format!("&from={}", after(&row.tls_key)));
+        let from = from.unwrap_or_default();
+        let path = format!("/v1/rows-get?table={table}&part={from}");
+        decode(&self.get(&path, CALL_WAIT).await?)
     }
 
     /// Rows of a table that changed after a version, as soon as there is one, or
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -214,6 +214,10 @@
                 changed = true;
                 self.put(&mut cache, source, &key, rows.schema_version, None);
             }
+            if source == Source::Own {
+                // A box that was removed before has no row that could say so.
+                cache.roster = cache.roster.max(rows.schema_version);
+            }
         }
         let read = cache.read.entry(source.section()).or_default();
         *read = rows.schema_version.max(*read);
@@ -331,7 +335,8 @@
             return;
         }
         match value.map(serde_json::from_slice::<Value>).transpose() {
-            Ok(value) => set(cache, key.clone(), version, value),
+            // Unchanged too: whoever replaces a record names the version of its row.
+            Ok(value) => put_row(cache, key.clone(), version, value),
             Err(error) => self.bad_row(key, &error),
         }
     }
@@ -350,6 +355,10 @@
     }
     // Two rows of the store may declare one row of the product in turn.
     let revision = known.map_or(revision, |row| revision.max(row.revision + 1));
+    put_row(cache, key, revision, value);
+}
+
+fn put_row(cache: &mut Cache, key: Arc<str>, revision: u64, value: Option<Value>) {
     cache.fresh.insert(key.clone());
     let row = Row {
         key: key.clone(),
