refactor(platform): the cache of the store's rows in a file of its own

The head follows from what was read, a scan walks all rows only where a section is told whole, and manifest and members replace their rows in one way.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -173,11 +173,11 @@
             head: self.store.revision(),
             rows,
             whole,
-            same_as: same.then_some(state.digest),
             digest: self.store.digest(),
             boxes: newer.then(|| self.boxes.borrow().to_vec()),
             boxes_revision: self.boxes_revision,
             heard_ms: heard.map(|age| age.as_millis() as u64),
+            same_as: same.then_some(state.digest),
         }
     }
 
--- a/src/node/news.rs
+++ b/src/node/news.rs
@@ -54,8 +54,6 @@
     pub rows: Vec<Row>,
     /// Sections of which `rows` leaves out nothing, as in a scan.
     pub whole: BTreeMap<Section, u64>,
-    /// The follower's digest if it has the same rows, as in a scan.
-    pub same_as: Option<u64>,
     /// Digest of all the reader's rows.
     pub digest: u64,
     /// The whole list, if it is newer.
@@ -63,6 +61,9 @@
     pub boxes_revision: u64,
     /// Milliseconds since the table last answered the reader; none when it does not.
     pub heard_ms: Option<u64>,
+    /// The follower's digest if it has the same rows, as in a scan.
+    #[serde(default)]
+    pub same_as: Option<u64>,
 }
 
 impl Answer {
--- /dev/null
+++ b/src/platform/table/cache.rs
@@ -0,0 +1,251 @@
+//! What is known of the store, as it stands there and in the product's words.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde_json::Value;
+use slog::Logger;
+
+use super::source::Source;
+use crate::borders::roster::{Listing, Tagged};
+use crate::borders::table::{RESOURCE, Row, Scan, Section};
+use crate::events;
+use crate::platform::manifest::{Declarations, Manifest};
+use crate::platform::members;
+use crate::platform::store::{Row as Raw, Rows};
+
+/// Prefix of our own rows that list the boxes.
+pub const BOXES: &str = "box/";
+/// Key of the manifest.
+const MANIFEST: &str = "config";
+
+/// All rows that were read, and those that are still to be told.
+pub struct Cache {
+    log: Logger,
+    /// Raw values by source and key, with the version that wrote them.
+    raw: BTreeMap<(Source, Arc<str>), (u64, Vec<u8>)>,
+    /// The same in the product's words.
+    rows: BTreeMap<Arc<str>, Row>,
+    /// Keys of product rows that changed since they were last told.
+    fresh: BTreeSet<Arc<str>>,
+    /// Sections to be told whole the next time.
+    whole: BTreeSet<Section>,
+    /// Versions up to which sections are known.
+    read: BTreeMap<Section, u64>,
+    boxes: BTreeMap<Arc<str>, Listing>,
+    /// Version as of which the list of boxes is known.
+    roster: u64,
+}
+
+impl Cache {
+    pub fn new(log: Logger) -> Self {
+        Self {
+            log,
+            raw: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            fresh: BTreeSet::new(),
+            whole: BTreeSet::new(),
+            read: BTreeMap::new(),
+            boxes: BTreeMap::new(),
+            roster: 0,
+        }
+    }
+
+    /// The newest version that is known of any section.
+    pub fn head(&self) -> u64 {
+        self.read.values().copied().max().unwrap_or_default()
+    }
+
+    /// What was not told yet; none before the manifest is known.
+    pub fn tell(&mut self) -> Option<Scan> {
+        if !self.raw.contains_key(&(Source::Operator, MANIFEST.into())) {
+            return None;
+        }
+        let whole = std::mem::take(&mut self.whole);
+        let mut told = std::mem::take(&mut self.fresh);
+        if !whole.is_empty() {
+            let keys = self.rows.keys();
+            told.extend(
+                keys.filter(|key| whole.contains(&Section::of(key)))
+                    .cloned(),
+            );
+        }
+        let rows = told.iter().filter_map(|key| self.rows.get(key));
+        Some(Scan {
+            head: self.head(),
+            rows: rows.cloned().collect(),
+            whole: whole.into_iter().map(|s| (s, self.read[&s])).collect(),
+            same_as: None,
+        })
+    }
+
+    /// The list of boxes.
+    pub fn listed(&self) -> Tagged {
+        Tagged {
+            tag: self.roster.to_string(),
+            revision: self.roster,
+            boxes: self.boxes.values().cloned().collect(),
+        }
+    }
+
+    /// Whether a box stands in the list just so.
+    pub fn lists(&self, listing: &Listing) -> bool {
+        self.boxes.get(&listing.name) == Some(listing)
+    }
+
+    /// Takes rows of a source; `whole` says that there are no others. Whether any is news.
+    pub fn take(&mut self, source: Source, rows: Rows, whole: bool) -> bool {
+        let version = rows.schema_version;
+        let listed: BTreeSet<Arc<str>> = rows.rows.iter().map(|r| r.tls_key.clone()).collect();
+        let mut changed = false;
+        for row in rows.rows {
+            changed |= self.take_row(source, row);
+        }
+        if whole {
+            changed |= self.keep_only(source, &listed, version);
+        }
+        let read = self.read.entry(source.section()).or_default();
+        *read = version.max(*read);
+        changed
+    }
+
+    /// Drops what a reading of all rows lacks. Whether there was any.
+    fn keep_only(&mut self, source: Source, listed: &BTreeSet<Arc<str>>, version: u64) -> bool {
+        self.whole.insert(source.section());
+        let gone = |(s, key): &&(Source, Arc<str>)| *s == source && !listed.contains(key);
+        let gone: Vec<_> = self.raw.keys().filter(gone).cloned().collect();
+        for (_, key) in &gone {
+            self.put(source, key, version, None);
+        }
+        if source == Source::Own {
+            // A box that was removed before has no row that could say so.
+            self.roster = self.roster.max(version);
+        }
+        !gone.is_empty()
+    }
+
+    fn take_row(&mut self, source: Source, row: Raw) -> bool {
+        let known = self.raw.get(&(source, row.tls_key.clone()));
+        if known.is_some_and(|(version, _)| *version >= row.schema_version) {
+            return false;
+        }
+        let value = match row.bytes() {
+            Ok(value) => value,
+            Err(error) => {
+                self.bad_row(&row.tls_key, &error);
+                return false;
+            }
+        };
+        self.put(source, &row.tls_key, row.schema_version, value);
+        true
+    }
+
+    fn bad_row(&self, key: &str, error: &dyn std::fmt::Display) {
+        let fields: [(_, &dyn std::fmt::Display); 2] = [("row", &key), ("error", error)];
+        events::emit(&self.log, &events::BAD_ROW, &fields);
+    }
+
+    /// Puts a raw row and renews what it declares.
+    fn put(&mut self, source: Source, key: &Arc<str>, version: u64, value: Option<Vec<u8>>) {
+        let place = (source, key.clone());
+        let known = match &value {
+            Some(bytes) => self.raw.insert(place, (version, bytes.clone())),
+            None => self.raw.remove(&place),
+        };
+        if value.is_none() && known.is_none() {
+            // Others may know the row, and we can't say what it declared.
+            self.whole.insert(source.section());
+        }
+        match source {
+            Source::Operator => self.put_manifest(),
+            Source::Members => self.put_member(key, version, value.as_deref()),
+            Source::Own => self.put_own(key, version, value.as_deref()),
+        }
+    }
+
+    fn put_manifest(&mut self) {
+        let Some((version, bytes)) = self.raw.get(&(Source::Operator, MANIFEST.into())) else {
+            return;
+        };
+        let version = *version;
+        let manifest = match Manifest::parse(bytes) {
+            Ok(manifest) => manifest,
+            Err(error) => return self.bad_row(MANIFEST, &error),
+        };
+        self.whole.insert(Section::Declarations);
+        let declared = |key: &str| Section::of(key) == Section::Declarations;
+        self.declare(declared, rows_of(manifest.declarations()), version);
+    }
+
+    fn put_member(&mut self, id: &Arc<str>, version: u64, value: Option<&[u8]>) {
+        let entry = value.map(|bytes| members::declaration(id, bytes));
+        let declared = match entry.transpose() {
+            Ok(declared) => rows_of(declared.into_iter().collect()),
+            Err(error) => return self.bad_row(id, &error),
+        };
+        let suffix = format!(".{id}");
+        let own = |key: &str| Section::of(key) == Section::Members && key.ends_with(&suffix);
+        self.declare(own, declared, version);
+    }
+
+    /// Replaces the product rows that a raw row declares.
+    fn declare(
+        &mut self,
+        own: impl Fn(&str) -> bool,
+        declared: BTreeMap<Arc<str>, Value>,
+        version: u64,
+    ) {
+        let gone = |key: &&Arc<str>| own(key) && !declared.contains_key(*key);
+        let gone: Vec<Arc<str>> = self.rows.keys().filter(gone).cloned().collect();
+        for key in gone {
+            self.set(key, version, None);
+        }
+        for (key, value) in declared {
+            self.set(key, version, Some(value));
+        }
+    }
+
+    fn put_own(&mut self, key: &Arc<str>, version: u64, value: Option<&[u8]>) {
+        if let Some(name) = key.strip_prefix(BOXES) {
+            self.roster = self.roster.max(version);
+            self.boxes.remove(name);
+            let listing = value.map(serde_json::from_slice::<Listing>).transpose();
+            match listing {
+                Ok(listing) => self.boxes.extend(listing.map(|l| (Arc::from(name), l))),
+                Err(error) => self.bad_row(key, &error),
+            }
+            return;
+        }
+        match value.map(serde_json::from_slice::<Value>).transpose() {
+            // Unchanged too: whoever replaces a record names the version of its row.
+            Ok(value) => self.put_row(key.clone(), version, value),
+            Err(error) => self.bad_row(key, &error),
+        }
+    }
+
+    /// Sets a product row; one that stays as it is keeps its revision.
+    fn set(&mut self, key: Arc<str>, revision: u64, value: Option<Value>) {
+        let known = self.rows.get(&key);
+        if known.is_some_and(|row| row.value == value) {
+            return;
+        }
+        // Two rows of the store may declare one row of the product in turn.
+        let revision = known.map_or(revision, |row| revision.max(row.revision + 1));
+        self.put_row(key, revision, value);
+    }
+
+    fn put_row(&mut self, key: Arc<str>, revision: u64, value: Option<Value>) {
+        self.fresh.insert(key.clone());
+        let row = Row {
+            key: key.clone(),
+            revision,
+            value,
+        };
+        self.rows.insert(key, row);
+    }
+}
+
+fn rows_of(declared: Declarations) -> BTreeMap<Arc<str>, Value> {
+    let row = |(key, value)| (Arc::from(format!("{RESOURCE}{key}")), value);
+    declared.into_iter().map(row).collect()
+}
