--- a/src/http.rs
+++ b/src/http.rs
@@ -17,8 +17,8 @@
 /// Rest after which the other end is probed, and time between two probes: whole seconds,
 /// as the kernel counts them.
 const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Probes without an answer. With a third one a wait for changes outlasts by the time of
-/// its retry the four seconds after which a box has to know every change.
+/// Probes without an answer. With a third, a silent wait for changes and its retry would
+/// outlast the four seconds after which a box has to know every change.
 const KEEPALIVE_TRIES: u32 = 2;
 /// Time after which an open connection is given up whose other end says nothing more.
 pub const SILENCE: Duration = KEEPALIVE.saturating_mul(1 + KEEPALIVE_TRIES);
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -101,8 +101,8 @@
     boxes_revision: u64,
     /// Names this start of the box.
     epoch: u64,
-    /// Questions to peers under way. The keeper goes on meanwhile: while it waited for
-    /// them one by one, silent peers held up a change that the table had told by 0.4 s.
+    /// Questions to peers under way. The keeper goes on meanwhile: a wait for a silent peer
+    /// would hold up a change that the table has told, by 0.4 s as seen in logs.
     questions: FuturesUnordered<LocalBoxFuture<'static, Heard>>,
     /// Peers that are asked for rows now.
     asked: BTreeSet<Arc<str>>,
