--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 
 use super::boxes::{Place, Process};
 use super::client::{Answer, Client};
@@ -13,11 +14,17 @@
 /// A database that a later manifest adds.
 const ADDED: &str = "added";
 
-/// Puts a manifest without the strict route.
-pub fn remove_route(world: &World, version: u64) {
-    let mut next = manifest(version, 3_000);
+/// A manifest without the strict route.
+fn without_strict(version: u64, timeout_ms: u64) -> Value {
+    let mut next = manifest(version, timeout_ms);
     let routes = next["routes"].as_array_mut().expect("routes");
     routes.retain(|route| route["hostname"] != STRICT);
+    next
+}
+
+/// Puts a manifest without the strict route.
+pub fn remove_route(world: &World, version: u64) {
+    let next = without_strict(version, 3_000);
     world.store.put("op", "config", &next);
 }
 
@@ -132,9 +139,8 @@
     // Nobody is left who saw it go.
     world.boxes.drain(..2);
     remove_route(&world, 20);
-    let mut next = manifest(24, 2_900);
+    let mut next = without_strict(24, 2_900);
     let routes = next["routes"].as_array_mut().expect("routes");
-    routes.retain(|route| route["hostname"] != STRICT);
     let mut added = routes[0].clone();
     added["hostname"] = ADDED.into();
     routes.push(added);
