feat(events): who told that a member leaves, and from when its time is counted

Cause: a request reached a member 7,031 ms after its word. Event 200 names how many rows came and from whom, but neither which member leaves nor from when a box counts its time, so that a limit that is passed over, a word that is heard late and a request that is let through in time but sent late could be told apart only by what is missing in the logs.

Ruled out: logging in the adapter alone, which does not see what peers tell.

211 names the member, how it departs and who told; 312 the moment from which a leaving primary's time is counted and how many could take over; 313 the moment from which it gets nothing new.

--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -300,6 +300,18 @@
     Released {
         member: usize,
     },
+    /// A leaving primary's time runs since then.
+    LeaveCounted {
+        member: usize,
+        since: Duration,
+        /// Members that could take over.
+        successors: usize,
+    },
+    /// A leaving primary has had all its time.
+    LeaveOver {
+        member: usize,
+        since: Duration,
+    },
     /// A member's report can't be true and was not taken.
     Nonsense {
         member: usize,
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -11,7 +11,7 @@
     pub(super) fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.forget_missing(now, out);
         self.update_suspicions(now, out);
-        let left = self.has_left(now);
+        let left = self.has_left(now, out);
         let doubt = match self.replace.primary {
             Some(primary) if left && !self.members[primary].suspected => Doubt::Left,
             Some(primary) if !self.members[primary].suspected => Doubt::None,
@@ -30,7 +30,7 @@
     }
 
     /// Whether a primary that is declared to leave may be replaced by now.
-    pub(super) fn has_left(&mut self, now: Duration) -> bool {
+    pub(super) fn has_left(&mut self, now: Duration, out: &mut Vec<Action>) -> bool {
         let leader = self
             .replace
             .primary
@@ -42,21 +42,34 @@
         };
         // One that vanished from the list without a word leaves since then.
         let vanished = self.members[primary].missing;
+        let counted = self.leaving.is_some();
         let since = *self.leaving.get_or_insert(vanished.unwrap_or(now));
         let others = self
             .members
             .iter()
             .filter(|m| !m.gone && !m.spec.leaving && !m.suspected);
+        let others = others.count();
+        if !counted {
+            out.push(Action::Note(Note::LeaveCounted {
+                member: primary,
+                since,
+                successors: others,
+            }));
+        }
         // A primary that serves to the end takes the fence itself, and counts.
         let needed = match self.settings.serve_leaving {
             true => 1,
             false => self.replace.majority(),
         };
-        if others.count() < needed {
+        if others < needed {
             // Nobody to hand over to: better a leaving primary than none.
             return false;
         }
-        self.overstayed = now >= since + self.settings.leave_most;
+        let overstayed = now >= since + self.settings.leave_most;
+        if overstayed && !std::mem::replace(&mut self.overstayed, overstayed) {
+            let member = primary;
+            out.push(Action::Note(Note::LeaveOver { member, since }));
+        }
         let patience = self.settings.replace.stagger * self.replace.rank();
         let served = self.settings.serve_leaving;
         let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -1,13 +1,14 @@
 //! All declarations at one revision, as the boxes use them.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::decisions::duty::Duty;
 
-use super::resource::{Database, Group, Key, Member, Once, Partner, Read, Spec};
+use super::resource::{Database, Group, Key, Kind, Member, Once, Partner, Read, Spec};
 
 /// A resource with the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +102,44 @@
     }
 }
 
+impl Snapshot {
+    /// Members that leave or are gone here, and neither in an earlier snapshot.
+    pub fn departed_since<'a>(
+        &'a self,
+        before: &'a Snapshot,
+    ) -> impl Iterator<Item = (&'a Key, Departure)> {
+        let left = self.resources.iter().filter(|(_, stored)| leaves(stored));
+        let left = left.filter(|(key, _)| !before.resources.get(key).is_some_and(leaves));
+        let left = left.map(|(key, _)| (key, Departure::Leaving));
+        let known = before.resources.keys();
+        let gone =
+            known.filter(|key| key.kind == Kind::Member && !self.resources.contains_key(key));
+        left.chain(gone.map(|key| (key, Departure::Unlisted)))
+    }
+}
+
+/// How a member departs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It says so itself.
+    Leaving,
+    /// The list names it no more.
+    Unlisted,
+}
+
+impl fmt::Display for Departure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Departure::Leaving => "leaving",
+            Departure::Unlisted => "not listed",
+        })
+    }
+}
+
+fn leaves(stored: &Stored) -> bool {
+    matches!(&stored.spec, Spec::Member(member) if member.leaving)
+}
+
 fn attach(spec: &Spec, groups: &mut BTreeMap<Arc<str>, Plan>) {
     match spec {
         Spec::Partner(_) | Spec::Group(_) | Spec::Database(_) => {}
--- a/src/events.rs
+++ b/src/events.rs
@@ -38,6 +38,7 @@
     CUT_OFF = 208, Warning, "cut off: a majority of no group is reached";
     REJOINED = 209, Info, "a majority of some group is reached again";
     PACE = 210, Info, "the table is read in another way: not at all, for this box, or for others";
+    MEMBER_LEAVES = 211, Info, "a member leaves or is listed no more";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
@@ -50,6 +51,8 @@
     DUTY_TAKEN = 309, Info, "a promotion is ordered under this generation";
     DUTY_ALONE = 310, Warning, "the table gives no answer; the generation follows the last one known";
     RELEASED = 311, Info, "a fence that no primary followed is taken back";
+    LEAVE_COUNTED = 312, Info, "a leaving primary's time is counted";
+    LEAVE_OVER = 313, Warning, "a leaving primary gets nothing new";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller broke the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "a write's outcome is unknown";
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -296,12 +296,22 @@
             ("from", origin),
         ];
         events::emit(&self.context.log, &events::CONFIGURED, &fields);
+        self.note_leaving(origin, &snapshot);
         self.snapshot.send_replace(snapshot.clone());
         let _ = self.context.decisions.send(Message::Snapshot(snapshot));
         self.tell_peers(since, scan);
         true
     }
 
+    /// Logs whom news declares to leave, or lists no more.
+    fn note_leaving(&self, origin: &Origin, snapshot: &Snapshot) {
+        for (member, how) in snapshot.departed_since(&self.snapshot.borrow()) {
+            let fields: [(_, &dyn fmt::Display); 3] =
+                [("member", &member), ("how", &how), ("from", origin)];
+            events::emit(&self.context.log, &events::MEMBER_LEAVES, &fields);
+        }
+    }
+
     fn tell_peers(&self, since: u64, scan: Scan) {
         if self.context.settings.fanout == 0 {
             return;
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -240,6 +240,29 @@
                 &events::NONSENSE,
                 &[("group", id), ("member", &name(*member))],
             ),
+            Note::LeaveCounted {
+                member,
+                since,
+                successors,
+            } => events::emit(
+                log,
+                &events::LEAVE_COUNTED,
+                &[
+                    ("group", id),
+                    ("member", &name(*member)),
+                    ("ago_ms", &self.ago(*since)),
+                    ("successors", successors),
+                ],
+            ),
+            Note::LeaveOver { member, since } => events::emit(
+                log,
+                &events::LEAVE_OVER,
+                &[
+                    ("group", id),
+                    ("member", &name(*member)),
+                    ("ago_ms", &self.ago(*since)),
+                ],
+            ),
             Note::Fencing { term } => {
                 events::emit(log, &events::FENCING, &[("group", id), ("term", term)]);
             }
@@ -258,4 +281,9 @@
             ),
         }
     }
+
+    /// Milliseconds since a moment of the box's clock.
+    fn ago(&self, since: Duration) -> u128 {
+        self.context.now().saturating_sub(since).as_millis()
+    }
 }
