fix(leaving): a leaving primary's time runs out whoever could take over

Cause: `has_left` looked at how long the primary had been served behind an early return for groups in which nobody could take over, so the last member of a group was sent statements until it ended, 10 s after its word, 7 s being the most.

Each member now has a moment from which it leaves, and its time is ended before anything else is decided, whoever leads. What waits for a turn there is placed again.

Ruled out: looking at the limit above the early return alone. A queued statement would still be sent when its turn comes, an idle group would notice late, and a member that is promoted while it leaves would be counted from its promotion.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -80,6 +80,10 @@
     widen: Duration,
     /// Since when it is missing from the list.
     missing: Option<Duration>,
+    /// Since when it leaves: by its word, or because the list names it no more.
+    departs: Option<Duration>,
+    /// It has had all the time that a leaving member gets.
+    spent: bool,
     /// It is no member any more; its place is kept, since members go by place.
     gone: bool,
 }
@@ -106,6 +110,8 @@
             room: capacity,
             widen: now,
             missing: None,
+            departs: None,
+            spent: false,
             gone: false,
         }
     }
@@ -154,10 +160,8 @@
     waiting: Waiting,
     dice: SmallRng,
     born: Duration,
-    /// Since when the primary is declared to leave.
-    leaving: Option<Duration>,
-    /// It has had all the time that a leaving primary gets.
-    overstayed: bool,
+    /// The leaving primary whose time is counted.
+    leaving: Option<usize>,
     /// What was seen up to then does not count for the lease.
     revoked: Duration,
     /// Those who promote know of this box.
@@ -218,13 +222,13 @@
             dice: SmallRng::seed_from_u64(seed),
             born: now,
             leaving: None,
-            overstayed: false,
             revoked: Duration::ZERO,
             listed: false,
             owners,
             crowd: 1,
             plan,
         };
+        group.note_departures(now);
         group.note_members();
         group.set_periods();
         group.set_owners(owners);
@@ -325,6 +329,8 @@
     /// Handles one event.
     pub fn handle(&mut self, event: Event, now: Duration) -> Vec<Action> {
         let mut out = Vec::new();
+        // First: nothing may be placed by what has run out meanwhile.
+        self.note_spent(now, &mut out);
         match event {
             Event::Tick => {}
             Event::Arrive(request) => self.place(request, now, &mut out),
@@ -461,8 +467,13 @@
             .then(|| self.settings.probe_gap.max(LEAST_LOOK));
         let look = look.zip(self.members.iter().filter_map(|m| m.probed).max());
         let look = look.map(|(gap, probed)| probed + gap);
-        let left = self.leaving.map(|since| since + self.settings.leave_grace);
-        let replace = self.replace.wake().into_iter().chain(left);
+        let departing = self.members.iter().filter(|m| !m.spent && !m.gone);
+        let departs = departing.filter_map(|m| m.departs);
+        let spent = departs.map(|since| since + self.settings.leave_most);
+        let led = self.replace.primary.map(|primary| &self.members[primary]);
+        let left = led.and_then(|primary| primary.departs);
+        let left = left.map(|since| since + self.settings.leave_grace);
+        let replace = self.replace.wake().into_iter().chain(left).chain(spent);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
         let capacity = self.capacity();
         let narrow = self.members.iter().filter(|m| m.room < capacity && !m.gone);
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -48,9 +48,51 @@
             ..Plan::clone(&plan)
         });
         self.set_rooms();
+        self.note_departures(now);
         self.note_members();
     }
 
+    /// Notes since when members leave.
+    pub(super) fn note_departures(&mut self, now: Duration) {
+        for member in &mut self.members {
+            let departs = member.spec.leaving || member.missing.is_some();
+            member.departs = departs.then(|| member.departs.unwrap_or(now));
+            member.spent &= departs;
+        }
+    }
+
+    /// Ends the time of leaving members. It runs out whoever leads and whoever could take
+    /// over: the limit is what callers were promised, and no help in finding a successor.
+    /// Looked at only beside a successor, it let the last member of a group be sent
+    /// statements until it ended, 10 s after its word.
+    pub(super) fn note_spent(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let most = self.settings.leave_most;
+        let primary = self.replace.primary;
+        let mut fresh = false;
+        for (i, member) in self.members.iter_mut().enumerate() {
+            let Some(since) = member.departs.filter(|since| now >= *since + most) else {
+                continue;
+            };
+            if std::mem::replace(&mut member.spent, true) {
+                continue;
+            }
+            fresh = true;
+            if Some(i) == primary {
+                out.push(Action::Note(Note::LeaveOver { member: i, since }));
+            }
+        }
+        if fresh {
+            // What waits for a turn there came in time but would be sent too late.
+            self.requeue(now, out);
+        }
+    }
+
+    /// Members that could take over from a leaving primary.
+    pub(super) fn successors(&self) -> usize {
+        let stays = |member: &&Member| !member.gone && !member.spec.leaving && !member.suspected;
+        self.members.iter().filter(stays).count()
+    }
+
     /// Says among how many boxes the connections are shared.
     pub fn set_owners(&mut self, owners: u32) {
         self.owners = owners;
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -55,6 +55,8 @@
     Overload,
     /// The primary is being replaced.
     Replacement,
+    /// The primary has left, and no member could take over.
+    NoSuccessor,
     /// No majority of the group can be seen from here.
     CutOff,
     /// It did not run where it was sent, and may not be sent again.
@@ -69,6 +71,7 @@
         match self {
             Reason::Overload => "overload",
             Reason::Replacement => "replacement",
+            Reason::NoSuccessor => "no successor",
             Reason::CutOff => "cut off",
             Reason::Retries => "out of retries",
             Reason::Stale => "stale",
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -31,29 +31,19 @@
 
     /// Whether a primary that is declared to leave may be replaced by now.
     pub(super) fn has_left(&mut self, now: Duration, out: &mut Vec<Action>) -> bool {
-        let leader = self
-            .replace
-            .primary
-            .filter(|p| self.members[*p].spec.leaving);
-        let Some(primary) = leader else {
-            self.leaving = None;
-            self.overstayed = false;
+        let leader = self.replace.primary;
+        let leader = leader.filter(|p| self.members[*p].spec.leaving);
+        let since = leader.and_then(|p| self.members[p].departs);
+        let successors = self.successors();
+        let counted = std::mem::replace(&mut self.leaving, leader);
+        let Some((primary, since)) = leader.zip(since) else {
             return false;
         };
-        // One that vanished from the list without a word leaves since then.
-        let vanished = self.members[primary].missing;
-        let counted = self.leaving.is_some();
-        let since = *self.leaving.get_or_insert(vanished.unwrap_or(now));
-        let others = self
-            .members
-            .iter()
-            .filter(|m| !m.gone && !m.spec.leaving && !m.suspected);
-        let others = others.count();
-        if !counted {
+        if counted != leader {
             out.push(Action::Note(Note::LeaveCounted {
                 member: primary,
                 since,
-                successors: others,
+                successors,
             }));
         }
         // A primary that serves to the end takes the fence itself, and counts.
@@ -61,15 +51,10 @@
             true => 1,
             false => self.replace.majority(),
         };
-        if others < needed {
-            // Nobody to hand over to: better a leaving primary than none.
+        if successors < needed {
+            // Nobody to hand over to: better a leaving primary than none, while it has time.
             return false;
         }
-        let overstayed = now >= since + self.settings.leave_most;
-        if overstayed && !std::mem::replace(&mut self.overstayed, overstayed) {
-            let member = primary;
-            out.push(Action::Note(Note::LeaveOver { member, since }));
-        }
         let patience = self.settings.replace.stagger * self.replace.rank();
         let served = self.settings.serve_leaving;
         let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -42,7 +42,7 @@
         let primary = self.replace.primary?;
         let known = &self.members[primary];
         let leaving = match self.settings.serve_leaving {
-            true => self.replace.is_deposing() || self.overstayed,
+            true => self.replace.is_deposing() || known.spent,
             false => known.spec.leaving,
         };
         let fine = !known.suspected && !leaving && self.sees_majority();
@@ -91,6 +91,10 @@
                 ..Refusal::new(Reason::CutOff, self.settings.cut_off_retry)
             });
         }
+        if self.is_last_spent() {
+            let wait = self.settings.cut_off_retry;
+            return Some(Refusal::new(Reason::NoSuccessor, wait));
+        }
         let remaining = self.replace.remaining(now);
         let needed = match self.settings.patient {
             true => PATIENT_END,
@@ -100,6 +104,12 @@
         late.then(|| Refusal::new(Reason::Replacement, remaining))
     }
 
+    /// Whether the primary has left and nobody could lead instead.
+    fn is_last_spent(&self) -> bool {
+        let spent = |primary: usize| self.members[primary].spent;
+        self.replace.primary.is_some_and(spent) && self.successors() == 0
+    }
+
     /// Few owners may be cut off where others are not. Where every box is an owner,
     /// asking them in turn would only pass the load on.
     fn cut_off_via(&self) -> Via {
@@ -217,7 +227,7 @@
         let cost = self.settings.primary_cost?;
         let primary = self.replace.primary?;
         let member = &self.members[primary];
-        let leaves = self.overstayed || (member.spec.leaving && !self.settings.serve_leaving);
+        let leaves = member.spent || (member.spec.leaving && !self.settings.serve_leaving);
         if member.suspected || member.gone || leaves || self.replace.is_deposing() {
             return None;
         }
--- a/src/platform/failure.rs
+++ b/src/platform/failure.rs
@@ -41,7 +41,7 @@
 fn code_of(refusal: &Refusal) -> &'static str {
     match refusal.reason {
         Reason::Overload => code::OVERLOAD,
-        Reason::Retries | Reason::Replacement | Reason::CutOff => code::RETRY,
+        Reason::Retries | Reason::Replacement | Reason::NoSuccessor | Reason::CutOff => code::RETRY,
         Reason::Stale => code::LAGGING,
     }
 }
@@ -51,6 +51,7 @@
         Reason::Overload => "the wait would be too long",
         Reason::Retries => "it did not get through",
         Reason::Replacement => "the primary is being replaced",
+        Reason::NoSuccessor => "the primary has left and no member can take over",
         Reason::CutOff => "too few members can be reached",
         Reason::Stale => "no replica is fresh enough",
     };
--- a/src/postgres/failure.rs
+++ b/src/postgres/failure.rs
@@ -51,6 +51,7 @@
         Reason::Overload => "the expected wait passes its deadline",
         Reason::Retries => "it did not get through",
         Reason::Replacement => "the primary is being replaced",
+        Reason::NoSuccessor => "the primary has left and no member can take over",
         Reason::CutOff => "no majority of the group can be seen from here",
         Reason::Stale => "no member that can be reached is fresh enough for this session",
     };
