test(leaving): a box that starts counts a leaving member's time from its own start, known red

The class of the incident's cause, looked for elsewhere: a bound that runs from a moment elsewhere is counted from when this box heard, started or took over a group. A box that starts 5 s after a member's word serves it for 4.5 s more, 9.5 s in all, where nobody takes over.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod world;
 
 mod hostile;
+mod leaving;
 mod reading;
 mod relay;
 mod replacement;
