fix(leaving): every box counts a leaving member's time from its word

Each box now knows how old a word was when it heard it. The table's adapter says since when its news may have been written: just now, since before a silence (3 s), since an overdue question, or, on the first reading, unknown. Boxes tell each other the ages along with rows; a box that can't tell one asks up to three others. Where nobody can tell, a leaving member gets nothing. A group that is taken over, and a member that is promoted while it leaves, go by the same age. An entry that is listed no more is counted from when that is heard, as before: entries lapse while the store is away, and come back within 2 s.

--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -70,6 +70,10 @@
     }
 }
 
+/// Milliseconds since members said that they leave, by the rows' keys; none where whoever
+/// tells can't tell that.
+pub type Ages = BTreeMap<Arc<str>, Option<u64>>;
+
 /// Rows newer than a revision, in revision order.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Scan {
@@ -84,6 +88,13 @@
     /// `rows` is empty, and `whole` says as of when both know them.
     #[serde(default)]
     pub same_as: Option<u64>,
+    /// Of all members that leave, where a box answers.
+    #[serde(default)]
+    pub ages: Ages,
+    /// Milliseconds since the rows were written, at the most, where the table answers; none
+    /// where it can't tell.
+    #[serde(default)]
+    pub lag_ms: Option<u64>,
 }
 
 /// Why the table gave no verdict. The commit may have taken effect.
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod classify;
 pub mod confirm;
+pub mod departure;
 pub mod detect;
 pub mod duty;
 pub mod fair;
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 
 use super::confirm::{Confirm, Need, Outcome};
+use super::departure::Departure;
 use super::detect::Detector;
 use super::detect::baseline::Baseline;
 use super::duty::Ballot;
@@ -80,8 +81,8 @@
     widen: Duration,
     /// Since when it is missing from the list.
     missing: Option<Duration>,
-    /// Since when it leaves: by its word, or because the list names it no more.
-    departs: Option<Duration>,
+    /// It leaves: by its word, or because the list names it no more.
+    departs: Option<Departure>,
     /// It has had all the time that a leaving member gets.
     spent: bool,
     /// It is no member any more; its place is kept, since members go by place.
@@ -469,10 +470,10 @@
         let look = look.map(|(gap, probed)| probed + gap);
         let departing = self.members.iter().filter(|m| !m.spent && !m.gone);
         let departs = departing.filter_map(|m| m.departs);
-        let spent = departs.map(|since| since + self.settings.leave_most);
+        let spent = departs.map(|departs| departs.due(self.settings.leave_most));
         let led = self.replace.primary.map(|primary| &self.members[primary]);
         let left = led.and_then(|primary| primary.departs);
-        let left = left.map(|since| since + self.settings.leave_grace);
+        let left = left.map(|departs| departs.due(self.settings.leave_grace));
         let replace = self.replace.wake().into_iter().chain(left).chain(spent);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
         let capacity = self.capacity();
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -55,9 +55,13 @@
     /// Notes since when members leave.
     pub(super) fn note_departures(&mut self, now: Duration) {
         for member in &mut self.members {
-            let departs = member.spec.leaving || member.missing.is_some();
-            member.departs = departs.then(|| member.departs.unwrap_or(now));
-            member.spent &= departs;
+            let leaves = member.spec.leaving || member.missing.is_some();
+            let told = self.plan.departures.get(&member.spec.name).copied();
+            let departs = told.or(member.departs);
+            let departs = departs.unwrap_or_else(|| Departure::said(now));
+            member.departs = leaves.then_some(departs);
+            let over = |departs: Departure| now >= departs.due(self.settings.leave_most);
+            member.spent &= member.departs.is_some_and(over);
         }
     }
 
@@ -70,15 +74,15 @@
         let primary = self.replace.primary;
         let mut fresh = false;
         for (i, member) in self.members.iter_mut().enumerate() {
-            let Some(since) = member.departs.filter(|since| now >= *since + most) else {
+            let over = member.departs.filter(|departs| now >= departs.due(most));
+            let Some(departs) = over.filter(|_| !member.spent) else {
                 continue;
             };
-            if std::mem::replace(&mut member.spent, true) {
-                continue;
-            }
+            member.spent = true;
             fresh = true;
             if Some(i) == primary {
-                out.push(Action::Note(Note::LeaveOver { member: i, since }));
+                let age = departs.age(now);
+                out.push(Action::Note(Note::LeaveOver { member: i, age }));
             }
         }
         if fresh {
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -303,17 +303,17 @@
     Released {
         member: usize,
     },
-    /// A leaving primary's time runs since then.
+    /// A leaving primary's time is counted. Its word has this age, where that is known.
     LeaveCounted {
         member: usize,
-        since: Duration,
+        age: Option<Duration>,
         /// Members that could take over.
         successors: usize,
     },
     /// A leaving primary has had all its time.
     LeaveOver {
         member: usize,
-        since: Duration,
+        age: Option<Duration>,
     },
     /// A member's report can't be true and was not taken.
     Nonsense {
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -33,16 +33,16 @@
     pub(super) fn has_left(&mut self, now: Duration, out: &mut Vec<Action>) -> bool {
         let leader = self.replace.primary;
         let leader = leader.filter(|p| self.members[*p].spec.leaving);
-        let since = leader.and_then(|p| self.members[p].departs);
+        let departs = leader.and_then(|p| self.members[p].departs);
         let successors = self.successors();
         let counted = std::mem::replace(&mut self.leaving, leader);
-        let Some((primary, since)) = leader.zip(since) else {
+        let Some((primary, departs)) = leader.zip(departs) else {
             return false;
         };
         if counted != leader {
             out.push(Action::Note(Note::LeaveCounted {
                 member: primary,
-                since,
+                age: departs.age(now),
                 successors,
             }));
         }
@@ -58,8 +58,8 @@
         let patience = self.settings.replace.stagger * self.replace.rank();
         let served = self.settings.serve_leaving;
         let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
-        let due = now >= since + self.settings.leave_grace + patience;
-        (idle && due) || now >= since + self.settings.leave_most + patience
+        let due = now >= departs.due(self.settings.leave_grace) + patience;
+        (idle && due) || now >= departs.due(self.settings.leave_most) + patience
     }
 
     pub(super) fn update_suspicions(&mut self, now: Duration, out: &mut Vec<Action>) {
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -253,7 +253,8 @@
                 continue;
             };
             let follows = status.log.term == self.replace.term && status.role == Role::Replica;
-            if member.gone || member.suspected || member.spec.leaving || !follows {
+            let leaves = member.spec.leaving || member.spent;
+            if member.gone || member.suspected || leaves || !follows {
                 continue;
             }
             let moment = self.history.moment(member.applied.index);
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decisions::departure::Departure;
 use crate::decisions::duty::Duty;
 
 use super::resource::{Database, Group, Key, Kind, Member, Once, Partner, Read, Spec};
@@ -26,6 +27,8 @@
     pub members: Vec<Member>,
     pub reads: Vec<Read>,
     pub onces: Vec<Once>,
+    /// Since when members leave, by name, as far as this box was told.
+    pub departures: BTreeMap<Arc<str>, Departure>,
 }
 
 /// Who leads a group, as last recorded.
@@ -77,6 +80,7 @@
                         members: Vec::new(),
                         reads: Vec::new(),
                         onces: Vec::new(),
+                        departures: BTreeMap::new(),
                     };
                     groups.insert(plan.id.clone(), plan);
                 }
@@ -103,35 +107,57 @@
 }
 
 impl Snapshot {
+    /// Members that are declared to leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &Key> {
+        let leaving = self.resources.iter().filter(|(_, stored)| leaves(stored));
+        leaving.map(|(key, _)| key)
+    }
+
+    /// The same with the times since when members leave.
+    pub fn with_departures(mut self, departures: &BTreeMap<Key, Departure>) -> Self {
+        for (key, departure) in departures {
+            let stored = self.resources.get(key).map(|stored| &stored.spec);
+            let Some(Spec::Member(member)) = stored else {
+                continue;
+            };
+            let group = group_id(&member.partner, &member.group);
+            if let Some(plan) = self.groups.get_mut(&group) {
+                let departures = &mut Arc::make_mut(plan).departures;
+                departures.insert(member.name.clone(), *departure);
+            }
+        }
+        self
+    }
+
     /// Members that leave or are gone here, and neither in an earlier snapshot.
     pub fn departed_since<'a>(
         &'a self,
         before: &'a Snapshot,
-    ) -> impl Iterator<Item = (&'a Key, Departure)> {
-        let left = self.resources.iter().filter(|(_, stored)| leaves(stored));
-        let left = left.filter(|(key, _)| !before.resources.get(key).is_some_and(leaves));
-        let left = left.map(|(key, _)| (key, Departure::Leaving));
+    ) -> impl Iterator<Item = (&'a Key, Manner)> {
+        let left = self.leaving();
+        let left = left.filter(|key| !before.resources.get(key).is_some_and(leaves));
+        let left = left.map(|key| (key, Manner::Leaving));
         let known = before.resources.keys();
         let gone =
             known.filter(|key| key.kind == Kind::Member && !self.resources.contains_key(key));
-        left.chain(gone.map(|key| (key, Departure::Unlisted)))
+        left.chain(gone.map(|key| (key, Manner::Unlisted)))
     }
 }
 
 /// How a member departs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Departure {
+pub enum Manner {
     /// It says so itself.
     Leaving,
     /// The list names it no more.
     Unlisted,
 }
 
-impl fmt::Display for Departure {
+impl fmt::Display for Manner {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Departure::Leaving => "leaving",
-            Departure::Unlisted => "not listed",
+            Manner::Leaving => "leaving",
+            Manner::Unlisted => "not listed",
         })
     }
 }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -1,6 +1,7 @@
 //! Keeps the declarations in force: polls the table's head, fetches what is newer,
 //! and passes news between peers. A box never steps back in revision.
 
+mod departures;
 mod store;
 
 use std::collections::BTreeSet;
@@ -23,12 +24,15 @@
 use crate::declarations::snapshot::Snapshot;
 use crate::events;
 
+pub use departures::Departures;
 pub use store::Store;
 
 pub const PRIMARY: &str = "primary/";
 /// Peers are asked when the table has given no answer for this long: when all boxes
 /// start together, the table answers before any peer does.
 const PEER_AFTER: Duration = Duration::from_millis(600);
+/// Peers that are asked how long ago a member left: one of them may have just started too.
+const PEERS_ASKED: usize = 3;
 
 /// Where rows came from, as logs name it.
 #[derive(Clone, Debug)]
@@ -91,6 +95,9 @@
     context: Rc<Context>,
     inbox: mpsc::UnboundedReceiver<Request>,
     store: Store,
+    departures: Departures,
+    /// When the table was last looked at.
+    looked: Option<Duration>,
     snapshot: watch::Sender<Arc<Snapshot>>,
     boxes: watch::Sender<Arc<[Listing]>>,
     table_up: bool,
@@ -119,6 +126,8 @@
             context,
             inbox,
             store: Store::default(),
+            departures: Departures::default(),
+            looked: None,
             snapshot,
             boxes,
             table_up: true,
@@ -158,6 +167,7 @@
         };
         let told = state.cursor.filter(|told| told.epoch == self.epoch);
         let scan = self.store.follow(state.digest, told.map(|told| told.taken));
+        let scan = self.with_ages(scan);
         let newer = self.boxes_revision > state.boxes;
         let heard = self.context.table.heard();
         Answer {
@@ -198,7 +208,7 @@
     async fn take(&mut self, request: Request) {
         match request {
             Request::Scan { question, reply } => {
-                let _ = reply.send(self.store.answer(&question));
+                let _ = reply.send(self.with_ages(self.store.answer(&question)));
             }
             Request::News(news) => self.news(news),
             Request::Follow { state, reply } => {
@@ -224,7 +234,9 @@
                 if head > self.store.revision() {
                     self.fetch().await;
                 }
+                self.looked = Some(self.context.now());
                 self.read_boxes().await;
+                self.ask_for_ages();
             }
             Err(_) => {
                 self.note_table(false);
@@ -284,10 +296,16 @@
 
     /// Puts newer rows in force and tells some peers.
     fn accept(&mut self, origin: &Origin, since: u64, scan: Scan) -> bool {
+        let now = self.context.now();
         if !self.store.take(since, &scan, &self.context.log) {
+            if self.departures.learn(&scan.ages, now) {
+                self.put_in_force(self.store.snapshot());
+            }
             return false;
         }
-        let snapshot = Arc::new(self.store.snapshot());
+        let snapshot = self.store.snapshot();
+        let lag = self.lag(origin, &scan);
+        self.departures.take(&snapshot, &scan.ages, lag, now);
         let known = self.store.whole().get(&Section::Declarations);
         let fields: [(_, &dyn fmt::Display); 4] = [
             ("revision", &snapshot.revision),
@@ -297,10 +315,45 @@
         ];
         events::emit(&self.context.log, &events::CONFIGURED, &fields);
         self.note_leaving(origin, &snapshot);
+        self.put_in_force(snapshot);
+        self.tell_peers(since, self.with_ages(scan));
+        true
+    }
+
+    fn put_in_force(&self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot.with_departures(self.departures.known()));
         self.snapshot.send_replace(snapshot.clone());
         let _ = self.context.decisions.send(Message::Snapshot(snapshot));
-        self.tell_peers(since, scan);
-        true
+    }
+
+    /// How long ago news was written at the most; none where nobody can tell.
+    fn lag(&self, origin: &Origin, scan: &Scan) -> Option<Duration> {
+        match origin {
+            Origin::Table if self.context.table.is_ordered() => {
+                self.looked.map(|looked| self.context.now() - looked)
+            }
+            Origin::Table => scan.lag_ms.map(Duration::from_millis),
+            // They tell the ages that they know.
+            Origin::Peer(_) | Origin::Reader => None,
+        }
+    }
+
+    fn with_ages(&self, scan: Scan) -> Scan {
+        Scan {
+            ages: self.departures.ages(self.context.now()),
+            ..scan
+        }
+    }
+
+    /// Asks others for how long members have been leaving, where this box can't tell: it
+    /// started after their word.
+    fn ask_for_ages(&mut self) {
+        if !self.departures.has_unknown(self.context.now()) {
+            return;
+        }
+        for listing in self.some_peers(PEERS_ASKED) {
+            self.ask_for_rows(listing.address);
+        }
     }
 
     /// Logs whom news declares to leave, or lists no more.
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -234,7 +234,7 @@
                 0 => self.whole.clone(),
                 _ => BTreeMap::new(),
             },
-            same_as: None,
+            ..Scan::default()
         }
     }
 
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -242,7 +242,7 @@
             ),
             Note::LeaveCounted {
                 member,
-                since,
+                age,
                 successors,
             } => events::emit(
                 log,
@@ -250,17 +250,17 @@
                 &[
                     ("group", id),
                     ("member", &name(*member)),
-                    ("ago_ms", &self.ago(*since)),
+                    ("ago_ms", &in_ms(*age)),
                     ("successors", successors),
                 ],
             ),
-            Note::LeaveOver { member, since } => events::emit(
+            Note::LeaveOver { member, age } => events::emit(
                 log,
                 &events::LEAVE_OVER,
                 &[
                     ("group", id),
                     ("member", &name(*member)),
-                    ("ago_ms", &self.ago(*since)),
+                    ("ago_ms", &in_ms(*age)),
                 ],
             ),
             Note::Fencing { term } => {
@@ -281,9 +281,9 @@
             ),
         }
     }
+}
 
-    /// Milliseconds since a moment of the box's clock.
-    fn ago(&self, since: Duration) -> u128 {
-        self.context.now().saturating_sub(since).as_millis()
-    }
+/// An age in milliseconds, where it is known.
+fn in_ms(age: Option<Duration>) -> String {
+    age.map_or_else(|| "unknown".to_owned(), |age| age.as_millis().to_string())
 }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -2,6 +2,7 @@
 //! and larkfall's own rows, each kept up by a wait for changes.
 
 mod cache;
+mod gap;
 mod source;
 
 use std::cell::{Cell, RefCell};
@@ -20,7 +21,8 @@
 use crate::borders::roster::{Listing, Roster, Tagged};
 use crate::borders::table::{Commit, Pace, Scan, Table, TableError, Verdict};
 use crate::events;
-use cache::{BOXES, Cache};
+use cache::{BOXES, Cache, Written};
+use gap::Gap;
 use source::Source;
 
 /// Pause before a source is asked again after an error: at most this, drawn anew
@@ -68,17 +70,23 @@
 
     async fn keep_up(self: Rc<Self>, source: Source) {
         let mut after = None;
+        let mut gap = Gap::default();
         loop {
+            let before = Instant::now();
             let rested = self.rest().await;
+            if rested {
+                gap.open(before);
+            }
+            // After an error the first answer tells that the store is back, and after a rest
+            // what was missed: it must not wait for a change.
+            let wait = match self.up.borrow().contains(&source) && !rested {
+                true => source.wait(self.pace()),
+                false => Duration::ZERO,
+            };
+            let asked = Instant::now();
             let read = match after {
                 None => self.store.read(source.table()).await,
                 Some(after) => {
-                    // After an error the first answer tells that the store is back, and
-                    // after a rest what was missed: it must not wait for a change.
-                    let wait = match self.up.borrow().contains(&source) && !rested {
-                        true => source.wait(self.pace()),
-                        false => Duration::ZERO,
-                    };
                     let changes = self.store.changes(source.table(), after, wait);
                     tokio::select! {
                         changes = changes => changes,
@@ -97,17 +105,19 @@
                     }
                     let version = rows.schema_version;
                     let news = !rows.rows.is_empty() && after.is_some();
-                    self.take(source, rows, after.is_none());
+                    self.take(source, rows, after.is_none(), gap.close());
                     after = Some(version.max(after.unwrap_or_default()));
                     if news {
                         tokio::time::sleep(source.rest()).await;
                     }
                 }
                 Err(StoreError::HistoryGone) => {
+                    gap.missed(asked, wait);
                     after = None;
                     tokio::time::sleep(jittered(FIRST_AGAIN)).await;
                 }
                 Err(error) => {
+                    gap.missed(asked, wait);
                     let first = self.up.borrow().contains(&source);
                     self.note(source, Some(&error));
                     let most = if first { FIRST_AGAIN } else { AGAIN };
@@ -166,8 +176,8 @@
     }
 
     /// Takes rows of a source; `whole` says that there are no others.
-    fn take(&self, source: Source, rows: Rows, whole: bool) {
-        let changed = self.cache.borrow_mut().take(source, rows, whole);
+    fn take(&self, source: Source, rows: Rows, whole: bool, written: Written) {
+        let changed = self.cache.borrow_mut().take(source, rows, whole, written);
         if changed || whole {
             self.changed.notify_one();
         }
--- a/src/platform/table/cache.rs
+++ b/src/platform/table/cache.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 use slog::Logger;
+use tokio::time::Instant;
 
 use super::source::Source;
 use crate::borders::roster::{Listing, Tagged};
@@ -19,6 +20,14 @@
 /// Key of the manifest.
 const MANIFEST: &str = "config";
 
+/// When news was written, at the earliest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Written {
+    /// Nobody can tell: it stood there when the table was first read.
+    Ever,
+    After(Instant),
+}
+
 /// All rows that were read, and those that are still to be told.
 pub struct Cache {
     log: Logger,
@@ -28,6 +37,8 @@
     rows: BTreeMap<Arc<str>, Row>,
     /// Keys of product rows that changed since they were last told.
     fresh: BTreeSet<Arc<str>>,
+    /// When the members' news among them was written.
+    written: Option<Written>,
     /// Sections to be told whole the next time.
     whole: BTreeSet<Section>,
     /// Versions up to which sections are known.
@@ -44,6 +55,7 @@
             raw: BTreeMap::new(),
             rows: BTreeMap::new(),
             fresh: BTreeSet::new(),
+            written: None,
             whole: BTreeSet::new(),
             read: BTreeMap::new(),
             boxes: BTreeMap::new(),
@@ -75,7 +87,12 @@
             head: self.head(),
             rows: rows.cloned().collect(),
             whole: whole.into_iter().map(|s| (s, self.read[&s])).collect(),
-            same_as: None,
+            lag_ms: match self.written.take() {
+                Some(Written::Ever) => None,
+                Some(Written::After(moment)) => Some(moment.elapsed().as_millis() as u64),
+                None => Some(0),
+            },
+            ..Scan::default()
         })
     }
 
@@ -94,7 +111,7 @@
     }
 
     /// Takes rows of a source; `whole` says that there are no others. Whether any is news.
-    pub fn take(&mut self, source: Source, rows: Rows, whole: bool) -> bool {
+    pub fn take(&mut self, source: Source, rows: Rows, whole: bool, written: Written) -> bool {
         let version = rows.schema_version;
         let listed: BTreeSet<Arc<str>> = rows.rows.iter().map(|r| r.tls_key.clone()).collect();
         let mut changed = false;
@@ -104,6 +121,9 @@
         if whole {
             changed |= self.keep_only(source, &listed, version);
         }
+        if changed && source == Source::Members {
+            self.written = Some(self.written.map_or(written, |known| known.min(written)));
+        }
         let read = self.read.entry(source.section()).or_default();
         *read = version.max(*read);
         changed
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -6,13 +6,14 @@
 
 use googletest::prelude::*;
 use larkfall::borders::roster::{Listing, Roster};
-use larkfall::borders::table::{Row, Table};
-use larkfall::http::Client;
+use larkfall::borders::table::{Row, Scan, Table};
+use larkfall::http::{Client, SILENCE};
 use larkfall::platform::store::Store as Reader;
 use larkfall::platform::table::Mirror;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::task::LocalSet;
 
+use super::proxy::Proxy;
 use super::store::Store;
 use super::world::manifest;
 
@@ -118,3 +119,56 @@
         }
     }
 }
+
+/// A word that a member leaves has the age of the silence behind which it came; one that
+/// stood there before the box started has none.
+#[gtest]
+#[tokio::test]
+async fn what_is_read_tells_how_long_ago_it_may_have_been_written() {
+    let store = Store::default();
+    store.put("op", "config", &manifest(1, 1_000));
+    store.put("servers", "i-0", &entry("draining"));
+    let address = store.start().await;
+    let proxy = Proxy::start(address).await;
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let client = Client::new(proxy.address.ip());
+            let reader = Reader::new(client, proxy.address.to_string().into());
+            let mirror = Mirror::start(reader, slog::Logger::root(slog::Discard, slog::o!()));
+            let first = scan_until(&mirror, "i-0").await;
+            expect_that!(first.lag_ms, none());
+            store.put("servers", "i-1", &entry("draining"));
+            let prompt = scan_until(&mirror, "i-1")
+                .await
+                .lag_ms
+                .map(Duration::from_millis);
+            expect_that!(prompt, some(lt(SILENCE)));
+            proxy.hush();
+            store.put("servers", "i-2", &entry("draining"));
+            let silent = scan_until(&mirror, "i-2")
+                .await
+                .lag_ms
+                .map(Duration::from_millis);
+            expect_that!(silent, some(ge(SILENCE)));
+        })
+        .await;
+}
+
+fn entry(state: &str) -> Value {
+    json!({
+        "backend": "db1", "address": "127.0.0.1:1", "zone": "z", "state": state, "sequence": 1,
+    })
+}
+
+/// What a mirror tells when it tells of a member.
+async fn scan_until(mirror: &Mirror, member: &str) -> Scan {
+    loop {
+        if let Ok(scan) = mirror.scan(0).await
+            && scan.rows.iter().any(|row| row.key.ends_with(member))
+        {
+            return scan;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -1,6 +1,7 @@
 //! The lease that stands for a fence which a primary does not take: decisions of one
 //! group with the settings of the users' platform.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +51,7 @@
         members,
         reads: Vec::new(),
         onces: Vec::new(),
+        departures: BTreeMap::new(),
     })
 }
 
@@ -78,15 +80,21 @@
     /// A group whose members were all looked at, with `rank` among its owners.
     pub fn new(rank: u32) -> Self {
         let members = (0..3).map(|i| member(i, false)).collect();
-        let group = Group::new(plan(members), "d0".into(), rank, settings(), 1, ms(0));
+        let mut bench = Self::with(plan(members), rank, ms(0));
+        bench.look();
+        bench
+    }
+
+    /// A group as a box takes it over.
+    pub fn with(plan: Arc<Plan>, rank: u32, now: Duration) -> Self {
+        let group = Group::new(plan, "d0".into(), rank, settings(), 1, now);
         let mut bench = Self {
             group,
-            now: ms(10),
+            now: now + ms(10),
             actions: Vec::new(),
         };
         bench.group.set_rank(rank, 1);
         bench.tell(Event::Listed { listed: true });
-        bench.look();
         bench
     }
 
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -11,11 +11,19 @@
 //! refused. A box that had heard late would have been alone and would have stopped in time of
 //! its own; a request let through in time and held up on its way would have come alone.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use larkfall::borders::member::Role;
-use larkfall::decisions::group::Action;
+use larkfall::borders::table::{Ages, Row, Scan};
+use larkfall::decisions::departure::Departure;
+use larkfall::decisions::group::{Action, Event, Note};
+use larkfall::declarations::snapshot::Plan;
+use larkfall::node::configuration::{Departures, Store};
+use larkfall::platform::settings::decisions;
+use serde_json::json;
+use slog::Logger;
 
 use super::fake::ms;
 use super::lease::{Bench, member, plan, status};
@@ -79,3 +87,114 @@
     expect_that!(assigned(&bench, 2), eq(false));
     expect_that!(refused(&bench, 2), eq(true));
 }
+
+/// It was counted from when it led.
+#[gtest]
+fn a_member_that_is_promoted_while_it_leaves_gets_no_time_of_its_own() {
+    let mut bench = Bench::new(0);
+    let members = (0..3).map(|i| member(i, true)).collect();
+    bench.group.set_plan(plan(members), bench.now);
+    look_for(&mut bench, ms(4_000));
+    bench.report(1, status(Role::Primary, 2, 2, 11));
+    bench.report(0, status(Role::Replica, 2, 2, 11));
+    bench.report(2, status(Role::Replica, 2, 2, 11));
+    bench.arrive(1);
+    expect_that!(assigned(&bench, 1), eq(true));
+    for _ in 0..50 {
+        bench.now += ms(50);
+        bench.report(1, status(Role::Primary, 2, 2, 11));
+    }
+    bench.arrive(2);
+    expect_that!(assigned(&bench, 2), eq(false));
+}
+
+/// It was counted from when the box took the group over.
+#[gtest]
+fn a_box_that_takes_over_a_group_counts_from_the_members_word() {
+    let now = ms(60_000);
+    let known = [(ms(3_000), true), (ms(6_000), false)];
+    let ages = known.map(|(age, served)| (Some(age), served));
+    for (age, served) in ages.into_iter().chain([(None, false)]) {
+        let plan = plan(vec![member(0, true)]);
+        let departure = Departure::heard(now, age);
+        let departures = [("m0".into(), departure)].into();
+        let plan = Arc::new(Plan {
+            departures,
+            ..Plan::clone(&plan)
+        });
+        let mut bench = Bench::with(plan, 0, now);
+        bench.report(0, status(Role::Primary, 1, 1, 10));
+        bench.arrive(1);
+        expect_that!(assigned(&bench, 1), eq(served), "a word {age:?} old");
+    }
+}
+
+/// What came in time waits for a turn, and would be sent when the time is over.
+#[gtest]
+fn what_waits_for_a_turn_when_the_time_ends_is_not_sent() {
+    let mut bench = last_one_leaves();
+    look_for(&mut bench, ms(4_400));
+    let first = 100;
+    let queued = (first..).find(|id| {
+        bench.arrive(*id);
+        !assigned(&bench, *id)
+    });
+    let queued = queued.expect("a member has no room for all");
+    look_for(&mut bench, ms(200));
+    let took = ms(200);
+    bench.tell(Event::Release { member: 0, took });
+    expect_that!(assigned(&bench, queued), eq(false));
+    expect_that!(refused(&bench, queued), eq(true));
+}
+
+/// Otherwise an idle group would notice with its next look at a member, and place what comes
+/// before that.
+#[gtest]
+fn an_idle_group_wakes_when_a_members_time_is_over() {
+    let mut bench = last_one_leaves();
+    let word = bench.now;
+    let over = |a: &Action| matches!(a, Action::Note(Note::LeaveOver { .. }));
+    while bench.asked(over) == 0 && bench.now < word + MOST {
+        bench.now = bench.group.wake().max(bench.now + ms(1));
+        bench.tell(Event::Tick);
+        if bench.asked(over) == 0 {
+            bench.report(0, status(Role::Primary, 1, 1, 10));
+        }
+    }
+    expect_that!(bench.now, eq(word + decisions().leave_most));
+}
+
+/// A box tells peers and its groups one age, and takes a peer's word where it has none.
+#[gtest]
+fn the_age_of_a_members_word_goes_along_from_box_to_box() {
+    let row = Row {
+        key: "resource/member/p/g.m0".into(),
+        revision: 2,
+        value: Some(json!({
+            "partner": "p", "group": "g", "name": "m0", "sql": "127.0.0.1:1", "control": "127.0.0.1:1",
+            "domain": "d0", "leaving": true,
+        })),
+    };
+    let scan = Scan {
+        head: 2,
+        rows: vec![row.clone()],
+        ..Scan::default()
+    };
+    let mut store = Store::default();
+    store.take(0, &scan, &Logger::root(slog::Discard, slog::o!()));
+    let snapshot = store.snapshot();
+    let mut first = Departures::default();
+    first.take(&snapshot, &Ages::new(), Some(ms(40)), ms(1_000));
+    // It is counted once, whatever is told again later.
+    first.take(&snapshot, &Ages::new(), Some(ms(0)), ms(2_000));
+    let told = first.ages(ms(3_000));
+    expect_that!(told[&row.key], some(eq(2_040)));
+    // This box started after the word, and by its own clock before the word's age.
+    let mut second = Departures::default();
+    second.take(&snapshot, &Ages::new(), None, ms(10));
+    expect_that!(second.has_unknown(ms(10)), eq(true));
+    expect_that!(second.ages(ms(10))[&row.key], none());
+    expect_that!(second.learn(&told, ms(20)), eq(true));
+    expect_that!(second.ages(ms(30))[&row.key], some(eq(2_050)));
+    expect_that!(second.learn(&told, ms(40)), eq(false));
+}
