perf(leaving): a group whose primary leaves rests between its looks

Cause: a group named the moment from which its leaving primary may be replaced as when it wakes, also after that moment, so that the loop ticked every millisecond for as long as the primary was leaving: 2,201 ticks in the 4.5 s of an idle group, counted in virtual time by `leaving::an_idle_group_wakes_when_a_members_time_is_over`; 6 now.

Ruled out: waking by probes alone. Where another box has its turn, nothing else wakes the group when that turn is over; it is looked at again after 50 ms.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -163,6 +163,8 @@
     born: Duration,
     /// The leaving primary whose time is counted.
     leaving: Option<usize>,
+    /// When its replacement is looked at again.
+    hand_over: Option<Duration>,
     /// What was seen up to then does not count for the lease.
     revoked: Duration,
     /// Those who promote know of this box.
@@ -223,6 +225,7 @@
             dice: SmallRng::seed_from_u64(seed),
             born: now,
             leaving: None,
+            hand_over: None,
             revoked: Duration::ZERO,
             listed: false,
             owners,
@@ -471,10 +474,8 @@
         let departing = self.members.iter().filter(|m| !m.spent && !m.gone);
         let departs = departing.filter_map(|m| m.departs);
         let spent = departs.map(|departs| departs.due(self.settings.leave_most));
-        let led = self.replace.primary.map(|primary| &self.members[primary]);
-        let left = led.and_then(|primary| primary.departs);
-        let left = left.map(|departs| departs.due(self.settings.leave_grace));
-        let replace = self.replace.wake().into_iter().chain(left).chain(spent);
+        let replace = self.replace.wake().into_iter();
+        let replace = replace.chain(self.hand_over).chain(spent);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
         let capacity = self.capacity();
         let narrow = self.members.iter().filter(|m| m.room < capacity && !m.gone);
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -7,6 +7,11 @@
 /// A look that takes longer is not waited for: another member is looked at.
 const LOOK_PATIENCE: Duration = Duration::from_millis(120);
 
+/// Pause before the replacement of a leaving primary is looked at again, where another box
+/// has its turn: ticks of 1 ms, as they came for as long as a primary was leaving, took
+/// processor time for nothing.
+const HAND_OVER_AGAIN: Duration = Duration::from_millis(50);
+
 impl Group {
     pub(super) fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.forget_missing(now, out);
@@ -36,6 +41,7 @@
         let departs = leader.and_then(|p| self.members[p].departs);
         let successors = self.successors();
         let counted = std::mem::replace(&mut self.leaving, leader);
+        self.hand_over = None;
         let Some((primary, departs)) = leader.zip(departs) else {
             return false;
         };
@@ -58,8 +64,15 @@
         let patience = self.settings.replace.stagger * self.replace.rank();
         let served = self.settings.serve_leaving;
         let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
-        let due = now >= departs.due(self.settings.leave_grace) + patience;
-        (idle && due) || now >= departs.due(self.settings.leave_most) + patience
+        let due = departs.due(self.settings.leave_grace) + patience;
+        let forced = departs.due(self.settings.leave_most) + patience;
+        let next = [due, forced].into_iter().find(|moment| now < *moment);
+        let left = (idle && now >= due) || now >= forced;
+        self.hand_over = match left {
+            true => self.replace.is_steady().then_some(now + HAND_OVER_AGAIN),
+            false => next,
+        };
+        left
     }
 
     pub(super) fn update_suspicions(&mut self, now: Duration, out: &mut Vec<Action>) {
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -153,15 +153,19 @@
 fn an_idle_group_wakes_when_a_members_time_is_over() {
     let mut bench = last_one_leaves();
     let word = bench.now;
+    let mut ticks = 0;
     let over = |a: &Action| matches!(a, Action::Note(Note::LeaveOver { .. }));
     while bench.asked(over) == 0 && bench.now < word + MOST {
         bench.now = bench.group.wake().max(bench.now + ms(1));
         bench.tell(Event::Tick);
+        ticks += 1;
         if bench.asked(over) == 0 {
             bench.report(0, status(Role::Primary, 1, 1, 10));
         }
     }
     expect_that!(bench.now, eq(word + decisions().leave_most));
+    // 2,201 before it rested between them, 6 since.
+    expect_that!(ticks, le(20));
 }
 
 /// A box tells peers and its groups one age, and takes a peer's word where it has none.
