fix(leaving): a member that is listed no more is counted from before a silence

A box remembers who is listed no more for 60 s.

Ruled out: taking the whole age of the news. After an outage of the store all members whose entries lapsed would be refused at once, though most come back within 2 s.

Test: `leaving::a_member_that_is_listed_no_more_is_counted_from_before_a_silence`; the third of its cases fails where the age counts in full, the second where it counts from when it is heard.

--- a/src/decisions/departure.rs
+++ b/src/decisions/departure.rs
@@ -31,6 +31,18 @@
         Some(self.age? + now.saturating_sub(self.heard))
     }
 
+    /// The same with an age of at most `most`: an entry that is listed no more may only have
+    /// lapsed, and has some time to come back in any case.
+    pub fn at_most(self, most: Duration) -> Self {
+        let age = self.age.map_or(most, |age| age.min(most));
+        Self::heard(self.heard, Some(age))
+    }
+
+    /// Whether it was heard as long ago as that.
+    pub fn was_heard(&self, ago: Duration, now: Duration) -> bool {
+        now >= self.heard + ago
+    }
+
     /// When the word is as old as that: at once where its age can't be told.
     pub fn due(&self, age: Duration) -> Duration {
         let known = self.age.unwrap_or(Duration::MAX);
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -54,13 +54,20 @@
 
     /// Notes since when members leave.
     pub(super) fn note_departures(&mut self, now: Duration) {
+        let most = self.settings.leave_most;
+        let grace = self.settings.missing_grace;
         for member in &mut self.members {
             let leaves = member.spec.leaving || member.missing.is_some();
             let told = self.plan.departures.get(&member.spec.name).copied();
+            // Its entry may only have lapsed.
+            let told = match member.spec.leaving {
+                true => told,
+                false => told.map(|told| told.at_most(most.saturating_sub(grace))),
+            };
             let departs = told.or(member.departs);
             let departs = departs.unwrap_or_else(|| Departure::said(now));
             member.departs = leaves.then_some(departs);
-            let over = |departs: Departure| now >= departs.due(self.settings.leave_most);
+            let over = |departs: Departure| now >= departs.due(most);
             member.spent &= member.departs.is_some_and(over);
         }
     }
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -27,7 +27,7 @@
     pub members: Vec<Member>,
     pub reads: Vec<Read>,
     pub onces: Vec<Once>,
-    /// Since when members leave, by name, as far as this box was told.
+    /// Since when members leave or are listed no more, by name, as far as this box was told.
     pub departures: BTreeMap<Arc<str>, Departure>,
 }
 
@@ -107,23 +107,24 @@
 }
 
 impl Snapshot {
-    /// Members that are declared to leave.
-    pub fn leaving(&self) -> impl Iterator<Item = &Key> {
-        let leaving = self.resources.iter().filter(|(_, stored)| leaves(stored));
-        leaving.map(|(key, _)| key)
+    /// A member, if it is declared.
+    pub fn member(&self, key: &Key) -> Option<&Member> {
+        match &self.resources.get(key)?.spec {
+            Spec::Member(member) => Some(member),
+            _ => None,
+        }
     }
 
     /// The same with the times since when members leave.
-    pub fn with_departures(mut self, departures: &BTreeMap<Key, Departure>) -> Self {
-        for (key, departure) in departures {
-            let stored = self.resources.get(key).map(|stored| &stored.spec);
-            let Some(Spec::Member(member)) = stored else {
-                continue;
-            };
+    pub fn with_departures<'a>(
+        mut self,
+        departures: impl Iterator<Item = (&'a Member, Departure)>,
+    ) -> Self {
+        for (member, departure) in departures {
             let group = group_id(&member.partner, &member.group);
             if let Some(plan) = self.groups.get_mut(&group) {
                 let departures = &mut Arc::make_mut(plan).departures;
-                departures.insert(member.name.clone(), *departure);
+                departures.insert(member.name.clone(), departure);
             }
         }
         self
@@ -134,9 +135,9 @@
         &'a self,
         before: &'a Snapshot,
     ) -> impl Iterator<Item = (&'a Key, Manner)> {
-        let left = self.leaving();
-        let left = left.filter(|key| !before.resources.get(key).is_some_and(leaves));
-        let left = left.map(|key| (key, Manner::Leaving));
+        let left = self.resources.iter().filter(|(_, stored)| leaves(stored));
+        let left = left.filter(|(key, _)| !before.resources.get(key).is_some_and(leaves));
+        let left = left.map(|(key, _)| (key, Manner::Leaving));
         let known = before.resources.keys();
         let gone =
             known.filter(|key| key.kind == Kind::Member && !self.resources.contains_key(key));
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -305,7 +305,9 @@
         }
         let snapshot = self.store.snapshot();
         let lag = self.lag(origin, &scan);
-        self.departures.take(&snapshot, &scan.ages, lag, now);
+        let before = self.snapshot.borrow().clone();
+        let change = (&*before, &snapshot);
+        self.departures.take(change, &scan.ages, lag, now);
         let known = self.store.whole().get(&Section::Declarations);
         let fields: [(_, &dyn fmt::Display); 4] = [
             ("revision", &snapshot.revision),
--- a/src/node/configuration/departures.rs
+++ b/src/node/configuration/departures.rs
@@ -6,40 +6,63 @@
 
 use crate::borders::table::{Ages, RESOURCE};
 use crate::decisions::departure::Departure;
-use crate::declarations::resource::Key;
+use crate::declarations::resource::{Key, Member};
 use crate::declarations::snapshot::Snapshot;
 
-/// Members that are declared to leave, and how long ago they said so.
+/// Time for which a member that is listed no more is remembered: far more than members
+/// serve on.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// Members that leave or are listed no more, and how long ago that was said.
 #[derive(Default)]
 pub struct Departures {
-    known: BTreeMap<Key, Departure>,
+    known: BTreeMap<Key, Departed>,
+}
+
+/// A member that departs.
+#[derive(Clone, Debug)]
+struct Departed {
+    member: Member,
+    departure: Departure,
 }
 
 impl Departures {
-    /// Takes over who leaves by a snapshot. The age of a word that is news is what `told`
-    /// says, or at most `lag`; none where that is not known either.
-    pub fn take(&mut self, snapshot: &Snapshot, told: &Ages, lag: Option<Duration>, now: Duration) {
+    /// Takes over who departs by a snapshot that follows on another. The age of a word that
+    /// is news is what `told` says, or at most `lag`; none where that is not known either.
+    pub fn take(
+        &mut self,
+        (before, snapshot): (&Snapshot, &Snapshot),
+        told: &Ages,
+        lag: Option<Duration>,
+        now: Duration,
+    ) {
         self.learn(told, now);
-        let before = std::mem::take(&mut self.known);
-        let departure = |key: &Key| {
+        let stays = |key: &Key| snapshot.member(key).is_some_and(|member| !member.leaving);
+        self.known.retain(|key, known| {
+            let listed = snapshot.member(key).is_some();
+            !stays(key) && (listed || !known.departure.was_heard(REMEMBERED, now))
+        });
+        for (key, _) in snapshot.departed_since(before) {
             let age = told.get(&row_key(key)).copied();
             let age = age.map_or(lag, |age| age.map(Duration::from_millis));
-            Departure::heard(now, age)
-        };
-        let known = |key: &Key| before.get(key).copied();
-        let leaving = snapshot.leaving();
-        self.known = leaving
-            .map(|key| (key.clone(), known(key).unwrap_or_else(|| departure(key))))
-            .collect();
+            let Some(member) = snapshot.member(key).or(before.member(key)) else {
+                continue;
+            };
+            // A member that leaves, and whose entry goes or lapses later, left when it said so.
+            self.known.entry(key.clone()).or_insert_with(|| Departed {
+                member: member.clone(),
+                departure: Departure::heard(now, age),
+            });
+        }
     }
 
     /// Takes ages that another box has told, where this one has none. Whether any was.
     pub fn learn(&mut self, told: &Ages, now: Duration) -> bool {
         let mut learned = false;
-        for (key, departure) in &mut self.known {
+        for (key, known) in &mut self.known {
             let age = told.get(&row_key(key)).copied().flatten();
-            if departure.age(now).is_none() && age.is_some() {
-                *departure = Departure::heard(now, age.map(Duration::from_millis));
+            if known.departure.age(now).is_none() && age.is_some() {
+                known.departure = Departure::heard(now, age.map(Duration::from_millis));
                 learned = true;
             }
         }
@@ -49,20 +72,22 @@
     /// Whether some age is not known.
     pub fn has_unknown(&self, now: Duration) -> bool {
         let mut known = self.known.values();
-        known.any(|departure| departure.age(now).is_none())
+        known.any(|known| known.departure.age(now).is_none())
     }
 
     /// Ages by row, for a peer.
     pub fn ages(&self, now: Duration) -> Ages {
-        let age = |departure: &Departure| departure.age(now).map(|age| age.as_millis() as u64);
+        let age = |known: &Departed| known.departure.age(now).map(|age| age.as_millis() as u64);
         let known = self.known.iter();
         known
-            .map(|(key, departure)| (row_key(key), age(departure)))
+            .map(|(key, known)| (row_key(key), age(known)))
             .collect()
     }
 
-    pub fn known(&self) -> &BTreeMap<Key, Departure> {
-        &self.known
+    /// Who departs, and since when.
+    pub fn known(&self) -> impl Iterator<Item = (&Member, Departure)> {
+        let known = self.known.values();
+        known.map(|known| (&known.member, known.departure))
     }
 }
 
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -19,7 +19,7 @@
 use larkfall::borders::table::{Ages, Row, Scan};
 use larkfall::decisions::departure::Departure;
 use larkfall::decisions::group::{Action, Event, Note};
-use larkfall::declarations::snapshot::Plan;
+use larkfall::declarations::snapshot::{Plan, Snapshot};
 use larkfall::node::configuration::{Departures, Store};
 use larkfall::platform::settings::decisions;
 use serde_json::json;
@@ -186,19 +186,49 @@
     };
     let mut store = Store::default();
     store.take(0, &scan, &Logger::root(slog::Discard, slog::o!()));
+    let empty = Snapshot::default();
     let snapshot = store.snapshot();
     let mut first = Departures::default();
-    first.take(&snapshot, &Ages::new(), Some(ms(40)), ms(1_000));
+    first.take((&empty, &snapshot), &Ages::new(), Some(ms(40)), ms(1_000));
     // It is counted once, whatever is told again later.
-    first.take(&snapshot, &Ages::new(), Some(ms(0)), ms(2_000));
+    first.take((&empty, &snapshot), &Ages::new(), Some(ms(0)), ms(2_000));
     let told = first.ages(ms(3_000));
     expect_that!(told[&row.key], some(eq(2_040)));
     // This box started after the word, and by its own clock before the word's age.
     let mut second = Departures::default();
-    second.take(&snapshot, &Ages::new(), None, ms(10));
+    second.take((&empty, &snapshot), &Ages::new(), None, ms(10));
     expect_that!(second.has_unknown(ms(10)), eq(true));
     expect_that!(second.ages(ms(10))[&row.key], none());
     expect_that!(second.learn(&told, ms(20)), eq(true));
     expect_that!(second.ages(ms(30))[&row.key], some(eq(2_050)));
     expect_that!(second.learn(&told, ms(40)), eq(false));
 }
+
+/// A member that the list names no more may have only lapsed while the store was away: it is
+/// served for 3 s in any case, and not longer if the news came behind a silence.
+#[gtest]
+fn a_member_that_is_listed_no_more_is_counted_from_before_a_silence() {
+    let known = [
+        (ms(0), ms(4_500)),
+        (ms(500), ms(4_000)),
+        (ms(9_000), ms(3_000)),
+    ];
+    for (age, end) in known {
+        let mut bench = Bench::with(plan(vec![member(0, false)]), 0, ms(0));
+        look_for(&mut bench, ms(1_000));
+        let departure = Departure::heard(bench.now, Some(age));
+        let departures = [("m0".into(), departure)].into();
+        let gone = Arc::new(Plan {
+            departures,
+            ..Plan::clone(&plan(vec![member(1, true)]))
+        });
+        let heard = bench.now;
+        bench.group.set_plan(gone, heard);
+        look_for(&mut bench, end - ms(100));
+        bench.arrive(1);
+        expect_that!(assigned(&bench, 1), eq(true), "a word {age:?} old");
+        look_for(&mut bench, ms(200));
+        bench.arrive(2);
+        expect_that!(assigned(&bench, 2), eq(false), "a word {age:?} old");
+    }
+}
