fix(leaving): a leaving member's time follows the settings file

Cause: the 4.5 s for which a leaving primary is served stood beside a bound of 7 s that the platform states in its settings file, and which was not read: a deployment with 5 s would have been served to its end for too long, with the margin for late news, connections and steps gone.

Ruled out: a smaller margin now that boxes know a word's age. It also covers a connection (0.4 s) and the steps before a statement behind a full queue, which nothing bounds more tightly.

The time is the bound less 2.5 s: 4.5 s as before where it is 7 s, 2.5 s where it is 5 s (`leaving::a_leaving_members_time_follows_the_settings_file`).

--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -9,7 +9,7 @@
 use crate::declarations::finding::Finding;
 use crate::events;
 use crate::node;
-use crate::platform::{file, ports, ready, settings};
+use crate::platform::{file, ports, ready};
 
 /// Runs a box with the settings file at `path`.
 pub async fn run(path: Option<String>, metrics_port: Option<u16>) -> anyhow::Result<Exit> {
@@ -37,7 +37,7 @@
     });
     let mut ports = ports::platform(&file, &run, &log);
     ports.ready = Some(told);
-    let decisions = settings::decisions();
+    let decisions = file.decisions();
     node::run::run(run, decisions, ports, log.clone(), stopped(&log)?).await?;
     Ok(Exit::Done)
 }
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -9,7 +9,9 @@
 
 use serde::Deserialize;
 
+use super::settings;
 use crate::configs::run::Run;
+use crate::decisions::group::Settings;
 use crate::declarations::finding::Finding;
 use crate::events::Format;
 
@@ -72,6 +74,9 @@
 pub struct Bounds {
     /// Seconds between the signal to stop and the kill.
     pub grace_s: f64,
+    /// Milliseconds after its word from which nothing may reach a leaving member.
+    #[serde(default = "drain_ms")]
+    pub drain_ms: f64,
 }
 
 /// A service of the platform.
@@ -81,6 +86,10 @@
     pub address: Arc<str>,
 }
 
+fn drain_ms() -> f64 {
+    settings::DRAIN.as_secs_f64() * 1_000.0
+}
+
 impl File {
     /// Reads and checks the file's text.
     pub fn parse(place: &str, text: &str) -> Result<Self, Vec<Finding>> {
@@ -100,6 +109,13 @@
         self.listen_addrs.control.unwrap_or(own)
     }
 
+    /// Settings of the decisions.
+    pub fn decisions(&self) -> Settings {
+        settings::with_drain(Duration::from_secs_f64(
+            self.bounds.drain_ms.max(0.0) / 1_000.0,
+        ))
+    }
+
     /// The same as settings of a box.
     pub fn run(&self) -> Run {
         let grace = Duration::from_secs_f64(self.bounds.grace_s.max(0.0));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,21 @@
 use crate::decisions::group::Settings;
 use crate::decisions::replace::{Corroboration, Settings as Replace};
 
+/// Time after its word from which nothing may reach a leaving member, where the platform
+/// states no other.
+pub const DRAIN: Duration = Duration::from_secs(7);
+/// Part of it that is not used: for a word that is noticed late (news rests for 0.4 s), a
+/// connection (0.4 s) and the steps that prepare it, behind a full queue.
+const DRAIN_MARGIN: Duration = Duration::from_millis(2_500);
+
+/// The same where leaving members get another time.
+pub fn with_drain(drain: Duration) -> Settings {
+    Settings {
+        leave_most: drain.saturating_sub(DRAIN_MARGIN),
+        ..decisions()
+    }
+}
+
 /// Settings for members that take no fence as primaries and whose statements may wait
 /// behind 24 others. Runs that decided are in docs/DESIGN.md, "On the users' platform".
 pub fn decisions() -> Settings {
@@ -44,8 +59,7 @@
         },
         relaxed: 4,
         leave_grace: Duration::from_millis(100),
-        // A leaving member may get nothing new 7 s after its word.
-        leave_most: Duration::from_millis(4_500),
+        leave_most: DRAIN.saturating_sub(DRAIN_MARGIN),
         probe_gap: Duration::from_millis(20),
         // Each order takes a slot, and a member needs some hundred ms to take over: orders
         // at each look were 50 a second from every box.
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -21,6 +21,7 @@
 use larkfall::decisions::group::{Action, Event, Note};
 use larkfall::declarations::snapshot::{Plan, Snapshot};
 use larkfall::node::configuration::{Departures, Store};
+use larkfall::platform::file::File;
 use larkfall::platform::settings::decisions;
 use serde_json::json;
 use slog::Logger;
@@ -232,3 +233,18 @@
         expect_that!(assigned(&bench, 2), eq(false), "a word {age:?} old");
     }
 }
+
+/// A deployment may give leaving members another time than the usual 7 s.
+#[gtest]
+fn a_leaving_members_time_follows_the_settings_file() {
+    for (bound, most) in [("", ms(4_500)), ("  drain_ms: 5000\n", ms(2_500))] {
+        let text = format!(
+            "node_name: a\nip: 127.0.0.1\nzone: z\nlisten_addrs:\n  front: 127.0.0.1:1\n  \
+             ready: 127.0.0.1:2\ninternal_port_range: [3, 4]\nlimits:\n  max_fds: 1000\n\
+             bounds:\n  grace_s: 4\n{bound}platform:\n  address: 127.0.0.1:5\n\
+             cloud_api:\n  address: 127.0.0.1:6\n"
+        );
+        let file = File::parse("f", &text).expect("a good file");
+        expect_that!(file.decisions().leave_most, eq(most));
+    }
+}
