test(leaving): drawn departures in virtual time, and a box that ends by one, known red

Nothing may be sent to a member 7 s after its word.

It first found another fault: a box ends (`a primary is a member of its group`) when a member that it promotes has been missing from the list for 3 s, or when a late answer of a member that was forgotten says that it leads. Both have a test of their own, red on this code; the search is red by them too.

--- /dev/null
+++ b/tests/unit/departing.rs
@@ -0,0 +1,449 @@
+//! Members that leave, vanish, die and join at drawn moments, before boxes that start, and
+//! that hear late, in virtual time: nothing is sent to a member after its time, whoever leads
+//! and whoever could take over.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use larkfall::borders::member::{MemberError, Role, Status, Stream};
+use larkfall::decisions::departure::Departure;
+use larkfall::decisions::group::{Action, Event, Group, Request, Target};
+use larkfall::decisions::position::Position;
+use larkfall::declarations::snapshot::Plan;
+use larkfall::platform::settings::{DRAIN, decisions};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::fake::ms;
+use super::lease::{member, plan};
+
+const BOXES: usize = 3;
+const STEP: Duration = ms(10);
+const LENGTH: Duration = ms(60_000);
+/// A member ends this long after its word; some serve on for longer.
+const ENDS: std::ops::Range<u64> = 7_500..14_000;
+/// An entry of a dead member is listed for as long.
+const LAPSE: Duration = ms(3_600);
+/// By how much news is late at the most where connections are silent.
+const LATE: u64 = 3_200;
+/// A promotion takes as long.
+const PROMOTION: Duration = ms(300);
+const RUNS: u64 = 400;
+
+struct Fake {
+    alive: bool,
+    listed: bool,
+    /// It said so; an entry may also go without a word.
+    leaving: bool,
+    /// When it said that it leaves, or its entry went.
+    word: Option<Duration>,
+    role: Role,
+    term: u64,
+    held: u64,
+}
+
+impl Fake {
+    fn new(role: Role, term: u64) -> Self {
+        Self {
+            alive: true,
+            listed: true,
+            leaving: false,
+            word: None,
+            role,
+            term,
+            held: 0,
+        }
+    }
+
+    fn status(&self) -> Status {
+        let log = Position::new(self.term, 10);
+        Status {
+            promised: self.term.max(self.held),
+            role: self.role,
+            log,
+            applied: log,
+            stream: Stream::None,
+        }
+    }
+}
+
+enum Due {
+    Tell(usize, Event),
+    /// The list as it is by then reaches a box; news of it is this late at the most.
+    List(usize, Duration),
+    /// A box learns how old the words are.
+    Ages(usize),
+    Lead(usize, usize, u64),
+    End(usize),
+    Lapse(usize),
+}
+
+struct World {
+    now: Duration,
+    dice: SmallRng,
+    due: BTreeMap<(Duration, u64), Due>,
+    next: u64,
+    members: Vec<Fake>,
+    boxes: Vec<Group>,
+    /// What each box knows of words, by member.
+    words: Vec<BTreeMap<usize, Departure>>,
+    claimed: Option<Duration>,
+    /// Statements sent to members that leave, in time and too late.
+    sent: usize,
+    late: Vec<String>,
+    /// Words of members that nobody alive could follow.
+    last: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let replica = || Fake::new(Role::Replica, 1);
+        let mut world = Self {
+            now: ms(0),
+            dice: SmallRng::seed_from_u64(seed),
+            due: BTreeMap::new(),
+            next: 0,
+            members: vec![Fake::new(Role::Primary, 1), replica(), replica()],
+            boxes: Vec::new(),
+            words: vec![BTreeMap::new(); BOXES],
+            claimed: None,
+            sent: 0,
+            late: Vec::new(),
+            last: 0,
+        };
+        for by in 0..BOXES {
+            let group = world.group(by);
+            world.boxes.push(group);
+            world.at(ms(0), Due::Tell(by, Event::Listed { listed: true }));
+        }
+        world
+    }
+
+    /// The plan as a box knows it when it reads the list now.
+    fn plan(&self, by: usize) -> Arc<Plan> {
+        let listed = self.members.iter().enumerate().filter(|(_, m)| m.listed);
+        let listed = listed.map(|(i, m)| member(i, m.leaving)).collect();
+        let words = self.words[by].iter();
+        let departures = words.map(|(i, word)| (format!("m{i}").into(), *word));
+        Arc::new(Plan {
+            departures: departures.collect(),
+            ..Plan::clone(&plan(listed))
+        })
+    }
+
+    fn group(&mut self, by: usize) -> Group {
+        let seed = self.dice.random();
+        let rank = by as u32;
+        let mut group = Group::new(
+            self.plan(by),
+            "d0".into(),
+            rank,
+            decisions(),
+            seed,
+            self.now,
+        );
+        group.set_rank(rank, 1);
+        group
+    }
+
+    fn at(&mut self, after: Duration, due: Due) {
+        self.next += 1;
+        self.due.insert((self.now + after, self.next), due);
+    }
+
+    fn run(&mut self) {
+        while self.now < LENGTH {
+            while let Some(first) = self.due.first_entry()
+                && first.key().0 <= self.now
+            {
+                let due = first.remove();
+                self.take(due);
+            }
+            if self.dice.random_range(0..250) == 0 {
+                self.happen();
+            }
+            for by in 0..BOXES {
+                self.arrive(by);
+            }
+            self.now += STEP;
+        }
+    }
+
+    /// Something happens to a member or a box.
+    fn happen(&mut self) {
+        let members = self.members.iter().enumerate();
+        let staying: Vec<usize> = members
+            .filter(|(_, m)| m.alive && m.listed && !m.leaving)
+            .map(|(i, _)| i)
+            .collect();
+        let Some(chosen) = staying.choose(&mut self.dice).copied() else {
+            return self.join();
+        };
+        match self.dice.random_range(0..8) {
+            0..3 => {
+                self.last += usize::from(staying.len() == 1);
+                self.members[chosen].leaving = true;
+                self.word(chosen);
+            }
+            3 => {
+                self.members[chosen].listed = false;
+                self.word(chosen);
+            }
+            4 => {
+                self.members[chosen].alive = false;
+                self.at(LAPSE, Due::Lapse(chosen));
+            }
+            5 => self.join(),
+            _ => self.restart(),
+        }
+    }
+
+    fn word(&mut self, member: usize) {
+        self.members[member].word = Some(self.now);
+        let ends = ms(self.dice.random_range(ENDS));
+        self.at(ends, Due::End(member));
+        self.tell_list();
+    }
+
+    fn join(&mut self) {
+        let newest = self.members.iter().map(|m| m.term).max();
+        let newest = newest.expect("there were members");
+        self.members.push(Fake::new(Role::Replica, newest));
+        self.tell_list();
+    }
+
+    /// A box starts anew; it learns later, or never, how old the words are.
+    fn restart(&mut self) {
+        let by = self.dice.random_range(0..BOXES);
+        self.words[by].clear();
+        self.hear(by, None);
+        self.boxes[by] = self.group(by);
+        self.due
+            .retain(|_, due| !matches!(due, Due::Tell(to, _) | Due::List(to, _) if *to == by));
+        self.at(ms(0), Due::Tell(by, Event::Listed { listed: true }));
+        if self.dice.random_range(0..3) > 0 {
+            let after = ms(self.dice.random_range(10..400));
+            self.at(after, Due::Ages(by));
+        }
+    }
+
+    fn tell_list(&mut self) {
+        for by in 0..BOXES {
+            let late = match self.dice.random_range(0..6) {
+                0 => ms(self.dice.random_range(100..LATE)),
+                _ => ms(10),
+            };
+            self.at(late, Due::List(by, late));
+        }
+    }
+
+    /// A box hears who departs, by news that is this old at the most.
+    fn hear(&mut self, by: usize, age: Option<Duration>) {
+        let departed = self.members.iter().enumerate();
+        let departed = departed.filter(|(_, m)| m.word.is_some());
+        let departed: Vec<usize> = departed.map(|(i, _)| i).collect();
+        for i in departed {
+            let word = Departure::heard(self.now, age);
+            self.words[by].entry(i).or_insert(word);
+        }
+    }
+
+    fn take(&mut self, due: Due) {
+        match due {
+            Due::Tell(by, event) => self.tell(by, event),
+            Due::List(by, late) => {
+                // What comes behind a silence may be older than it.
+                let age = if late > ms(10) { ms(LATE) } else { ms(0) };
+                self.hear(by, Some(age));
+                self.renew(by);
+            }
+            Due::Ages(by) => {
+                for (i, word) in &mut self.words[by] {
+                    let said = self.members[*i].word.expect("it departs");
+                    *word = Departure::heard(self.now, Some(self.now - said));
+                }
+                self.renew(by);
+            }
+            Due::Lead(by, winner, term) => self.lead(by, winner, term),
+            Due::End(i) => {
+                self.members[i].alive = false;
+                self.members[i].listed = false;
+                self.tell_list();
+            }
+            Due::Lapse(i) => {
+                self.members[i].listed = false;
+                self.members[i].word = self.members[i].word.or(Some(self.now));
+                self.tell_list();
+            }
+        }
+    }
+
+    fn renew(&mut self, by: usize) {
+        let plan = self.plan(by);
+        self.boxes[by].set_plan(plan, self.now);
+        self.tell(by, Event::Tick);
+    }
+
+    fn arrive(&mut self, by: usize) {
+        self.tell(by, Event::Tick);
+        if self.dice.random_range(0..6) > 0 {
+            return;
+        }
+        let target = match self.dice.random_range(0..2) {
+            0 => Target::Primary,
+            _ => Target::Replica { max_age: ms(2_500) },
+        };
+        self.next += 1;
+        let request = Request {
+            id: self.next,
+            partner: "p".into(),
+            weight: 1,
+            target,
+            floor: Some(Position::ZERO),
+            believed: true,
+            arrived: self.now,
+            deadline: self.now + ms(1_200),
+            aim: None,
+        };
+        self.tell(by, Event::Arrive(request));
+    }
+
+    fn tell(&mut self, by: usize, event: Event) {
+        for action in self.boxes[by].handle(event, self.now) {
+            self.act(by, action);
+        }
+    }
+
+    /// Place of a box's member among all members.
+    fn place(&self, by: usize, member: usize) -> usize {
+        let name = &self.boxes[by].plan.members[member].name;
+        let place = name.strip_prefix('m').and_then(|i| i.parse().ok());
+        place.expect("members are numbered")
+    }
+
+    fn act(&mut self, by: usize, action: Action) {
+        let began = self.now;
+        match action {
+            Action::Assign { member, .. } => self.send(by, member),
+            Action::Probe { member } => {
+                let known = &self.members[self.place(by, member)];
+                let answer = match known.alive {
+                    true => Ok(known.status()),
+                    false => Err(MemberError::Broken),
+                };
+                let event = Event::Status {
+                    member,
+                    began,
+                    answer,
+                };
+                self.at(STEP, Due::Tell(by, event));
+            }
+            Action::Claim => {
+                let free = self.claimed.is_none_or(|at| self.now > at + ms(1_500));
+                self.claimed = if free { Some(self.now) } else { self.claimed };
+                self.at(STEP, Due::Tell(by, Event::Claimed { won: free }));
+            }
+            Action::Revoke { term } => {
+                for of in (0..BOXES).filter(|of| *of != by) {
+                    self.at(STEP, Due::Tell(of, Event::Revoke));
+                }
+                self.at(STEP * 2, Due::Tell(by, Event::Revoked { term }));
+            }
+            Action::Fence { member, term } => {
+                let place = self.place(by, member);
+                let known = &mut self.members[place];
+                let promised = known.status().promised;
+                let answer = match known.alive {
+                    true if term > promised => {
+                        known.held = term;
+                        known.role = Role::Replica;
+                        Ok(known.status())
+                    }
+                    true => Err(MemberError::Fenced { promised }),
+                    false => Err(MemberError::Broken),
+                };
+                let event = Event::Fenced {
+                    member,
+                    term,
+                    answer,
+                };
+                self.at(STEP, Due::Tell(by, event));
+            }
+            Action::Release { member } => {
+                let place = self.place(by, member);
+                self.members[place].held = 0;
+            }
+            Action::Promote { member, term } => {
+                self.at(PROMOTION, Due::Lead(by, member, term));
+            }
+            Action::Ask => {
+                let term = self.boxes[by].term();
+                for other in (0..BOXES).filter(|other| *other != by) {
+                    let event = Event::Opinion {
+                        from: format!("b{other}").into(),
+                        near: false,
+                        suspects: self.boxes[other].suspects(term),
+                    };
+                    self.at(STEP, Due::Tell(by, event));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A statement reaches a member, and its place is free again.
+    fn send(&mut self, by: usize, member: usize) {
+        let place = self.place(by, member);
+        if let Some(word) = self.members[place].word {
+            self.sent += 1;
+            if self.now > word + DRAIN {
+                let after = self.now - word;
+                let late = format!("box {by}, member {place}, {after:?} after its word");
+                self.late.push(late);
+            }
+        }
+        let took = ms(20);
+        self.at(took, Due::Tell(by, Event::Release { member, took }));
+    }
+
+    fn lead(&mut self, by: usize, winner: usize, term: u64) {
+        let place = self.place(by, winner);
+        if !self.members[place].alive {
+            return;
+        }
+        for (i, known) in self.members.iter_mut().enumerate() {
+            known.role = if i == place {
+                Role::Primary
+            } else {
+                Role::Replica
+            };
+            known.term = known.term.max(term);
+            known.held = 0;
+        }
+        let answer = Ok(self.members[place].status());
+        self.at(STEP, Due::Tell(by, Event::Promoted { term, answer }));
+    }
+}
+
+#[gtest]
+fn nothing_is_sent_to_a_member_after_its_time() {
+    let mut sent = 0;
+    let mut last = 0;
+    let mut broken = BTreeSet::new();
+    for seed in 0..RUNS {
+        let mut world = World::new(seed);
+        world.run();
+        sent += world.sent;
+        last += world.last;
+        if let Some(first) = world.late.first() {
+            broken.insert(format!("seed {seed}: {first}"));
+        }
+    }
+    expect_that!(broken, is_empty());
+    // The runs come to what is looked for.
+    expect_that!(sent, gt(10_000));
+    expect_that!(last, gt(50));
+}
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -183,7 +183,7 @@
     }
 
     /// The primary breaks, the others agree, and the duty is won.
-    fn ballot(&mut self) {
+    pub fn ballot(&mut self) {
         self.tell(Event::Broken { member: 0 });
         for name in ["b1", "b2"] {
             self.tell(Event::Opinion {
@@ -199,7 +199,7 @@
     }
 
     /// The ballot's term, from the fences that were asked for.
-    fn term(&self) -> u64 {
+    pub fn term(&self) -> u64 {
         let fence = self.actions.iter().rev().find_map(|action| match action {
             Action::Fence { term, .. } => Some(*term),
             _ => None,
@@ -207,7 +207,7 @@
         fence.expect("members were fenced")
     }
 
-    fn grant(&mut self, member: usize, index: u64) {
+    pub fn grant(&mut self, member: usize, index: u64) {
         let term = self.term();
         self.tell(Event::Fenced {
             member,
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -234,6 +234,45 @@
     }
 }
 
+/// The box ended: whoever is promoted has to be a member of the group.
+#[gtest]
+fn a_member_is_not_forgotten_while_it_is_promoted() {
+    let mut bench = Bench::new(0);
+    let listed = vec![member(0, false), member(2, false)];
+    bench.group.set_plan(plan(listed), bench.now);
+    let gone = bench.now + decisions().missing_grace;
+    while bench.now < gone - ms(300) {
+        bench.now += ms(100);
+        bench.look();
+    }
+    bench.ballot();
+    bench.grant(1, 12);
+    bench.grant(2, 11);
+    let term = bench.term();
+    bench.tell(Event::Revoked { term });
+    let promote = Action::Promote { member: 1, term };
+    expect_that!(bench.actions, contains(eq(&promote)));
+    bench.pass(ms(400));
+    expect_that!(bench.now, gt(gone));
+    let answer = Ok(status(Role::Primary, 2, 2, 12));
+    bench.tell(Event::Promoted { term, answer });
+    expect_that!(bench.group.primary(), some(eq(1)));
+}
+
+/// The same where an answer to a look comes late.
+#[gtest]
+fn a_member_that_was_forgotten_is_not_taken_for_the_primary() {
+    let mut bench = Bench::new(0);
+    let listed = vec![member(0, false), member(2, false)];
+    bench.group.set_plan(plan(listed), bench.now);
+    for _ in 0..35 {
+        bench.now += ms(100);
+        bench.look();
+    }
+    bench.report(1, status(Role::Primary, 2, 2, 12));
+    expect_that!(bench.group.primary(), some(eq(0)));
+}
+
 /// A deployment may give leaving members another time than the usual 7 s.
 #[gtest]
 fn a_leaving_members_time_follows_the_settings_file() {
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -3,6 +3,7 @@
 mod classify;
 mod configuration;
 mod declarations;
+mod departing;
 mod events;
 mod fair;
 mod fake;
