fix(membership): a box does not end when a member is forgotten in the middle of a ballot

Cause: a member that the list has not named for 3 s was forgotten at once, also while a ballot rested on its grant or promoted it, and an answer that it gave before was still taken. Naming it primary broke the invariant that a primary is a member of its group, and the process ended.

Nobody is given up while this box takes the lead away, and answers of forgotten members are not taken. In one place now: when a member is given up, what the group wakes for. A primary that vanished made the group tick every millisecond and place its queue anew each time, until it was replaced; it is given up once.

Ruled out: dropping the invariant. A primary without a place among those that can be asked would be served and never looked at.

Tests for two promises that had none with the mechanism taken out: reads at a leaving replica, and the fence of a leaving primary before the others'.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -445,9 +445,6 @@
     pub fn wake(&self) -> Duration {
         let never = Duration::MAX;
         let present = self.members.iter().filter(|member| !member.gone);
-        let missing = self.members.iter().filter(|member| !member.gone);
-        let missing = missing.filter_map(|member| member.missing);
-        let missing = missing.map(|since| since + self.settings.missing_grace);
         let probes = present.map(|member| {
             let due = member.detector.due();
             // A suspicion has to be noticed when nothing else happens.
@@ -483,7 +480,7 @@
         let all = all
             .chain(queued)
             .chain(replace)
-            .chain(missing)
+            .chain(self.next_forgotten())
             .chain(look)
             .chain(narrow);
         all.min().unwrap_or(never)
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -136,25 +136,39 @@
             .set_members(self.present().collect(), leaving.collect());
     }
 
+    /// When a missing member is given up; the primary, once it counts as leaving, only after
+    /// it was replaced.
+    fn forgotten_at(&self, place: usize) -> Option<Duration> {
+        let member = &self.members[place];
+        let kept = Some(place) == self.replace.primary && member.spec.leaving;
+        let missing = member.missing.filter(|_| !member.gone && !kept);
+        missing.map(|since| since + self.settings.missing_grace)
+    }
+
+    /// When the next missing member is given up. A ballot may rest on a member's grant, or
+    /// promote it, so that nobody is given up meanwhile.
+    pub(super) fn next_forgotten(&self) -> Option<Duration> {
+        let places = 0..self.members.len();
+        let next = places.filter_map(|place| self.forgotten_at(place)).min();
+        next.filter(|_| !self.replace.is_deposing())
+    }
+
     /// Gives up members that have been missing from the list for long enough.
     pub(super) fn forget_missing(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let grace = self.settings.missing_grace;
-        let late = |member: &Member| {
-            !member.gone && member.missing.is_some_and(|since| now >= since + grace)
-        };
-        if !self.members.iter().any(late) {
+        if self.next_forgotten().is_none_or(|next| now < next) {
             return;
         }
-        let primary = self.replace.primary;
-        for (i, member) in self.members.iter_mut().enumerate() {
-            // The primary is replaced before it is forgotten.
-            if late(member) && Some(i) != primary {
+        for place in 0..self.members.len() {
+            if self.forgotten_at(place).is_none_or(|at| now < at) {
+                continue;
+            }
+            let leads = Some(place) == self.replace.primary;
+            let member = &mut self.members[place];
+            member.spec.leaving = true;
+            if !leads {
                 member.gone = true;
                 member.view = None;
             }
-            if late(member) {
-                member.spec.leaving = true;
-            }
         }
         self.note_members();
         self.requeue(now, out);
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -14,6 +14,10 @@
         out: &mut Vec<Action>,
     ) {
         self.members[member].probes = self.members[member].probes.saturating_sub(1);
+        if self.members[member].gone {
+            // A late answer: what it says of who leads must not be taken.
+            return;
+        }
         match answer {
             Ok(status) if self.sane(&status) => self.observe(member, status, began, now, out),
             Ok(_) => out.push(Action::Note(Note::Nonsense { member })),
--- a/tests/unit/departing.rs
+++ b/tests/unit/departing.rs
@@ -267,7 +267,7 @@
                 }
                 self.renew(by);
             }
-            Due::Lead(by, winner, term) => self.lead(by, winner, term),
+            Due::Lead(by, place, term) => self.lead(by, place, term),
             Due::End(i) => {
                 self.members[i].alive = false;
                 self.members[i].listed = false;
@@ -377,7 +377,8 @@
                 self.members[place].held = 0;
             }
             Action::Promote { member, term } => {
-                self.at(PROMOTION, Due::Lead(by, member, term));
+                let place = self.place(by, member);
+                self.at(PROMOTION, Due::Lead(by, place, term));
             }
             Action::Ask => {
                 let term = self.boxes[by].term();
@@ -409,8 +410,7 @@
         self.at(took, Due::Tell(by, Event::Release { member, took }));
     }
 
-    fn lead(&mut self, by: usize, winner: usize, term: u64) {
-        let place = self.place(by, winner);
+    fn lead(&mut self, by: usize, place: usize, term: u64) {
         if !self.members[place].alive {
             return;
         }
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -273,6 +273,51 @@
     expect_that!(bench.group.primary(), some(eq(0)));
 }
 
+#[gtest]
+fn a_replica_that_leaves_gets_no_read() {
+    let mut bench = Bench::new(0);
+    let members = (0..3).map(|i| member(i, i == 1)).collect();
+    bench.group.set_plan(plan(members), bench.now);
+    let reads = 1..40;
+    for id in reads.clone() {
+        bench.look();
+        bench.read(id, ms(2_500));
+        let took = ms(5);
+        for place in [0, 2] {
+            let sent = |a: &Action| matches!(a, Action::Assign { id: sent, member, .. } if *sent == id && *member == place);
+            if bench.asked(sent) > 0 {
+                bench.tell(Event::Release {
+                    member: place,
+                    took,
+                });
+            }
+        }
+    }
+    let to = |member: usize| {
+        bench.asked(|a| matches!(a, Action::Assign { member: sent, .. } if *sent == member))
+    };
+    expect_that!(to(1), eq(0));
+    expect_that!(to(0) + to(2), eq(reads.count()));
+}
+
+/// What a leaving primary acknowledged last is kept: it is fenced first, and the others have
+/// time to receive the rest.
+#[gtest]
+fn a_leaving_primary_is_fenced_before_those_that_receive_from_it() {
+    let mut bench = Bench::new(0);
+    let members = (0..3).map(|i| member(i, i == 0)).collect();
+    bench.group.set_plan(plan(members), bench.now);
+    bench.pass(ms(200));
+    bench.tell(Event::Claimed { won: true });
+    let fenced = |bench: &Bench, place: usize| {
+        bench.asked(|a| matches!(a, Action::Fence { member, .. } if *member == place))
+    };
+    expect_that!(fenced(&bench, 0), eq(1));
+    expect_that!(fenced(&bench, 1) + fenced(&bench, 2), eq(0));
+    bench.pass(decisions().replace.catch_up);
+    expect_that!(fenced(&bench, 1) + fenced(&bench, 2), eq(2));
+}
+
 /// A deployment may give leaving members another time than the usual 7 s.
 #[gtest]
 fn a_leaving_members_time_follows_the_settings_file() {
