--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -79,6 +79,7 @@
     pub(super) fn note_spent(&mut self, now: Duration, out: &mut Vec<Action>) {
         let most = self.settings.leave_most;
         let primary = self.replace.primary;
+        let served = self.settings.serve_leaving;
         let mut fresh = false;
         for (i, member) in self.members.iter_mut().enumerate() {
             let over = member.departs.filter(|departs| now >= departs.due(most));
@@ -87,7 +88,7 @@
             };
             member.spent = true;
             fresh = true;
-            if Some(i) == primary {
+            if Some(i) == primary && served {
                 let age = departs.age(now);
                 out.push(Action::Note(Note::LeaveOver { member: i, age }));
             }
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -104,9 +104,7 @@
             primaries,
         }
     }
-}
 
-impl Snapshot {
     /// A member, if it is declared.
     pub fn member(&self, key: &Key) -> Option<&Member> {
         match &self.resources.get(key)?.spec {
--- a/tests/unit/departing.rs
+++ b/tests/unit/departing.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::member::{MemberError, Role, Status, Stream};
+use larkfall::borders::member::{MemberError, Role, Status};
 use larkfall::decisions::departure::Departure;
 use larkfall::decisions::group::{Action, Event, Group, Request, Target};
 use larkfall::decisions::position::Position;
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::fake::ms;
-use super::lease::{member, plan};
+use super::lease::{member, plan, status};
 
 const BOXES: usize = 3;
 const STEP: Duration = ms(10);
@@ -59,14 +59,7 @@
     }
 
     fn status(&self) -> Status {
-        let log = Position::new(self.term, 10);
-        Status {
-            promised: self.term.max(self.held),
-            role: self.role,
-            log,
-            applied: log,
-            stream: Stream::None,
-        }
+        status(self.role, self.term, self.term.max(self.held), 10)
     }
 }
 
--- a/tests/unit/orders.rs
+++ b/tests/unit/orders.rs
@@ -7,16 +7,15 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::member::{Bid, MemberError, Role, Status, Stream};
+use larkfall::borders::member::{Bid, MemberError, Role, Status};
 use larkfall::decisions::duty::{Claim, Duty, taken};
 use larkfall::decisions::group::{Action, Event, Group};
-use larkfall::decisions::position::Position;
 use larkfall::platform::settings::decisions;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::fake::ms;
-use super::lease::{member, plan};
+use super::lease::{member, plan, status};
 
 const BOXES: usize = 2;
 const MEMBERS: usize = 3;
@@ -41,14 +40,7 @@
 
 impl Fake {
     fn status(&self) -> Status {
-        let log = Position::new(self.term, 10);
-        Status {
-            promised: self.term.max(self.held),
-            role: self.role,
-            log,
-            applied: log,
-            stream: Stream::None,
-        }
+        status(self.role, self.term, self.term.max(self.held), 10)
     }
 }
 
