--- a/tests/system/hostile.rs
+++ b/tests/system/hostile.rs
@@ -159,6 +159,31 @@
     });
 }
 
+/// The member ran it; whoever hears that it did not run presses again.
+#[gtest]
+fn a_write_whose_answer_is_lost_is_not_called_unrun() {
+    with_cluster(Shape::default(), async |cluster| {
+        let mut client = cluster.connect(0, "market", None).await.expect("connects");
+        for text in [
+            "CREATE TABLE coin (id bigint)",
+            "INSERT INTO coin VALUES (1)",
+        ] {
+            client.query(text).await.expect("writes");
+        }
+        let lost = Faults {
+            drop_answers: true,
+            ..Faults::default()
+        };
+        cluster.set_faults(0, 0, &lost).await.expect("switches");
+        let answer = client.query("INSERT INTO coin VALUES (2)").await;
+        expect_that!(answer.expect_err("no answer").code(), eq("40003"));
+        cluster
+            .set_faults(0, 0, &Faults::default())
+            .await
+            .expect("switches");
+    });
+}
+
 #[gtest]
 fn a_ruled_write_without_a_key_and_a_key_in_a_transaction_are_refused() {
     let rule = serde_json::json!({ "name": "sale", "table": "sale" });
