--- a/tests/unit/departing.rs
+++ b/tests/unit/departing.rs
@@ -27,12 +27,14 @@
 const BOXES: usize = 3;
 const STEP: Duration = ms(10);
 const LENGTH: Duration = ms(60_000);
-/// A member ends this long after its word; some serve on for longer.
+/// A member ends this many milliseconds after its word.
 const ENDS: std::ops::Range<u64> = 7_500..14_000;
 /// An entry of a dead member is listed for as long.
 const LAPSE: Duration = ms(3_600);
-/// By how much news is late at the most where connections are silent.
+/// Milliseconds by which news is late at the most where connections are silent.
 const LATE: u64 = 3_200;
+/// Time that the box which took the duty gets.
+const DUTY: Duration = ms(1_500);
 /// A promotion takes as long.
 const PROMOTION: Duration = ms(300);
 const LAST_SEED: u64 = 399;
@@ -328,53 +330,17 @@
     }
 
     fn act(&mut self, by: usize, action: Action) {
-        let began = self.now;
         match action {
             Action::Assign { member, .. } => self.send(by, member),
-            Action::Probe { member } => {
-                let known = &self.members[self.place(by, member)];
-                let answer = match known.alive {
-                    true => Ok(known.status()),
-                    false => Err(MemberError::Broken),
-                };
-                let event = Event::Status {
-                    member,
-                    began,
-                    answer,
-                };
-                self.at(STEP, Due::Tell(by, event));
-            }
-            Action::Claim => {
-                let free = self.claimed.is_none_or(|at| self.now > at + ms(1_500));
-                self.claimed = if free { Some(self.now) } else { self.claimed };
-                self.at(STEP, Due::Tell(by, Event::Claimed { won: free }));
-            }
+            Action::Probe { member } => self.probe(by, member),
+            Action::Claim => self.claim(by),
             Action::Revoke { term } => {
                 for of in (0..BOXES).filter(|of| *of != by) {
                     self.at(STEP, Due::Tell(of, Event::Revoke));
                 }
                 self.at(STEP * 2, Due::Tell(by, Event::Revoked { term }));
             }
-            Action::Fence { member, term } => {
-                let place = self.place(by, member);
-                let known = &mut self.members[place];
-                let promised = known.status().promised;
-                let answer = match known.alive {
-                    true if term > promised => {
-                        known.held = term;
-                        known.role = Role::Replica;
-                        Ok(known.status())
-                    }
-                    true => Err(MemberError::Fenced { promised }),
-                    false => Err(MemberError::Broken),
-                };
-                let event = Event::Fenced {
-                    member,
-                    term,
-                    answer,
-                };
-                self.at(STEP, Due::Tell(by, event));
-            }
+            Action::Fence { member, term } => self.fence(by, member, term),
             Action::Release { member } => {
                 let place = self.place(by, member);
                 self.members[place].held = 0;
@@ -383,21 +349,67 @@
                 let place = self.place(by, member);
                 self.at(PROMOTION, Due::Lead(by, place, term));
             }
-            Action::Ask => {
-                let term = self.boxes[by].term();
-                for other in (0..BOXES).filter(|other| *other != by) {
-                    let event = Event::Opinion {
-                        from: format!("b{other}").into(),
-                        near: false,
-                        suspects: self.boxes[other].suspects(term),
-                    };
-                    self.at(STEP, Due::Tell(by, event));
-                }
-            }
+            Action::Ask => self.ask(by),
             _ => {}
         }
     }
 
+    fn probe(&mut self, by: usize, member: usize) {
+        let known = &self.members[self.place(by, member)];
+        let answer = match known.alive {
+            true => Ok(known.status()),
+            false => Err(MemberError::Broken),
+        };
+        let event = Event::Status {
+            member,
+            began: self.now,
+            answer,
+        };
+        self.at(STEP, Due::Tell(by, event));
+    }
+
+    /// Another box's duty gets its time.
+    fn claim(&mut self, by: usize) {
+        let won = self.claimed.is_none_or(|at| self.now > at + DUTY);
+        if won {
+            self.claimed = Some(self.now);
+        }
+        self.at(STEP, Due::Tell(by, Event::Claimed { won }));
+    }
+
+    fn fence(&mut self, by: usize, member: usize, term: u64) {
+        let place = self.place(by, member);
+        let known = &mut self.members[place];
+        let promised = known.status().promised;
+        let answer = match known.alive {
+            true if term > promised => {
+                known.held = term;
+                known.role = Role::Replica;
+                Ok(known.status())
+            }
+            true => Err(MemberError::Fenced { promised }),
+            false => Err(MemberError::Broken),
+        };
+        let event = Event::Fenced {
+            member,
+            term,
+            answer,
+        };
+        self.at(STEP, Due::Tell(by, event));
+    }
+
+    fn ask(&mut self, by: usize) {
+        let term = self.boxes[by].term();
+        for other in (0..BOXES).filter(|other| *other != by) {
+            let event = Event::Opinion {
+                from: format!("b{other}").into(),
+                near: false,
+                suspects: self.boxes[other].suspects(term),
+            };
+            self.at(STEP, Due::Tell(by, event));
+        }
+    }
+
     /// A statement reaches a member, and its place is free again.
     fn send(&mut self, by: usize, member: usize) {
         let place = self.place(by, member);
