test(leaving): two mechanisms that no test noticed when taken out

The second's wrote through a box that was not on its own list yet and passed the statement on; it now waits until that box owns the group.

No code of the product changes.

--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -61,10 +61,10 @@
     world.drain("i-0");
     // Another that knows still sends.
     add_box(&mut world, 1).await;
+    // Before that it passes statements on to the first.
+    world.wait_primary().await;
     let mut second = world.client(1, STRICT, "s").await;
-    world
-        .write_until_done(&mut second, "WRITE farm second")
-        .await;
+    expect_that!(is_served(&mut second).await, eq(true));
     expect_that!(write_until_refused(&mut early).await, eq("RETRY"));
     expect_that!(write_until_refused(&mut second).await, eq("RETRY"));
     add_box(&mut world, 2).await;
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -89,6 +89,17 @@
     expect_that!(refused(&bench, 2), eq(true));
 }
 
+#[gtest]
+fn a_list_that_changes_again_gives_a_leaving_member_no_more_time() {
+    let mut bench = last_one_leaves();
+    look_for(&mut bench, ms(3_000));
+    let joined = vec![member(0, true), member(1, true)];
+    bench.group.set_plan(plan(joined), bench.now);
+    look_for(&mut bench, MOST - ms(3_500));
+    bench.arrive(1);
+    expect_that!(assigned(&bench, 1), eq(false));
+}
+
 /// It was counted from when it led.
 #[gtest]
 fn a_member_that_is_promoted_while_it_leaves_gets_no_time_of_its_own() {
