test(restarted): members that start again under their name, known red

Seen on with these tests: a ballot promotes on a grant that its member has forgotten; reads go to members of which nothing is known since; a lease rests on what was seen before. Nothing reads when a member started.

--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    fn write(&mut self, id: u64) {
+    pub fn write(&mut self, id: u64) {
         let position = Position::new(1, 11);
         let deadline = self.now + ms(700);
         self.tell(Event::Wrote {
@@ -171,7 +171,7 @@
         }));
     }
 
-    fn outcome(&self, wanted: u64) -> Option<Outcome> {
+    pub fn outcome(&self, wanted: u64) -> Option<Outcome> {
         self.actions.iter().find_map(|action| match action {
             Action::Settle { id, outcome } if *id == wanted => Some(*outcome),
             _ => None,
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -16,5 +16,6 @@
 mod randomised;
 mod reach;
 mod readers;
+mod restarted;
 mod settings;
 mod setup;
