fix(membership): a member that starts again under its name is another one

Cause: members kept their place by name and address, and with it their reports, grants, evidence for the lease, latency, connections and time to leave. Now a later start gets a place of its own; what is late for the old one is dropped there. Ruled out: resetting the place, since answers that are on their way go by place. Weighed: a primary that starts again leads on only once it shows the same term with all it was seen to hold (it may have kept its log or lost it); a former primary that strayed stays one; a restarted member's word counts for the lease only once every other member was seen since, because it may have forgotten the fence on which a promotion rests. Before: restarted::* red on (three of three). After: green, 112 unit tests.

--- a/src/decisions/confirm.rs
+++ b/src/decisions/confirm.rs
@@ -154,6 +154,13 @@
         ended.into_iter().filter_map(confirm).collect()
     }
 
+    /// What a member showed counts no more: it started again.
+    pub fn forget(&mut self, member: usize) {
+        for waiter in self.waiters.values_mut() {
+            waiter.seen.remove(&member);
+        }
+    }
+
     /// Ends the waits whose deadline has passed.
     pub fn expire(&mut self, now: Duration) -> Vec<(u64, Outcome)> {
         let late = self.waiters.iter().filter(|(_, w)| w.deadline <= now);
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -9,6 +9,7 @@
 mod observing;
 mod passing;
 mod placing;
+mod restarting;
 mod settings;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -87,6 +88,20 @@
     spent: bool,
     /// It is no member any more; its place is kept, since members go by place.
     gone: bool,
+    /// It started again, and has a new place since.
+    succeeded: bool,
+    /// Of a member that started again: what its earlier start is known to have held, and
+    /// when the news came.
+    earlier: Option<Earlier>,
+}
+
+/// What is known of a member's earlier start.
+#[derive(Clone, Copy, Debug)]
+struct Earlier {
+    /// Newest position it was seen at.
+    log: Position,
+    /// When this box heard that it started again.
+    heard: Duration,
 }
 
 impl Member {
@@ -114,6 +129,8 @@
             departs: None,
             spent: false,
             gone: false,
+            succeeded: false,
+            earlier: None,
         }
     }
 
@@ -172,6 +189,8 @@
     /// Boxes that own the group.
     owners: u32,
     crowd: u32,
+    /// Places whose members started again, and their new ones, still to be acted on.
+    restarted: Vec<(usize, usize)>,
 }
 
 /// What a dump shows of a member.
@@ -230,6 +249,7 @@
             listed: false,
             owners,
             crowd: 1,
+            restarted: Vec::new(),
             plan,
         };
         group.note_departures(now);
@@ -334,6 +354,7 @@
     pub fn handle(&mut self, event: Event, now: Duration) -> Vec<Action> {
         let mut out = Vec::new();
         // First: nothing may be placed by what has run out meanwhile.
+        self.note_restarted(now, &mut out);
         self.note_spent(now, &mut out);
         match event {
             Event::Tick => {}
@@ -392,6 +413,8 @@
                 began,
                 answer,
             } => self.status(member, began, answer, now, &mut out),
+            // What an earlier start granted, or one that was given up, counts no more.
+            Event::Fenced { member, .. } if self.members[member].gone => {}
             Event::Fenced {
                 member,
                 term,
@@ -508,6 +531,8 @@
             running: member.fair.running(),
             waiting: member.fair.waiting(),
         };
+        let members = self.members.iter().enumerate();
+        let members = members.filter(|(_, member)| !member.succeeded);
         GroupDump {
             id: self.plan.id.clone(),
             term: self.replace.term,
@@ -518,7 +543,7 @@
             phase: self.replace.phase(),
             waiting_for_primary: self.waiting.parked.len(),
             waiting_for_confirmation: self.confirm.len(),
-            members: self.members.iter().enumerate().map(member).collect(),
+            members: members.map(member).collect(),
         }
     }
 }
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -20,31 +20,16 @@
 
     /// Takes a new plan. Members keep their places; new ones get places of their own.
     pub fn set_plan(&mut self, plan: Arc<Plan>, now: Duration) {
-        let mut members = Vec::new();
-        for known in &mut self.members {
-            let same = |spec: &&MemberSpec| {
-                spec.name == known.spec.name && spec.address == known.spec.address
-            };
-            match plan.members.iter().find(same) {
-                Some(spec) => {
-                    known.spec = spec.clone();
-                    known.missing = None;
-                    known.gone = false;
-                }
-                None => known.missing = known.missing.or(Some(now)),
-            }
-            members.push(known.spec.clone());
-        }
-        for spec in &plan.members {
-            if !members.contains(spec) {
-                let mut member = Member::new(spec.clone(), 1, &self.settings, now);
-                member.joined = true;
-                self.members.push(member);
-                members.push(spec.clone());
+        let listed = plan.members.iter().map(|spec| self.take_spec(spec, now));
+        let listed: BTreeSet<usize> = listed.collect();
+        for (place, member) in self.members.iter_mut().enumerate() {
+            if !listed.contains(&place) {
+                member.missing = member.missing.or(Some(now));
             }
         }
+        let members = self.members.iter().map(|member| member.spec.clone());
         self.plan = Arc::new(Plan {
-            members,
+            members: members.collect(),
             ..Plan::clone(&plan)
         });
         self.set_rooms();
@@ -52,6 +37,33 @@
         self.note_members();
     }
 
+    /// Takes a listed member; returns its place.
+    fn take_spec(&mut self, spec: &MemberSpec, now: Duration) -> usize {
+        let newest = |known: &Member| known.spec.shares_place(spec);
+        match self.members.iter().rposition(newest) {
+            Some(place) if self.members[place].spec.started_again(spec) => {
+                self.succeed(place, spec, now)
+            }
+            Some(place) => {
+                let known = &mut self.members[place];
+                let born = known.spec.born.max(spec.born);
+                known.spec = MemberSpec {
+                    born,
+                    ..spec.clone()
+                };
+                known.missing = None;
+                known.gone = false;
+                place
+            }
+            None => {
+                let mut member = Member::new(spec.clone(), 1, &self.settings, now);
+                member.joined = true;
+                self.members.push(member);
+                self.members.len() - 1
+            }
+        }
+    }
+
     /// Notes since when members leave.
     pub(super) fn note_departures(&mut self, now: Duration) {
         let most = self.settings.leave_most;
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -319,4 +319,8 @@
     Nonsense {
         member: usize,
     },
+    /// A member started again: nothing that was known of it holds.
+    Restarted {
+        member: usize,
+    },
 }
--- a/src/decisions/group/observing.rs
+++ b/src/decisions/group/observing.rs
@@ -56,10 +56,10 @@
         }
         known.view = Some((status, began));
         known.applied = status.applied;
-        known.demoted = status.role == Role::Replica;
+        let leads = status.role == Role::Primary && !self.has_lost_log(member, &status);
+        self.members[member].demoted = !leads;
         if Some(member) == self.replace.primary {
-            let demoted = status.role == Role::Replica;
-            self.replace.set_demoted(demoted);
+            self.replace.set_demoted(!leads);
         }
         self.replace.observe(member, &status, began, now);
         self.note_promises();
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -285,7 +285,10 @@
     }
 
     fn majority_kept(&self) -> Option<Duration> {
-        let ours = |(i, member): (usize, &Member)| member.kept.filter(|_| self.replace.accepts(i));
+        let ours = |(i, member): (usize, &Member)| {
+            let kept = member.kept.filter(|_| self.replace.accepts(i))?;
+            self.vouches(i).then_some(kept)
+        };
         let members = self.members.iter().enumerate();
         let mut moments: Vec<Duration> = members.filter_map(ours).collect();
         moments.sort_unstable_by(|a, b| b.cmp(a));
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -11,6 +11,7 @@
 
 mod ballot;
 mod doubt;
+mod restarting;
 mod stray;
 mod waiting;
 
--- a/src/decisions/replace/stray.rs
+++ b/src/decisions/replace/stray.rs
@@ -37,6 +37,14 @@
     }
 }
 
+impl Stray {
+    /// A member started again, at another place: it has to be seen there.
+    pub(super) fn rename(&mut self, earlier: usize, member: usize) {
+        self.unseen.remove(&earlier);
+        self.unseen.insert(member);
+    }
+}
+
 impl Replace {
     /// Notes that a higher term than ours is promised.
     pub(super) fn note_stray(&mut self, now: Duration) {
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -250,6 +250,7 @@
         },
         domain: reader.name("domain"),
         leaving: reader.flag("leaving"),
+        born: reader.optional_number("born", 0, u64::MAX),
     })
 }
 
--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -143,6 +143,22 @@
     pub domain: Arc<str>,
     /// Takes no new work.
     pub leaving: bool,
+    /// Unix milliseconds of its start, where it tells: a later start under the same name is
+    /// another member, which holds nothing of what the earlier one promised.
+    #[serde(default)]
+    pub born: Option<u64>,
+}
+
+impl Member {
+    /// Whether `later` is this member after another start. An older start is late news.
+    pub fn started_again(&self, later: &Member) -> bool {
+        matches!((self.born, later.born), (Some(born), Some(again)) if again > born)
+    }
+
+    /// Whether both are names of one place to connect to.
+    pub fn shares_place(&self, other: &Member) -> bool {
+        self.name == other.name && self.address == other.address
+    }
 }
 
 /// Which of a session's writes a kind of read must show.
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -240,6 +240,11 @@
                 &events::NONSENSE,
                 &[("group", id), ("member", &name(*member))],
             ),
+            Note::Restarted { member } => events::emit(
+                log,
+                &events::RESTARTED,
+                &[("group", id), ("member", &name(*member))],
+            ),
             Note::LeaveCounted {
                 member,
                 age,
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -21,6 +21,8 @@
 struct Idle {
     connection: Box<dyn Upstream>,
     since: Duration,
+    /// Start of the member to which it leads.
+    born: Option<u64>,
 }
 
 /// Idle connections by member address.
@@ -41,18 +43,19 @@
 
     /// An idle connection, or a new one.
     pub async fn take(&self, member: &Member) -> Result<Box<dyn Upstream>, ConnectError> {
-        while let Some(mut connection) = self.take_idle(&member.address.sql) {
-            if connection.is_reusable() {
-                return Ok(connection);
+        while let Some(mut idle) = self.take_idle(&member.address.sql) {
+            // One to an earlier start may be silent for good: a crash behind a cut says
+            // nothing.
+            if idle.born == member.born && idle.connection.is_reusable() {
+                return Ok(idle.connection);
             }
         }
         self.dialer.connect(member).await
     }
 
-    fn take_idle(&self, address: &str) -> Option<Box<dyn Upstream>> {
+    fn take_idle(&self, address: &str) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
-        let last = idle.get_mut(address)?.pop()?;
-        Some(last.connection)
+        idle.get_mut(address)?.pop()
     }
 
     /// Takes back a connection whose last answer came whole.
@@ -63,7 +66,11 @@
         let since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(member.address.sql.clone()).or_default();
-        kept.push(Idle { connection, since });
+        kept.push(Idle {
+            connection,
+            since,
+            born: member.born,
+        });
     }
 
     /// Closes connections to members that are no longer there, and those above the
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -226,6 +226,7 @@
         },
         domain: format!("d{i}").into(),
         leaving: false,
+        born: None,
     };
     Arc::new(Plan {
         id: "p/g".into(),
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -31,6 +31,7 @@
         },
         domain: format!("d{i}").into(),
         leaving,
+        born: None,
     }
 }
 
