fix(members): an entry that no member wrote declares nobody, and the others hold

One line a change from readable to unreadable. A duty's record that can't be read names no holder and is replaced under its version, where it blocked every claim before.

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -19,7 +19,7 @@
 const TURNS: u64 = 4_096;
 
 /// The duty for one group, as last taken.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Duty {
     /// The box that holds it.
     pub holder: Arc<str>,
--- a/src/decisions/group/restarting.rs
+++ b/src/decisions/group/restarting.rs
@@ -72,8 +72,6 @@
             let other = &self.members[other];
             other.kept.max(other.clear) >= Some(earlier.heard)
         };
-        self.present()
-            .filter(|other| *other != place)
-            .all(seen)
+        self.present().filter(|other| *other != place).all(seen)
     }
 }
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -25,6 +25,12 @@
 const MOST_NAME: usize = 63;
 const MOST_HOST: usize = 253;
 
+/// Whether a text may name a resource.
+pub fn is_name(text: &str) -> bool {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '_';
+    (1..=MOST_NAME).contains(&text.len()) && text.chars().all(fits)
+}
+
 /// Reads the fields of one entry and notes what is wrong with them.
 struct Reader<'a> {
     entry: &'a Entry,
@@ -66,13 +72,12 @@
 
     fn name(&mut self, field: &'static str) -> Arc<str> {
         let text = self.text(field);
-        let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '_';
         let present = self
             .entry
             .fields
             .get(field)
             .is_some_and(|f| f.value.is_string());
-        if present && (text.is_empty() || text.len() > MOST_NAME || !text.chars().all(fits)) {
+        if present && !is_name(&text) {
             self.note(field, "must be 1 to 63 of a-z, 0-9, - and _");
         }
         text
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -134,7 +134,11 @@
         before: &'a Snapshot,
     ) -> impl Iterator<Item = (Key, Manner)> + 'a {
         let left = self.resources.iter().filter(|(_, stored)| leaves(stored));
-        let left = left.filter(|(key, _)| !before.resources.get(key).is_some_and(leaves));
+        let known = |key: &Key, stored: &Stored| {
+            let earlier = before.resources.get(key).filter(|earlier| leaves(earlier));
+            earlier.is_some_and(|earlier| !started_again(earlier, stored))
+        };
+        let left = left.filter(move |(key, stored)| !known(key, stored));
         let left = left.map(|(key, _)| (key.clone(), Manner::Leaving));
         let known = before.resources.keys();
         let gone =
@@ -165,6 +169,13 @@
     matches!(&stored.spec, Spec::Member(member) if member.leaving)
 }
 
+fn started_again(earlier: &Stored, later: &Stored) -> bool {
+    match (&earlier.spec, &later.spec) {
+        (Spec::Member(earlier), Spec::Member(later)) => earlier.started_again(later),
+        _ => false,
+    }
+}
+
 fn attach(spec: &Spec, groups: &mut BTreeMap<Arc<str>, Plan>) {
     match spec {
         Spec::Partner(_) | Spec::Group(_) | Spec::Database(_) => {}
--- a/src/node/configuration/departures.rs
+++ b/src/node/configuration/departures.rs
@@ -40,8 +40,10 @@
         self.learn(told, now);
         let stays = |key: &Key| snapshot.member(key).is_some_and(|member| !member.leaving);
         self.known.retain(|key, known| {
-            let listed = snapshot.member(key).is_some();
-            !stays(key) && (listed || !known.departure.was_heard(REMEMBERED, now))
+            let listed = snapshot.member(key);
+            let again = listed.is_some_and(|member| known.member.started_again(member));
+            let kept = listed.is_some() || !known.departure.was_heard(REMEMBERED, now);
+            !stays(key) && !again && kept
         });
         let departed: Vec<(Key, Manner)> = snapshot.departed_since(before).collect();
         for (key, _) in &departed {
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -173,10 +173,12 @@
         }
         if let Some(group) = row.key.strip_prefix(DUTY) {
             self.duties.remove(group);
-            let told = parsed::<Duty>(row)?;
-            let duty = told.map(|told| (group.into(), Duty { revision, ..told }));
+            let told = parsed::<Duty>(row);
+            // An unreadable record names no holder; whoever takes the duty replaces it.
+            let duty = told.as_ref().map_or(Some(Duty::default()), Option::clone);
+            let duty = duty.map(|duty| (group.into(), Duty { revision, ..duty }));
             self.duties.extend(duty);
-            return Ok(());
+            return told.map(|_| ());
         }
         let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
         let key = key.ok_or("unknown kind of row")?;
--- a/src/platform/table/cache.rs
+++ b/src/platform/table/cache.rs
@@ -35,6 +35,10 @@
     raw: BTreeMap<(Source, Arc<str>), (u64, Vec<u8>)>,
     /// The same in the product's words.
     rows: BTreeMap<Arc<str>, Row>,
+    /// Row of the product that each member's entry declares, by its id.
+    entries: BTreeMap<Arc<str>, Arc<str>>,
+    /// Rows that can't be read, as they were logged: one that stays so is logged once.
+    unreadable: BTreeSet<(Source, Arc<str>)>,
     /// Keys of product rows that changed since they were last told.
     fresh: BTreeSet<Arc<str>>,
     /// When the members' news among them was written.
@@ -54,6 +58,8 @@
             log,
             raw: BTreeMap::new(),
             rows: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
             fresh: BTreeSet::new(),
             written: None,
             whole: BTreeSet::new(),
@@ -149,22 +155,26 @@
         if known.is_some_and(|(version, _)| *version >= row.schema_version) {
             return false;
         }
-        let value = match row.bytes() {
-            Ok(value) => value,
-            Err(error) => {
-                self.bad_row(&row.tls_key, &error);
-                return false;
-            }
-        };
+        // What is no base64 is as unreadable as an empty value, and newer than the last one.
+        let value = row.bytes().unwrap_or_else(|_| Some(Vec::new()));
         self.put(source, &row.tls_key, row.schema_version, value);
         true
     }
 
-    fn bad_row(&self, key: &str, error: &dyn std::fmt::Display) {
-        let fields: [(_, &dyn std::fmt::Display); 2] = [("row", &key), ("error", error)];
+    /// Logs a row that can't be read, unless it could not be read before either: another
+    /// writer may write it again and again.
+    fn bad_row(&mut self, source: Source, key: &Arc<str>, error: &dyn std::fmt::Display) {
+        if !self.unreadable.insert((source, key.clone())) {
+            return;
+        }
+        let fields: [(_, &dyn std::fmt::Display); 2] = [("row", key), ("error", error)];
         events::emit(&self.log, &events::BAD_ROW, &fields);
     }
 
+    fn readable(&mut self, source: Source, key: &Arc<str>) {
+        self.unreadable.remove(&(source, key.clone()));
+    }
+
     /// Puts a raw row and renews what it declares.
     fn put(&mut self, source: Source, key: &Arc<str>, version: u64, value: Option<Vec<u8>>) {
         let place = (source, key.clone());
@@ -190,8 +200,10 @@
         let version = *version;
         let manifest = match Manifest::parse(bytes) {
             Ok(manifest) => manifest,
-            Err(error) => return self.bad_row(MANIFEST, &error),
+            // Operators' changes are checked before they are taken: this is none of theirs.
+            Err(error) => return self.bad_row(Source::Operator, &MANIFEST.into(), &error),
         };
+        self.readable(Source::Operator, &MANIFEST.into());
         self.whole.insert(Section::Declarations);
         let declared = |key: &str| Section::of(key) == Section::Declarations;
         self.declare(declared, rows_of(manifest.declarations()), version);
@@ -200,11 +212,19 @@
     fn put_member(&mut self, id: &Arc<str>, version: u64, value: Option<&[u8]>) {
         let entry = value.map(|bytes| members::declaration(id, bytes));
         let declared = match entry.transpose() {
-            Ok(declared) => rows_of(declared.into_iter().collect()),
-            Err(error) => return self.bad_row(id, &error),
+            Ok(declared) => {
+                self.readable(Source::Members, id);
+                rows_of(declared.into_iter().collect())
+            }
+            Err(error) => {
+                self.bad_row(Source::Members, id, &error);
+                BTreeMap::new()
+            }
         };
-        let suffix = format!(".{id}");
-        let own = |key: &str| Section::of(key) == Section::Members && key.ends_with(&suffix);
+        let before = self.entries.remove(id);
+        let after = declared.keys().next().cloned();
+        self.entries.extend(after.map(|key| (id.clone(), key)));
+        let own = |key: &str| before.as_deref() == Some(key);
         self.declare(own, declared, version);
     }
 
@@ -231,16 +251,26 @@
             self.boxes.remove(name);
             let listing = value.map(serde_json::from_slice::<Listing>).transpose();
             match listing {
-                Ok(listing) => self.boxes.extend(listing.map(|l| (Arc::from(name), l))),
-                Err(error) => self.bad_row(key, &error),
+                Ok(listing) => {
+                    self.readable(Source::Own, key);
+                    self.boxes.extend(listing.map(|l| (Arc::from(name), l)));
+                }
+                Err(error) => self.bad_row(Source::Own, key, &error),
             }
             return;
         }
-        match value.map(serde_json::from_slice::<Value>).transpose() {
-            // Unchanged too: whoever replaces a record names the version of its row.
-            Ok(value) => self.put_row(key.clone(), version, value),
-            Err(error) => self.bad_row(key, &error),
-        }
+        let value = match value.map(serde_json::from_slice::<Value>).transpose() {
+            Ok(value) => {
+                self.readable(Source::Own, key);
+                value
+            }
+            Err(error) => {
+                self.bad_row(Source::Own, key, &error);
+                Some(Value::Null)
+            }
+        };
+        // Unchanged or unreadable too: whoever replaces a record names the version of its row.
+        self.put_row(key.clone(), version, value);
     }
 
     /// Sets a product row; one that stays as it is keeps its revision.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod boxes;
 mod client;
+mod entries;
 mod group;
 mod member;
 mod proxy;
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -25,7 +25,7 @@
     Reader::new(client, address.to_string().into())
 }
 
-async fn mirror(store: &Store) -> Rc<Mirror> {
+pub async fn mirror(store: &Store) -> Rc<Mirror> {
     Mirror::start(
         reader(store).await,
         slog::Logger::root(slog::Discard, slog::o!()),
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -176,7 +176,7 @@
     }
 }
 
-fn entry(i: usize, address: SocketAddr, state: &str) -> Value {
+pub fn entry(i: usize, address: SocketAddr, state: &str) -> Value {
     json!({
         "backend": GROUP, "address": address.to_string(), "zone": format!("zone-{i}"),
         "version": "v1", "capacity": 3, "state": state, "cold_remaining_ms": 0,
