feat(reload): settings that change while a box runs

Cause: a reload wrote event 104 and changed nothing, and a change without a signal was never seen: boxes of one fleet kept different settings until their next start. Now the file is read again on SIGHUP and when it was written, checked as at the start; limits.max_fds, bounds.grace_s, bounds.drain_ms and seeds are taken, the others named as held; a file with anything wrong changes nothing (event 105, its field). Of two bounds for members that leave the shorter holds for one that leaves already. Ruled out: taking the store's address and the time a change has, since waits are under way. Found beside it: a bound without end (.inf) ended the process at its start. Tests: reload::*, leaving::of_two_bounds.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod demo;
 pub mod operate;
+mod reload;
 pub mod run;
 pub mod serve;
 pub mod standin;
@@ -30,24 +31,32 @@
     }
 }
 
-/// Turns true when the process is told to stop.
+/// Takes requests to read settings again where all of them hold from start to stop. They must
+/// not end the process, which is what they do when nobody listens.
 ///
 /// # Errors
 ///
-/// When the signals cannot be listened for.
-fn stopped(log: &Logger) -> std::io::Result<watch::Receiver<bool>> {
+/// When the signal cannot be listened for.
+fn hold_settings(log: &Logger) -> std::io::Result<()> {
     let log = log.clone();
-    let (stop, stopped) = watch::channel(false);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     tokio::task::spawn_local(async move {
-        // Settings hold from start to stop: a request to reload changes nothing, and
-        // must not end the process, which is what it does when nobody listens.
         while hangup.recv().await.is_some() {
-            events::emit(&log, &events::RELOAD, &[]);
+            events::emit(&log, &events::RELOAD, &[("taken", &""), ("held", &"all")]);
         }
     });
+    Ok(())
+}
+
+/// Turns true when the process is told to stop.
+///
+/// # Errors
+///
+/// When the signals cannot be listened for.
+fn stopped() -> std::io::Result<watch::Receiver<bool>> {
+    let (stop, stopped) = watch::channel(false);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::task::spawn_local(async move {
         tokio::select! {
             _ = terminate.recv() => {}
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -1,6 +1,6 @@
 //! `larkfall run`: a whole box.
 
-use super::{Exit, print_findings, stopped};
+use super::{Exit, hold_settings, print_findings, stopped};
 use crate::configs::run::{Run, Source};
 use crate::decisions::group::Settings;
 use crate::events;
@@ -17,13 +17,7 @@
     };
     let log = events::logger(settings.log);
     let ports = ports::standin(&settings);
-    node::run::run(
-        settings,
-        Settings::default(),
-        ports,
-        log.clone(),
-        stopped(&log)?,
-    )
-    .await?;
+    hold_settings(&log)?;
+    node::run::run(settings, Settings::default(), ports, log, stopped()?).await?;
     Ok(Exit::Done)
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,9 +1,12 @@
 //! `larkfall serve`: a whole box on the users' platform.
 
+use std::sync::Arc;
+
 use anyhow::Context as _;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::reload::Reload;
 use super::{Exit, print_findings, stopped};
 use crate::configs::run::Run;
 use crate::declarations::finding::Finding;
@@ -13,9 +16,10 @@
 
 /// Runs a box with the settings file at `path`.
 pub async fn run(path: Option<String>, metrics_port: Option<u16>) -> anyhow::Result<Exit> {
-    let read = path.ok_or_else(no_path).and_then(|path| read(&path));
-    let file = match read {
-        Ok(file) => file,
+    let read = path.ok_or_else(no_path);
+    let read = read.and_then(|path| Ok((file::File::read(&path)?, path)));
+    let (file, path) = match read {
+        Ok(read) => read,
         Err(findings) => {
             print_findings(&findings);
             return Ok(Exit::BadInput);
@@ -38,7 +42,17 @@
     let mut ports = ports::platform(&file, &run, &log);
     ports.ready = Some(told);
     let decisions = file.decisions();
-    node::run::run(run, decisions, ports, log.clone(), stopped(&log)?).await?;
+    let (live_tx, live) = watch::channel(Arc::new(file.live()));
+    ports.live = Some(live);
+    let reload = Reload {
+        path,
+        file,
+        log: log.clone(),
+        metrics: ports.metrics.clone(),
+        live: live_tx,
+    };
+    reload.start()?;
+    node::run::run(run, decisions, ports, log, stopped()?).await?;
     Ok(Exit::Done)
 }
 
@@ -46,12 +60,6 @@
     vec![finding(file::VARIABLE, "names no settings file")]
 }
 
-fn read(path: &str) -> Result<file::File, Vec<Finding>> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|error| vec![finding(path, &error.to_string())])?;
-    file::File::parse(path, &text)
-}
-
 fn finding(place: &str, message: &str) -> Finding {
     Finding {
         file: place.into(),
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -84,6 +84,8 @@
     missing: Option<Duration>,
     /// It leaves: by its word, or because the list names it no more.
     departs: Option<Departure>,
+    /// The time that it gets as one that leaves, as it was when its leaving was heard of.
+    serve_most: Option<Duration>,
     /// It has had all the time that a leaving member gets.
     spent: bool,
     /// It is no member any more; its place is kept, since members go by place.
@@ -127,6 +129,7 @@
             widen: now,
             missing: None,
             departs: None,
+            serve_most: None,
             spent: false,
             gone: false,
             succeeded: false,
@@ -146,6 +149,13 @@
         run.mul_f64(turns) + queue
     }
 
+    /// Time that it gets as one that leaves: the shorter of what was set when that was heard
+    /// of and what is set now, since other boxes may go by either.
+    fn serves_for(&self, settings: &Settings) -> Duration {
+        let set = settings.leave_most;
+        self.serve_most.map_or(set, |most| most.min(set))
+    }
+
     fn status(&self) -> Option<&Status> {
         self.view.as_ref().map(|(status, _)| status)
     }
@@ -492,8 +502,7 @@
         let look = look.zip(self.members.iter().filter_map(|m| m.probed).max());
         let look = look.map(|(gap, probed)| probed + gap);
         let departing = self.members.iter().filter(|m| !m.spent && !m.gone);
-        let departs = departing.filter_map(|m| m.departs);
-        let spent = departs.map(|departs| departs.due(self.settings.leave_most));
+        let spent = departing.filter_map(|m| Some(m.departs?.due(m.serves_for(&self.settings))));
         let replace = self.replace.wake().into_iter();
         let replace = replace.chain(self.hand_over).chain(spent);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -66,9 +66,9 @@
 
     /// Notes since when members leave.
     pub(super) fn note_departures(&mut self, now: Duration) {
-        let most = self.settings.leave_most;
         let grace = self.settings.missing_grace;
         for member in &mut self.members {
+            let most = member.serves_for(&self.settings);
             let leaves = member.spec.leaving || member.missing.is_some();
             let told = self.plan.departures.get(&member.spec.name).copied();
             // Its entry may only have lapsed.
@@ -79,6 +79,7 @@
             let departs = told.or(member.departs);
             let departs = departs.unwrap_or_else(|| Departure::said(now));
             member.departs = leaves.then_some(departs);
+            member.serve_most = leaves.then_some(most);
             let over = |departs: Departure| now >= departs.due(most);
             member.spent &= member.departs.is_some_and(over);
         }
@@ -89,11 +90,11 @@
     /// Looked at only beside a successor, it let the last member of a group be sent
     /// statements until it ended, 10 s after its word.
     pub(super) fn note_spent(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let most = self.settings.leave_most;
         let primary = self.replace.primary;
         let served = self.settings.serve_leaving;
         let mut fresh = false;
         for (i, member) in self.members.iter_mut().enumerate() {
+            let most = member.serves_for(&self.settings);
             let over = member.departs.filter(|departs| now >= departs.due(most));
             let Some(departs) = over.filter(|_| !member.spent) else {
                 continue;
@@ -111,6 +112,12 @@
         }
     }
 
+    /// Takes another bound for members that leave. Those that leave already get no more than
+    /// they had.
+    pub fn set_leave_most(&mut self, most: Duration) {
+        self.settings.leave_most = most;
+    }
+
     /// Members that could take over from a leaving primary.
     pub(super) fn successors(&self) -> usize {
         let stays = |member: &&Member| !member.gone && !member.spec.leaving && !member.suspected;
--- a/src/decisions/group/passing.rs
+++ b/src/decisions/group/passing.rs
@@ -65,7 +65,8 @@
         let served = self.settings.serve_leaving;
         let idle = served || self.members[primary].fair.running() == 0 && self.confirm.is_empty();
         let due = departs.due(self.settings.leave_grace) + patience;
-        let forced = departs.due(self.settings.leave_most) + patience;
+        let most = self.members[primary].serves_for(&self.settings);
+        let forced = departs.due(most) + patience;
         let next = [due, forced].into_iter().find(|moment| now < *moment);
         let left = (idle && now >= due) || now >= forced;
         self.hand_over = match left {
--- a/src/events.rs
+++ b/src/events.rs
@@ -26,7 +26,8 @@
     READY = 101, Info, "taking callers";
     DRAINING = 102, Info, "leaving: no new callers, requests in flight finish";
     STOPPED = 103, Info, "stopped";
-    RELOAD = 104, Info, "told to reload: settings hold until the next start";
+    RELOAD = 104, Info, "settings read again";
+    BAD_SETTINGS = 105, Warning, "settings can't be taken; those in force hold";
     CONFIGURED = 200, Info, "configuration in force";
     TABLE_DOWN = 201, Warning, "platform table gives no answer";
     TABLE_BACK = 202, Info, "platform table answers again";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -24,6 +24,7 @@
     pub probes: Counter<u64>,
     /// Calls to the platform's store, by table and cause.
     store_calls: Counter<u64>,
+    settings_reads: Counter<u64>,
     /// Time from a statement's arrival to its answer, by declared kind and outcome.
     pub answer_ms: Histogram<f64>,
     /// Time that statements waited for a place at a member.
@@ -54,6 +55,7 @@
             replacements: counter("larkfall_replacements"),
             probes: counter("larkfall_probes"),
             store_calls: counter("larkfall_store_calls"),
+            settings_reads: counter("larkfall_settings_reads"),
             answer_ms: meter.f64_histogram("larkfall_answer_ms").build(),
             queue_ms: meter.f64_histogram("larkfall_queue_ms").build(),
             member_ms: meter.f64_histogram("larkfall_member_ms").build(),
@@ -83,6 +85,12 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// The settings file was read again, and `taken` or `refused`.
+    pub fn settings_read(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.settings_reads.add(1, &labels);
+    }
+
     /// All metrics in Prometheus' text format.
     pub fn text(&self) -> String {
         render(&self.registry)
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -457,7 +457,8 @@
     /// While the table is down, a peer may know more.
     fn ask_a_peer(&mut self) {
         let own = self.context.own_api_address();
-        let seeds = self.context.settings.peers.iter();
+        let live = self.context.live.borrow().clone();
+        let seeds = live.peers.iter();
         let seeds: Vec<Arc<str>> = seeds.filter(|seed| ***seed != *own).cloned().collect();
         if self.boxes.borrow().is_empty()
             && let Some(seed) = seeds.choose(&mut rand::rng())
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -15,6 +15,7 @@
 use crate::borders::member::Members;
 use crate::borders::roster::{Listing, Roster};
 use crate::borders::table::{Pace, Table};
+use crate::configs::live::Live;
 use crate::configs::run::Run;
 use crate::declarations::resource::Database;
 use crate::declarations::snapshot::Snapshot;
@@ -28,6 +29,8 @@
 /// One per box, shared by all its tasks.
 pub struct Context {
     pub settings: Run,
+    /// What may change of them while the box runs.
+    pub live: watch::Receiver<Arc<Live>>,
     pub log: Logger,
     pub metrics: Rc<Metrics>,
     pub clock: Rc<dyn Clock>,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -176,6 +176,7 @@
                 let given_up = owned.is_none_or(|owned| !owned.group.is_deposing());
                 let _ = reply.send(given_up);
             }
+            Message::LeaveMost(most) => self.set_leave_most(most),
             Message::Listed => self.tell_listed(),
             Message::Refused => self.reach.refuse(self.context.now()),
             Message::Reached(words) => self.reach.answer(&words),
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -147,6 +147,19 @@
         }
     }
 
+    /// Takes another bound for members that leave.
+    pub(super) fn set_leave_most(&mut self, most: Duration) {
+        self.settings.leave_most = most;
+        let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
+        for id in groups {
+            if let Some(owned) = self.groups.get_mut(&id) {
+                owned.group.set_leave_most(most);
+            }
+            // A shorter bound may be over by now.
+            self.handle(&id, Event::Tick);
+        }
+    }
+
     /// Tells groups whose duty another box has taken.
     pub(super) fn tell_duties(&mut self, before: &Snapshot) {
         if before.revision == 0 {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -125,6 +125,8 @@
         group: Arc<str>,
         reply: oneshot::Sender<bool>,
     },
+    /// Leaving members are served for this long from now on.
+    LeaveMost(Duration),
     /// Enough time has passed since this box was listed.
     Listed,
     /// An exchange was refused because its owner reached no majority.
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -18,6 +18,7 @@
 use super::driver::Driver;
 use super::entry::Entry;
 use super::follow;
+use super::message::Message;
 use super::owner::Owner;
 use super::pool::Pool;
 use super::routes::{Classes, Routes};
@@ -26,6 +27,7 @@
 use crate::borders::roster::{Listing, Roster};
 use crate::borders::table::{Commit, Table, TableError, Verdict};
 use crate::borders::upstream::Dialer;
+use crate::configs::live::Live;
 use crate::configs::run::Run;
 use crate::decisions::group::Settings;
 use crate::events;
@@ -52,6 +54,8 @@
     pub table: Rc<dyn Table>,
     pub roster: Rc<dyn Roster>,
     pub metrics: Rc<Metrics>,
+    /// Settings that change while the box runs, where something tells.
+    pub live: Option<watch::Receiver<Arc<Live>>>,
     /// Told whether the box takes callers.
     pub ready: Option<watch::Sender<bool>>,
 }
@@ -77,6 +81,7 @@
             table,
             roster,
             metrics: Rc::default(),
+            live: None,
             ready: None,
         }
     }
@@ -111,8 +116,10 @@
         table,
         roster,
         metrics,
+        live,
         ready,
     } = ports;
+    let live = live.unwrap_or_else(|| watch::channel(Arc::new(Live::new(&settings))).1);
     let context = Rc::new(Context {
         metrics,
         clock,
@@ -133,6 +140,7 @@
         away: watch::channel(None).0,
         pace: Cell::default(),
         settings,
+        live: live.clone(),
         log,
     });
     let api = Arc::new(Api {
@@ -158,6 +166,7 @@
         tokio::task::spawn_local(work(context.clone(), owner.clone(), work_rx)),
         tokio::task::spawn_local(reap(owner.clone())),
         tokio::task::spawn_local(enter(context.clone())),
+        tokio::task::spawn_local(tell_live(context.clone(), live)),
         tokio::task::spawn_local(serve_api(api, operators)),
     ];
     if let Some(listener) = metrics_listener {
@@ -203,9 +212,18 @@
     listener.with_context(|| format!("can't listen on {}:{port}", settings.ip))
 }
 
+/// Tells the decisions of settings that changed.
+async fn tell_live(context: Rc<Context>, mut live: watch::Receiver<Arc<Live>>) {
+    while live.changed().await.is_ok() {
+        if let Some(most) = live.borrow_and_update().leave_most {
+            let _ = context.decisions.send(Message::LeaveMost(most));
+        }
+    }
+}
+
 /// Waits until the last caller is gone and nothing is held for other boxes.
 async fn drain(context: &Context, owner: &Owner) {
-    let end = context.now() + context.settings.drain;
+    let end = context.now() + context.live.borrow().drain;
     let step = Duration::from_millis(20);
     while context.now() < end && (context.callers.get() > 0 || !owner.is_idle()) {
         tokio::time::sleep(step).await;
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -81,7 +81,7 @@
         )
         .await;
     }
-    if context.callers.get() > context.settings.callers {
+    if context.callers.get() > context.live.borrow().callers {
         return refuse(
             &mut channel,
             code::OVERLOAD,
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use super::settings;
+use crate::configs::live::Live;
 use crate::configs::run::Run;
 use crate::decisions::group::Settings;
 use crate::declarations::finding::Finding;
@@ -18,6 +19,11 @@
 /// Variable that names the file.
 pub const VARIABLE: &str = "LARKFALL_NODE_FILE";
 
+/// The longest time that a bound may be: a day, in milliseconds.
+const MOST_MS: f64 = 86_400_000.0;
+/// Field of a finding about the file as a whole.
+const WHOLE: &str = "settings";
+
 /// Time kept between the end of a drain and the platform's kill.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// Callers at once for each descriptor that a process may open: each caller takes
@@ -31,7 +37,7 @@
 const RETRY_MOST: u64 = 100;
 
 /// The fields that are used.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct File {
     pub node_name: Arc<str>,
     pub ip: IpAddr,
@@ -54,7 +60,7 @@
 }
 
 /// Where the process listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Listen {
     /// Callers.
     pub front: SocketAddr,
@@ -64,7 +70,7 @@
     pub control: Option<SocketAddr>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// Descriptors that the process may open.
     pub max_fds: u64,
@@ -73,7 +79,7 @@
     pub link_mbps: f64,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Bounds {
     /// Seconds between the signal to stop and the kill.
     pub grace_s: f64,
@@ -86,12 +92,27 @@
 }
 
 /// A service of the platform.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Service {
     /// `IP:port`.
     pub address: Arc<str>,
 }
 
+/// Names of the fields that differ.
+fn named(fields: &[(&'static str, bool)]) -> Vec<&'static str> {
+    let differ = fields.iter().filter(|(_, differs)| *differs);
+    differ.map(|(field, _)| *field).collect()
+}
+
+fn finding(place: &str, field: &str, message: &str) -> Finding {
+    Finding {
+        file: place.into(),
+        line: None,
+        field: field.to_owned(),
+        message: message.to_owned(),
+    }
+}
+
 fn drain_ms() -> f64 {
     settings::DRAIN.as_secs_f64() * 1_000.0
 }
@@ -101,16 +122,102 @@
 }
 
 impl File {
+    /// Reads and checks the file at `path`.
+    pub fn read(path: &str) -> Result<Self, Vec<Finding>> {
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|error| vec![finding(path, WHOLE, &error.to_string())])?;
+        Self::parse(path, &text)
+    }
+
     /// Reads and checks the file's text.
     pub fn parse(place: &str, text: &str) -> Result<Self, Vec<Finding>> {
-        serde_saphyr::from_str(text).map_err(|error| {
-            vec![Finding {
-                file: place.into(),
-                line: None,
-                field: "settings".to_owned(),
-                message: error.to_string(),
-            }]
-        })
+        let parsed = serde_saphyr::from_str::<Self>(text);
+        let file = parsed.map_err(|error| vec![finding(place, WHOLE, &error.to_string())])?;
+        let findings = file.check(place);
+        match findings.is_empty() {
+            true => Ok(file),
+            false => Err(findings),
+        }
+    }
+
+    /// What no field's type rules out.
+    fn check(&self, place: &str) -> Vec<Finding> {
+        let times = [
+            ("bounds.grace_s", self.bounds.grace_s * 1_000.0),
+            ("bounds.drain_ms", self.bounds.drain_ms),
+            ("bounds.config_apply_ms", self.bounds.config_apply_ms),
+        ];
+        let times = times
+            .into_iter()
+            .filter(|(_, ms)| !(0.0..=MOST_MS).contains(ms));
+        let times = times.map(|(field, _)| finding(place, field, "must be a time up to a day"));
+        let addresses = [
+            ("platform.address", &self.platform.address),
+            ("cloud_api.address", &self.cloud_api.address),
+        ];
+        let addresses = addresses.into_iter();
+        let addresses = addresses.filter(|(_, address)| address.parse::<SocketAddr>().is_err());
+        let addresses = addresses.map(|(field, _)| finding(place, field, "must be IP:port"));
+        times.chain(addresses).collect()
+    }
+
+    /// Fields in which another reading of the file differs: those that a running box takes
+    /// over, and those that hold until its next start.
+    pub fn changes(&self, other: &File) -> (Vec<&'static str>, Vec<&'static str>) {
+        let taken = [
+            ("seeds", self.seeds != other.seeds),
+            (
+                "limits.max_fds",
+                self.limits.max_fds != other.limits.max_fds,
+            ),
+            (
+                "bounds.grace_s",
+                self.bounds.grace_s != other.bounds.grace_s,
+            ),
+            (
+                "bounds.drain_ms",
+                self.bounds.drain_ms != other.bounds.drain_ms,
+            ),
+        ];
+        let held = [
+            ("node_name", self.node_name != other.node_name),
+            ("ip", self.ip != other.ip),
+            ("zone", self.zone != other.zone),
+            ("listen_addrs", self.listen_addrs != other.listen_addrs),
+            (
+                "internal_port_range",
+                self.internal_port_range != other.internal_port_range,
+            ),
+            (
+                "limits.link_mbps",
+                self.limits.link_mbps != other.limits.link_mbps,
+            ),
+            (
+                "bounds.config_apply_ms",
+                self.bounds.config_apply_ms != other.bounds.config_apply_ms,
+            ),
+            ("platform", self.platform != other.platform),
+            ("cloud_api", self.cloud_api != other.cloud_api),
+        ];
+        (named(&taken), named(&held))
+    }
+
+    /// The same with what a running box takes over of another reading.
+    pub fn with_live(&self, other: &File) -> Self {
+        let mut file = self.clone();
+        file.seeds = other.seeds.clone();
+        file.limits.max_fds = other.limits.max_fds;
+        file.bounds.grace_s = other.bounds.grace_s;
+        file.bounds.drain_ms = other.bounds.drain_ms;
+        file
+    }
+
+    /// Settings that a running box takes over.
+    pub fn live(&self) -> Live {
+        Live {
+            leave_most: Some(self.decisions().leave_most),
+            ..Live::new(&self.run())
+        }
     }
 
     /// Address of the peers' and operators' API.
--- a/src/postgres/entry.rs
+++ b/src/postgres/entry.rs
@@ -123,7 +123,7 @@
         channel: &mut Channel,
         startup: &Startup,
     ) -> Result<Result<Accepted, Report>, ChannelError> {
-        if self.context.callers.get() > self.context.settings.callers {
+        if self.context.callers.get() > self.context.live.borrow().callers {
             let report = Report::fatal("53300", "this box takes no more callers; try another");
             return Ok(Err(report));
         }
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -102,6 +102,13 @@
         Self { place, child, file }
     }
 
+    /// Writes the settings file anew, with one text in place of another.
+    pub fn rewrite(&self, from: &str, to: &str) {
+        let text = self.place.file();
+        assert!(text.contains(from), "{from:?} stands in the file");
+        std::fs::write(&self.file, text.replace(from, to)).expect("the file can be written");
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         kill(pid, signal).expect("the box runs");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod reading;
 mod relay;
+mod reload;
 mod replacement;
 mod restarts;
 mod sessions;
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -343,3 +343,23 @@
         expect_that!(file.decisions().leave_most, eq(most));
     }
 }
+
+/// Settings change while members leave: other boxes may go by the earlier ones still.
+#[gtest]
+fn of_two_bounds_the_shorter_holds_for_a_member_that_leaves_already() {
+    for (before, after) in [(ms(7_000), ms(3_000)), (ms(3_000), ms(7_000))] {
+        let mut bench = Bench::new(0);
+        bench.group.set_leave_most(before);
+        let alone = |leaving| plan(vec![member(0, leaving)]);
+        bench.group.set_plan(alone(false), bench.now);
+        look_for(&mut bench, ms(4_000));
+        bench.group.set_plan(alone(true), bench.now);
+        look_for(&mut bench, ms(1_000));
+        bench.group.set_leave_most(after);
+        bench.arrive(1);
+        expect_that!(assigned(&bench, 1), eq(true));
+        look_for(&mut bench, ms(2_100));
+        bench.arrive(2);
+        expect_that!(assigned(&bench, 2), eq(false));
+    }
+}
