--- a/tests/platform/reload.rs
+++ b/tests/platform/reload.rs
@@ -62,7 +62,7 @@
     expect_that!(taken.is_ok(), eq(true));
 }
 
-/// A time without end ended the process before anything was logged.
+/// A time without end would have ended the process: a duration is made of it.
 #[gtest]
 fn what_is_wrong_in_a_file_is_named_by_its_field() {
     let store = "127.0.0.1:9".parse().expect("an address");
