test(restarts): a caller that comes while a stopping box leaves the list, known red

Cause: run() drains, then takes the box off the list (up to 300 ms), then ends; callers are still taken meanwhile, since the balancer sends some for two seconds.

--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -92,6 +92,29 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_comes_while_a_stopping_box_leaves_the_list_is_served() {
+    let mut world = World::start(1).await;
+    // Leaving the list takes as long as it may.
+    world.store.silence("larkfall");
+    world.boxes[0].signal(Signal::SIGTERM);
+    while world.boxes[0].is_ready().await {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut late = world.client(0, STRICT, "a").await;
+    for text in ["BEGIN", "WRITE farm kept"] {
+        late.run(text).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let done = late.run("COMMIT").await.unwrap();
+    expect_that!(done.digest, some(eq("commit.i-0")));
+    drop(late);
+    while world.boxes[0].is_running() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_box_that_starts_while_the_store_is_away_learns_from_its_peers() {
