--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -34,6 +34,9 @@
     pub wanted: u32,
 }
 
+/// A workspace and one of its lenders.
+type Pair = (Arc<str>, Arc<str>);
+
 /// A question under way, for which others may wait.
 #[derive(Default)]
 struct Asked {
@@ -50,7 +53,7 @@
     /// Until when there is no use in asking a lender for a workspace. Owners that are slow
     /// with a read say nothing of a lender: shunned as those are, 81 of 494 operations of a
     /// workspace at half its limit were refused on a calm day.
-    spent: RefCell<HashMap<(Arc<str>, Arc<str>), Duration>>,
+    spent: RefCell<HashMap<Pair, Duration>>,
     /// What this box lends, by workspace.
     buckets: RefCell<HashMap<Arc<str>, Bucket>>,
     /// When it was last logged of a workspace that its limit is used up.
