--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -52,8 +52,8 @@
 }
 
 impl Limit {
-    /// A declared limit, which may be passed by `slack` operations. At least one operation at once, or none would ever be let
-    /// through; with a rate of 0 the burst is all there is.
+    /// A declared limit, which may be passed by `slack` operations. At least one operation at
+    /// once, or none would ever be let through; with a rate of 0 the burst is all there is.
     pub fn new(rate: u32, burst: u32, slack: u32) -> Self {
         let least = if rate > 0 { 1.0 } else { 0.0 };
         Self {
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -133,12 +133,12 @@
     pub fn caller(
         &self,
         database: &Database,
-        key: Option<&str>,
+        key: &str,
     ) -> Result<Option<Arc<Workspace>>, Stranger> {
         if !database.keyed {
             return Ok(None);
         }
-        let known = key.and_then(|key| self.keys.get(key));
+        let known = self.keys.get(key);
         let own = known.filter(|workspace| workspace.partner == database.partner);
         own.cloned().map(Some).ok_or(Stranger)
     }
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -105,7 +105,7 @@
     pub fn caller(
         &self,
         database: &Database,
-        key: Option<&str>,
+        key: &str,
     ) -> Result<Option<Arc<Workspace>>, Stranger> {
         self.snapshot.borrow().caller(database, key)
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -120,15 +120,18 @@
         lenders.sort_by_key(|lender| lender.domain != self.settings.domain);
         let mut soonest: Option<Duration> = None;
         for lender in lenders {
-            let wait = match self.limits.spent(id, &lender.name, self.now()) {
-                Some(wait) => wait,
-                None => match self.ask(lender, id, wanted).await {
-                    Loan::Granted(granted) => return Loan::Granted(granted),
-                    Loan::Spent(wait) => wait,
-                },
+            let known = self.limits.spent(id, &lender.name, self.now());
+            let loan = match known {
+                Some(wait) => Loan::Spent(wait),
+                None => self.ask(lender, id, wanted).await,
             };
-            let until = self.now() + wait;
-            self.limits.note_lender(id, &lender.name, until);
+            let Loan::Spent(wait) = loan else {
+                return loan;
+            };
+            if known.is_none() {
+                let until = self.now() + wait;
+                self.limits.note_lender(id, &lender.name, until);
+            }
             soonest = Some(soonest.map_or(wait, |known| known.min(wait)));
         }
         Loan::Spent(soonest.unwrap_or(SILENT))
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -95,7 +95,7 @@
         return refuse(&mut channel, code::NO_DATABASE, "no such database").await;
     };
     let key: Arc<str> = secret::hash(key).into();
-    if let Err(stranger) = context.caller(&declared, Some(&key)) {
+    if let Err(stranger) = context.caller(&declared, &key) {
         context.metrics.strangers.add(1, &[]);
         return refuse(&mut channel, code::NO_KEY, &stranger.to_string()).await;
     }
@@ -309,7 +309,7 @@
             true => Begin::ReadOnly,
             false => Begin::ReadWrite,
         };
-        let Ok(workspace) = self.context.caller(&database, Some(&self.key)) else {
+        let Ok(workspace) = self.context.caller(&database, &self.key) else {
             return self.no_key();
         };
         self.open = Some(Open {
@@ -375,7 +375,7 @@
     /// Whose statement comes next. A key that was taken away, or given to another
     /// workspace, ends an open transaction too.
     fn caller(&self, database: &Database) -> Result<Option<Arc<Workspace>>, Stranger> {
-        let workspace = self.context.caller(database, Some(&self.key))?;
+        let workspace = self.context.caller(database, &self.key)?;
         let Some(open) = &self.open else {
             return Ok(workspace);
         };
