feat(platform): see that the store came back as an older copy (event 212, larkfall_older_copies)

Sight for the incident: the logs could not tell an older copy from a history that was forgotten, nor from a store that was only away. The store counts its copies in a header of all its answers, refusals among them; the client reads it, and a box logs and counts each rise. No decision follows from it yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -40,6 +40,7 @@
     REJOINED = 209, Info, "a majority of some group is reached again";
     PACE = 210, Info, "the table is read in another way: not at all, for this box, or for others";
     MEMBER_LEAVES = 211, Info, "a member leaves or is listed no more";
+    OLDER_COPY = 212, Warning, "the table came back as an older copy of itself";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
--- a/src/http.rs
+++ b/src/http.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::header::AUTHORIZATION;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client as Legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -37,6 +37,27 @@
     Status { code: u16, body: String },
 }
 
+/// An answer of any status.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body, if the call was done.
+    pub fn done(self) -> Result<Bytes, HttpError> {
+        if self.status == StatusCode::OK {
+            return Ok(self.body);
+        }
+        Err(HttpError::Status {
+            code: self.status.as_u16(),
+            body: String::from_utf8_lossy(&self.body).into_owned(),
+        })
+    }
+}
+
 /// Pooled connections to any number of servers.
 #[derive(Clone)]
 pub struct Client {
@@ -55,6 +76,21 @@
     pub wait: Duration,
 }
 
+impl<'a> Call<'a> {
+    /// A question without a body.
+    pub fn get(address: &'a str, path: &'a str, wait: Duration) -> Self {
+        Self {
+            method: Method::GET,
+            address,
+            path,
+            bearer: None,
+            headers: Vec::new(),
+            body: Vec::new(),
+            wait,
+        }
+    }
+}
+
 impl Client {
     /// A client whose connections start at `from`.
     pub fn new(from: IpAddr) -> Self {
@@ -93,19 +129,16 @@
     }
 
     pub async fn get(&self, address: &str, path: &str, wait: Duration) -> Result<Bytes, HttpError> {
-        let call = Call {
-            method: Method::GET,
-            address,
-            path,
-            bearer: None,
-            headers: Vec::new(),
-            body: Vec::new(),
-            wait,
-        };
-        self.call(call).await
+        self.call(Call::get(address, path, wait)).await
     }
 
+    /// The body of an answer that says that the call was done.
     pub async fn call(&self, call: Call<'_>) -> Result<Bytes, HttpError> {
+        self.ask(call).await?.done()
+    }
+
+    /// The whole answer, also to a call that was refused.
+    pub async fn ask(&self, call: Call<'_>) -> Result<Answer, HttpError> {
         let mut request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", call.address, call.path));
@@ -123,22 +156,20 @@
             .map_err(|_| HttpError::Late)?
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, HttpError> {
         let broken = |error: &dyn std::fmt::Display| HttpError::Broken(error.to_string());
         let response = self.inner.request(request).await;
         let response = response.map_err(|error| match error.is_connect() {
             true => HttpError::Unsent(error.to_string()),
             false => broken(&error),
         })?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await;
         let body = body.map_err(|error| broken(&error))?.to_bytes();
-        if status == StatusCode::OK {
-            return Ok(body);
-        }
-        Err(HttpError::Status {
-            code: status.as_u16(),
-            body: String::from_utf8_lossy(&body).into_owned(),
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
         })
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,8 @@
     /// Calls to the platform's store, by table and cause.
     store_calls: Counter<u64>,
     settings_reads: Counter<u64>,
+    /// Times that the platform's table was seen to have come back as an older copy.
+    pub older_copies: Counter<u64>,
     /// Operations that began, by workspace and whether its limit let them through.
     operations: Counter<u64>,
     /// Callers and operations refused since no workspace has their key.
@@ -69,6 +71,7 @@
             probes: counter("larkfall_probes"),
             store_calls: counter("larkfall_store_calls"),
             settings_reads: counter("larkfall_settings_reads"),
+            older_copies: counter("larkfall_older_copies"),
             operations: counter("larkfall_operations"),
             strangers: counter("larkfall_strangers"),
             workspaces: RefCell::default(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,8 +7,9 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use hyper::Method;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
-use crate::http::{Call, Client, HttpError};
+use crate::http::{Answer, Call, Client, HttpError};
 
 /// Time for a call that reads or writes: 4 ms each on a calm day, a few hundred when
 /// the store is slow.
@@ -20,6 +21,9 @@
 /// Status of a history that is gone.
 const GONE: u16 = 410;
 
+/// Header of all answers: counts how often the store came back as an older copy of itself.
+const ERA: &str = "store-era";
+
 /// A row as the store sends it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Row {
@@ -111,11 +115,22 @@
 pub struct Store {
     client: Client,
     address: Arc<str>,
+    /// The newest era that an answer has named; none before the first.
+    era: watch::Sender<Option<u64>>,
 }
 
 impl Store {
     pub fn new(client: Client, address: Arc<str>) -> Self {
-        Self { client, address }
+        Self {
+            client,
+            address,
+            era: watch::channel(None).0,
+        }
+    }
+
+    /// The newest era that an answer has named; none before the first.
+    pub fn era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
     }
 
     /// All rows of a table, and a version up to which they are known: that of the first
@@ -195,14 +210,30 @@
             body,
             wait: CALL_WAIT,
         };
-        let body = self.client.call(call).await.map_err(failed)?;
+        let body = self.ask(call).await?;
         let committed: Committed = decode(&body)?;
         Ok(committed.schema_version)
     }
 
     async fn get(&self, path: &str, wait: Duration) -> Result<bytes::Bytes, StoreError> {
-        let body = self.client.get(&self.address, path, wait).await;
-        body.map_err(failed)
+        self.ask(Call::get(&self.address, path, wait)).await
+    }
+
+    async fn ask(&self, call: Call<'_>) -> Result<bytes::Bytes, StoreError> {
+        let answer = self.client.ask(call).await.map_err(failed)?;
+        self.note_era(&answer);
+        answer.done().map_err(failed)
+    }
+
+    /// Refusals name the era too.
+    fn note_era(&self, answer: &Answer) {
+        let named = answer.headers.get(ERA);
+        let named = named.and_then(|value| value.to_str().ok()?.parse().ok());
+        self.era.send_if_modified(|known| {
+            let newer = named > *known;
+            *known = named.max(*known);
+            newer
+        });
     }
 }
 
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -110,9 +110,25 @@
         for source in Source::ALL {
             tokio::task::spawn_local(mirror.clone().keep_up(source));
         }
+        tokio::task::spawn_local(mirror.clone().note_eras());
         mirror
     }
 
+    /// Notes when the store comes back as an older copy of itself.
+    async fn note_eras(self: Rc<Self>) {
+        let mut era = self.store.era();
+        let mut before = None;
+        while era.changed().await.is_ok() {
+            let now = *era.borrow_and_update();
+            if let (Some(before), Some(now)) = (before, now) {
+                self.metrics.older_copies.add(1, &[]);
+                let fields: [(_, &dyn std::fmt::Display); 2] = [("era", &now), ("before", &before)];
+                events::emit(&self.log, &events::OLDER_COPY, &fields);
+            }
+            before = now;
+        }
+    }
+
     async fn keep_up(self: Rc<Self>, source: Source) {
         let mut after = None;
         let mut gap = Gap::default();
