test(older_copy): a change after an older copy is not in force in time, known red

The stand-in of the store comes back as the copy of an earlier version: what boxes wrote since is gone, what others wrote is written again after a while, versions are given out again, a later position gets 410, and all answers name the era. All three boxes serve a removed database for longer than 3 s, as users saw.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 
 mod hostile;
 mod leaving;
+mod older_copy;
 mod reading;
 mod relay;
 mod reload;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -8,7 +8,7 @@
 
 use axum::extract::{Query, Request, State};
 use axum::http::{HeaderMap, StatusCode};
-use axum::middleware::{Next, from_fn};
+use axum::middleware::{Next, from_fn, map_response_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -18,6 +18,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::group::Group;
 
@@ -34,9 +35,22 @@
     LosesAnswers,
 }
 
+/// A write, from which an older copy is made.
+struct Written {
+    at: Instant,
+    version: u64,
+    place: (String, String),
+    value: Option<String>,
+    /// By the operator or a member, who write again what an older copy lacks.
+    theirs: bool,
+}
+
 #[derive(Default)]
 struct Rows {
+    /// Counts the copies that the store came back as.
+    era: u64,
     version: u64,
+    written: Vec<Written>,
     /// By table and key; none for a removed row.
     rows: BTreeMap<(String, String), (u64, Option<String>)>,
     /// Changes up to this version are forgotten.
@@ -53,8 +67,35 @@
 impl Rows {
     fn put(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
-        let row = (self.version, value);
-        self.rows.insert((table.to_owned(), key.to_owned()), row);
+        self.set((table.to_owned(), key.to_owned()), value, true);
+    }
+
+    fn set(&mut self, place: (String, String), value: Option<String>, theirs: bool) {
+        self.written.push(Written {
+            at: Instant::now(),
+            version: self.version,
+            place: place.clone(),
+            value: value.clone(),
+            theirs,
+        });
+        self.rows.insert(place, (self.version, value));
+    }
+
+    /// Becomes the copy that was made at a version. Returns the last of what others wrote
+    /// since, by place.
+    fn restore(&mut self, version: u64) -> BTreeMap<(String, String), Option<String>> {
+        let kept = self.written.iter().take_while(|w| w.version <= version);
+        let lost = self.written.split_off(kept.count());
+        self.era += 1;
+        self.version = version;
+        self.forgotten = self.forgotten.min(version);
+        self.rows.clear();
+        for written in &self.written {
+            let row = (written.version, written.value.clone());
+            self.rows.insert(written.place.clone(), row);
+        }
+        let theirs = lost.into_iter().filter(|written| written.theirs);
+        theirs.map(|w| (w.place, w.value)).collect()
     }
 }
 
@@ -111,6 +152,7 @@
             .route("/v1/rows-get", get(read))
             .route("/v1/rows-feed", get(feed))
             .route("/v1/rows-tx", post(transact))
+            .layer(map_response_with_state(self.clone(), name_era))
             .route("/promote", post(promote))
             .with_state(self.clone())
     }
@@ -174,6 +216,35 @@
         self.changed.notify_waiters();
     }
 
+    /// The newest version: a copy of now has it.
+    pub fn version(&self) -> u64 {
+        self.rows().version
+    }
+
+    /// Comes back as the copy that was made at a version. What the operator and members wrote
+    /// since is written again after a while.
+    pub fn restore(&self, version: u64, again: Duration) {
+        let lost = self.rows().restore(version);
+        self.changed.notify_waiters();
+        let store = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(again).await;
+            for ((table, key), value) in lost {
+                store.put_raw(&table, &key, value);
+            }
+        });
+    }
+
+    /// Comes back as a copy of so long ago.
+    pub fn restore_older(&self, by: Duration, again: Duration) {
+        let version = {
+            let rows = self.rows();
+            let older = rows.written.iter().rev().find(|w| w.at.elapsed() >= by);
+            older.map_or(0, |written| written.version)
+        };
+        self.restore(version, again);
+    }
+
     /// Waits as long as the store is silent; an answer in its place where there is one.
     async fn gate(&self, table: &str) -> Option<Response> {
         loop {
@@ -203,6 +274,13 @@
     }
 }
 
+/// Names the era in every answer, refusals too.
+async fn name_era(State(store): State<Store>, mut response: Response) -> Response {
+    let era = store.rows().era;
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 fn row(key: &str, (version, value): &(u64, Option<String>)) -> Value {
     match value {
         Some(value) => json!({"tls_key": key, "value": value, "schema_version": version}),
@@ -250,7 +328,7 @@
         let changed = store.changed.notified();
         let (found, version) = {
             let rows = store.rows();
-            if asked.after < rows.forgotten {
+            if asked.after < rows.forgotten || asked.after > rows.version {
                 return StatusCode::GONE.into_response();
             }
             let newer = rows.rows.iter().filter(|((table, _), (version, _))| {
@@ -314,8 +392,7 @@
     rows.version += 1;
     let version = rows.version;
     for named in asked.puts.into_iter().chain(asked.remove) {
-        rows.rows
-            .insert((named.table, named.tls_key), (version, named.value));
+        rows.set((named.table, named.tls_key), named.value, false);
     }
     Json(json!({"schema_version": version, "now_ms": 0})).into_response()
 }
