--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use larkfall::borders::roster::Listing;
-use larkfall::borders::table::{RESOURCE, Row, Scan};
+use larkfall::borders::table::{RESOURCE, Revision, Row, Scan};
 use larkfall::decisions::owners::Ranking;
 use larkfall::events::{Format, logger};
 use larkfall::node::configuration::Store;
@@ -147,7 +147,7 @@
 fn row(key: &str, revision: u64, value: serde_json::Value) -> Row {
     Row {
         key: format!("{RESOURCE}{key}").into(),
-        revision,
+        revision: revision.into(),
         value: Some(value),
     }
 }
@@ -197,14 +197,14 @@
     for count in [105, 210, 420, 840, 1_680] {
         let before = memory();
         let scan = Scan {
-            head: 2,
+            head: 2.into(),
             rows: rows(count),
             ..Scan::default()
         };
         let size = serde_json::to_vec(&scan).map_or(0, |bytes| bytes.len());
         let mut store = Store::default();
         let began = Instant::now();
-        store.take(0, &scan, &log);
+        store.take(Revision::NONE, &scan, &log);
         let taken = began.elapsed();
         drop(scan);
         let began = Instant::now();
--- a/src/borders/roster.rs
+++ b/src/borders/roster.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 
-use super::table::TableError;
+use super::table::{Revision, TableError};
 
 /// A larkfall box as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,9 +26,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tagged {
     pub tag: String,
-    /// Grows with each change and is the same for every box; 0 where the platform does
-    /// not tell.
-    pub revision: u64,
+    /// Grows with each change and is the same for every box; the default where the platform
+    /// does not tell.
+    pub revision: Revision,
     pub boxes: Vec<Listing>,
 }
 
--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -1,5 +1,7 @@
 //! Border to the platform's transactional table service.
 
+mod revision;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
@@ -9,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+pub use revision::Revision;
+
 /// Prefix of rows that operators declare.
 pub const RESOURCE: &str = "resource/";
 /// What follows it for a member.
@@ -19,15 +23,15 @@
 pub struct Row {
     pub key: Arc<str>,
     /// Table revision of the commit that wrote it.
-    pub revision: u64,
+    pub revision: Revision,
     pub value: Option<Value>,
 }
 
-/// One row of a commit. `expect` is the revision the row must have, 0 for none.
+/// One row of a commit. `expect` is the revision the row must have, the default for none.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Write {
     pub key: Arc<str>,
-    pub expect: Option<u64>,
+    pub expect: Option<Revision>,
     pub value: Option<Value>,
 }
 
@@ -42,9 +46,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Verdict {
     /// Taken at this revision.
-    Done(u64),
+    Done(Revision),
     /// A row has another revision than expected.
-    Conflict { key: Arc<str>, found: u64 },
+    Conflict { key: Arc<str>, found: Revision },
 }
 
 /// Rows that are read together, apart from the others.
@@ -77,13 +81,13 @@
 /// Rows newer than a revision, in revision order.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Scan {
-    pub head: u64,
+    pub head: Revision,
     pub rows: Vec<Row>,
     /// Sections of which no row is left out, and the revision at which they were read:
     /// an older row that is not among `rows` is gone. Whoever reads a document after
     /// one of its rows was removed can't name that row, only leave it out.
     #[serde(default)]
-    pub whole: BTreeMap<Section, u64>,
+    pub whole: BTreeMap<Section, Revision>,
     /// Digest of the rows of whoever asked, if they are those of whoever answers: then
     /// `rows` is empty, and `whole` says as of when both know them.
     #[serde(default)]
@@ -132,9 +136,9 @@
 #[async_trait(?Send)]
 pub trait Table {
     /// Newest revision: one small row.
-    async fn head(&self) -> Result<u64, TableError>;
+    async fn head(&self) -> Result<Revision, TableError>;
     /// All rows written after `since`.
-    async fn scan(&self, since: u64) -> Result<Scan, TableError>;
+    async fn scan(&self, since: Revision) -> Result<Scan, TableError>;
     async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError>;
     /// Returns when there may be something new: after `poll` where the table does
     /// not tell.
--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::borders::table::Revision;
+
 /// Numbers of one ballot; a box takes the one that its name hashes to.
 const LANES: u64 = 4_096;
 /// Ballots that one term is told apart by. With 29 bits left for terms a number stays
@@ -27,7 +29,7 @@
     pub generation: u64,
     /// Revision of the row, which the next one to take it must name.
     #[serde(skip)]
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The duty as this box has taken it.
@@ -84,6 +86,6 @@
     Duty {
         holder: holder.clone(),
         generation: ballot.number(holder).max(after),
-        revision: known.map_or(0, |known| known.revision),
+        revision: known.map_or(Revision::NONE, |known| known.revision),
     }
 }
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::borders::table::Revision;
 use crate::decisions::departure::Departure;
 use crate::decisions::duty::Duty;
 
@@ -14,7 +15,7 @@
 /// A resource with the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stored {
-    pub revision: u64,
+    pub revision: Revision,
     pub spec: Spec,
 }
 
@@ -42,13 +43,13 @@
     pub member: Arc<str>,
     /// Revision of the row, which a newer record must name.
     #[serde(skip)]
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Every resource at one revision. Never changed, only replaced by a newer one.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
-    pub revision: u64,
+    pub revision: Revision,
     pub resources: BTreeMap<Key, Stored>,
     pub partners: BTreeMap<Arc<str>, Partner>,
     /// By `PARTNER/GROUP`.
@@ -67,7 +68,7 @@
 
 impl Snapshot {
     pub fn new(
-        revision: u64,
+        revision: Revision,
         resources: BTreeMap<Key, Stored>,
         primaries: BTreeMap<Arc<str>, Primary>,
         duties: BTreeMap<Arc<str>, Duty>,
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -25,8 +25,9 @@
 use super::news::News;
 use super::{follow, limits, peers};
 use crate::borders::roster::Listing;
-use crate::borders::table::{Commit, TableError, Verdict};
+use crate::borders::table::{Commit, Revision, TableError, Verdict};
 use crate::decisions::limit::Loan;
+
 use crate::declarations::snapshot::Snapshot;
 use crate::metrics;
 
@@ -178,14 +179,14 @@
     if *api.leaving.borrow() {
         return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
     }
-    if api.snapshot.borrow().revision == 0 {
+    if api.snapshot.borrow().revision == Revision::NONE {
         return (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
     }
     (StatusCode::OK, "ready\n")
 }
 
 /// The revision in force on this box.
-async fn revision(State(api): Shared) -> Json<u64> {
+async fn revision(State(api): Shared) -> Json<Revision> {
     Json(api.snapshot.borrow().revision)
 }
 
--- a/src/node/api/resources.rs
+++ b/src/node/api/resources.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::{Api, Shared, Work};
-use crate::borders::table::{Commit, RESOURCE, TableError, Verdict, Write};
+use crate::borders::table::{Commit, RESOURCE, Revision, TableError, Verdict, Write};
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
 use crate::declarations::finding::Finding;
@@ -34,9 +34,9 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     findings: Vec<Finding>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    expected: Option<u64>,
+    expected: Option<Revision>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    found: Option<u64>,
+    found: Option<Revision>,
 }
 
 pub(super) type Refused = (StatusCode, Json<Problem>);
@@ -62,7 +62,7 @@
     )
 }
 
-fn race(key: &Key, expected: u64, found: u64) -> Refused {
+fn race(key: &Key, expected: Revision, found: Revision) -> Refused {
     let error = format!("{key} has version {found}, not {expected}: somebody else changed it");
     let (status, Json(problem)) = problem(StatusCode::CONFLICT, error);
     let (expected, found) = (Some(expected), Some(found));
@@ -136,7 +136,7 @@
 #[derive(Serialize)]
 struct Shown<'a> {
     key: String,
-    version: u64,
+    version: Revision,
     spec: &'a Spec,
 }
 
@@ -201,16 +201,16 @@
 }
 
 /// The version that a change names, if it does.
-fn if_match(headers: &HeaderMap) -> Result<Option<u64>, Refused> {
+fn if_match(headers: &HeaderMap) -> Result<Option<Revision>, Refused> {
     let Some(value) = headers.get(header::IF_MATCH) else {
         return Ok(None);
     };
     let text = value.to_str().unwrap_or_default().trim_matches('"');
     let message = "If-Match must be a version number";
-    let number = text
+    let number: u64 = text
         .parse()
         .map_err(|_| problem(StatusCode::BAD_REQUEST, message))?;
-    Ok(Some(number))
+    Ok(Some(number.into()))
 }
 
 pub(super) async fn put(
@@ -258,7 +258,7 @@
 /// A resource to be written, or deleted where there is no spec.
 struct Change {
     key: Key,
-    version: Option<u64>,
+    version: Option<Revision>,
     spec: Option<Spec>,
 }
 
@@ -319,7 +319,7 @@
         }));
         if action != "keep" {
             changes.push(Change {
-                version: Some(before.map_or(0, |stored| stored.revision)),
+                version: Some(before.map_or(Revision::NONE, |stored| stored.revision)),
                 key,
                 spec: Some(spec),
             });
@@ -344,7 +344,7 @@
         let found = snapshot
             .resources
             .get(&change.key)
-            .map_or(0, |s| s.revision);
+            .map_or(Revision::NONE, |s| s.revision);
         if let Some(expected) = change.version
             && expected < found
         {
@@ -352,7 +352,7 @@
         }
         match &change.spec {
             Some(spec) => after.insert(change.key.clone(), spec.clone()),
-            None if found == 0 => {
+            None if found == Revision::NONE => {
                 let error = format!("{} is not declared", change.key);
                 return Err(problem(StatusCode::NOT_FOUND, error));
             }
@@ -384,7 +384,7 @@
         let known = snapshot
             .resources
             .get(&change.key)
-            .map_or(0, |s| s.revision);
+            .map_or(Revision::NONE, |s| s.revision);
         Write {
             key: format!("{RESOURCE}{}", change.key).into(),
             expect: Some(change.version.unwrap_or(known)),
@@ -419,7 +419,7 @@
             let known = snapshot
                 .resources
                 .get(&change.key)
-                .map_or(0, |s| s.revision);
+                .map_or(Revision::NONE, |s| s.revision);
             Err(race(&change.key, change.version.unwrap_or(known), found))
         }
         Err(error) => {
@@ -431,7 +431,7 @@
 
 #[derive(Deserialize)]
 pub(super) struct Since {
-    since: u64,
+    since: Revision,
 }
 
 /// Changes after a revision; waits for one if there is none yet.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -20,7 +20,7 @@
 use super::news::{Answer, Cursor, News, Question, State};
 use super::peers;
 use crate::borders::roster::Listing;
-use crate::borders::table::{Scan, Section};
+use crate::borders::table::{Revision, Scan, Section};
 use crate::declarations::resource::Key;
 use crate::declarations::snapshot::{Manner, Snapshot};
 use crate::events;
@@ -74,7 +74,7 @@
     },
     /// Digest of all rows, and revision of the list of boxes.
     Known {
-        reply: oneshot::Sender<(u64, u64)>,
+        reply: oneshot::Sender<(u64, Revision)>,
     },
     /// What a reader of the table has passed on.
     Followed(Answer),
@@ -88,7 +88,7 @@
 enum Heard {
     Rows {
         peer: Arc<str>,
-        since: u64,
+        since: Revision,
         scan: Option<Scan>,
     },
     Boxes(Option<Vec<Listing>>),
@@ -109,7 +109,7 @@
     down_since: Duration,
     /// Tag of the list of boxes that is known.
     tag: String,
-    boxes_revision: u64,
+    boxes_revision: Revision,
     /// Names this start of the box.
     epoch: u64,
     /// Questions to peers under way. The keeper goes on meanwhile: a wait for a silent peer
@@ -137,7 +137,7 @@
             table_up: true,
             down_since: Duration::ZERO,
             tag: String::new(),
-            boxes_revision: 0,
+            boxes_revision: Revision::NONE,
             epoch: rand::random(),
             questions: FuturesUnordered::new(),
             asked: BTreeSet::new(),
@@ -185,7 +185,7 @@
     }
 
     fn take_followed(&mut self, answer: Answer) {
-        self.accept(&Origin::Reader, 0, answer.scan);
+        self.accept(&Origin::Reader, Revision::NONE, answer.scan);
         if let Some(boxes) = answer.boxes
             && answer.boxes_revision > self.boxes_revision
         {
@@ -197,7 +197,7 @@
     fn question(&self) -> Question {
         let since = match self.context.table.is_ordered() {
             true => self.store.revision(),
-            false => 0,
+            false => Revision::NONE,
         };
         let digest = self.store.digest();
         Question { since, digest }
@@ -275,7 +275,7 @@
     async fn read_boxes(&mut self) {
         if let Ok(Some(listed)) = self.context.roster.boxes(&self.tag).await {
             self.tag = listed.tag;
-            if listed.revision > 0 && listed.revision <= self.boxes_revision {
+            if listed.revision > Revision::NONE && listed.revision <= self.boxes_revision {
                 // A reader of the table has told of a newer list.
                 return;
             }
@@ -300,7 +300,7 @@
     }
 
     /// Puts newer rows in force and tells some peers.
-    fn accept(&mut self, origin: &Origin, since: u64, scan: Scan) -> bool {
+    fn accept(&mut self, origin: &Origin, since: Revision, scan: Scan) -> bool {
         let now = self.context.now();
         if !self.store.take(since, &scan, &self.context.log) {
             if self.departures.learn(&scan.ages, now) {
@@ -316,7 +316,7 @@
         let known = self.store.whole().get(&Section::Declarations);
         let fields: [(_, &dyn fmt::Display); 4] = [
             ("revision", &snapshot.revision),
-            ("declarations", known.unwrap_or(&0)),
+            ("declarations", known.unwrap_or(&Revision::NONE)),
             ("rows", &scan.rows.len()),
             ("from", origin),
         ];
@@ -372,7 +372,7 @@
         }
     }
 
-    fn tell_peers(&self, since: u64, scan: Scan) {
+    fn tell_peers(&self, since: Revision, scan: Scan) {
         if self.context.settings.fanout == 0 {
             return;
         }
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::PRIMARY;
-use crate::borders::table::{RESOURCE, Row, Scan, Section};
+use crate::borders::table::{RESOURCE, Revision, Row, Scan, Section};
 use crate::decisions::duty::Duty;
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
@@ -28,7 +28,7 @@
 /// All rows at one revision, and what they declare.
 #[derive(Default)]
 pub struct Store {
-    revision: u64,
+    revision: Revision,
     rows: BTreeMap<Arc<str>, Known>,
     /// Counts what was taken, in the order in which it came.
     taken: u64,
@@ -37,14 +37,14 @@
     primaries: BTreeMap<Arc<str>, Primary>,
     duties: BTreeMap<Arc<str>, Duty>,
     /// Revisions at which sections were last known whole.
-    whole: BTreeMap<Section, u64>,
+    whole: BTreeMap<Section, Revision>,
     /// Changes with every row that is there and its value, whatever the order they came
     /// in.
     digest: u64,
 }
 
 impl Store {
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -58,13 +58,13 @@
     }
 
     /// Revisions at which sections were last known whole.
-    pub fn whole(&self) -> &BTreeMap<Section, u64> {
+    pub fn whole(&self) -> &BTreeMap<Section, Revision> {
         &self.whole
     }
 
     /// Takes rows written after `since`, none of them missing. False if they
     /// are old or leave a gap. What is no valid resource is left out and logged.
-    pub fn take(&mut self, since: u64, scan: &Scan, log: &Logger) -> bool {
+    pub fn take(&mut self, since: Revision, scan: &Scan, log: &Logger) -> bool {
         if since > self.revision {
             return false;
         }
@@ -89,26 +89,26 @@
 
     /// Another box has the same rows, and knows sections whole as of these revisions: so
     /// does this one, unless its rows changed meanwhile.
-    fn confirm(&mut self, digest: u64, whole: BTreeMap<Section, u64>) {
+    fn confirm(&mut self, digest: u64, whole: BTreeMap<Section, Revision>) {
         if digest == self.digest {
             self.whole.extend(whole);
         }
     }
 
     /// Those of the sections that another knows whole at least as late as this box does.
-    fn newly_whole(&self, told: &BTreeMap<Section, u64>) -> BTreeMap<Section, u64> {
+    fn newly_whole(&self, told: &BTreeMap<Section, Revision>) -> BTreeMap<Section, Revision> {
         let told = told.iter().map(|(section, at)| (*section, *at));
         told.filter(|(section, at)| *at >= self.whole_at(*section))
             .collect()
     }
 
-    /// Revision as of which a section is known whole; 0 where it is not.
-    fn whole_at(&self, section: Section) -> u64 {
+    /// Revision as of which a section is known whole; the default where it is not.
+    fn whole_at(&self, section: Section) -> Revision {
         self.whole.get(&section).copied().unwrap_or_default()
     }
 
     /// Rows that are not there any more, since a section that is known whole lacks them.
-    fn gone(&self, scan: &Scan, whole: &BTreeMap<Section, u64>) -> Vec<Row> {
+    fn gone(&self, scan: &Scan, whole: &BTreeMap<Section, Revision>) -> Vec<Row> {
         if whole.is_empty() {
             return Vec::new();
         }
@@ -132,10 +132,10 @@
     /// a change that was taken back, or a row that came and went, leaves no mark with a box
     /// that read only before and after. What a section that is known whole says goes
     /// before older rows, by whatever revision it names them.
-    fn news(&self, row: &Row, whole: &BTreeMap<Section, u64>) -> Option<Row> {
+    fn news(&self, row: &Row, whole: &BTreeMap<Section, Revision>) -> Option<Row> {
         let section = Section::of(&row.key);
         let known = self.rows.get(&row.key).map(|known| &known.row);
-        let newest = known.map_or(0, |known| known.revision);
+        let newest = known.map_or(Revision::NONE, |known| known.revision);
         let Some(at) = whole.get(&section) else {
             let newer = row.revision > newest.max(self.whole_at(section));
             return newer.then(|| row.clone());
@@ -206,7 +206,7 @@
             return self.same();
         }
         let Some(after) = after else {
-            return self.scan(0);
+            return self.scan(Revision::NONE);
         };
         let newer = self.rows.values().filter(|known| known.taken > after);
         Scan {
@@ -226,14 +226,14 @@
         }
     }
 
-    pub fn scan(&self, since: u64) -> Scan {
+    pub fn scan(&self, since: Revision) -> Scan {
         let rows = self.rows.values().map(|known| &known.row);
         let newer = rows.filter(|row| row.revision > since);
         Scan {
             head: self.revision,
             rows: newer.cloned().collect(),
             whole: match since {
-                0 => self.whole.clone(),
+                Revision::NONE => self.whole.clone(),
                 _ => BTreeMap::new(),
             },
             ..Scan::default()
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::*;
+use crate::borders::table::Revision;
 use crate::decisions::duty::Duty;
 
 impl Driver {
@@ -162,13 +163,14 @@
 
     /// Tells groups whose duty another box has taken.
     pub(super) fn tell_duties(&mut self, before: &Snapshot) {
-        if before.revision == 0 {
+        if before.revision == Revision::NONE {
             // What was taken before this box started is over.
             return;
         }
         let own = &self.context.settings.name;
         let foreign = |group: &Arc<str>, duty: &Duty| {
-            let known = before.duties.get(group).map_or(0, |known| known.revision);
+            let known = before.duties.get(group);
+            let known = known.map_or(Revision::NONE, |known| known.revision);
             duty.holder != *own && known < duty.revision
         };
         let duties = self.snapshot.duties.iter();
--- a/src/node/news.rs
+++ b/src/node/news.rs
@@ -6,21 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::borders::roster::Listing;
-use crate::borders::table::Scan;
+use crate::borders::table::{Revision, Scan};
 
 /// News that one peer tells another: the rows written after `since`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct News {
     pub from: Arc<str>,
-    pub since: u64,
+    pub since: Revision,
     pub scan: Scan,
 }
 
 /// What a peer has, when it asks for the rest.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Question {
-    /// It has all rows up to this revision; 0 where that can't be said.
-    pub since: u64,
+    /// It has all rows up to this revision; the default where that can't be said.
+    pub since: Revision,
     /// Digest of all its rows.
     pub digest: u64,
 }
@@ -41,7 +41,7 @@
     /// Digest of all rows.
     pub digest: u64,
     /// Revision of the list of boxes.
-    pub boxes: u64,
+    pub boxes: Revision,
 }
 
 /// What the follower lacks.
@@ -53,7 +53,7 @@
     pub digest: u64,
     /// The whole list, if it is newer.
     pub boxes: Option<Vec<Listing>>,
-    pub boxes_revision: u64,
+    pub boxes_revision: Revision,
     /// Milliseconds since the table last answered the reader; none when it does not.
     pub heard_ms: Option<u64>,
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -13,7 +13,7 @@
 use super::limits;
 use super::news::{Answer, News, Question, State};
 use crate::borders::roster::Listing;
-use crate::borders::table::{Commit, Scan, Verdict, Write};
+use crate::borders::table::{Commit, Revision, Scan, Verdict, Write};
 use crate::decisions::limit::Loan;
 use crate::declarations::snapshot::Primary;
 use crate::http::HttpError;
@@ -152,11 +152,11 @@
         if known.as_ref().is_some_and(|primary| primary.term >= term) {
             return;
         }
-        let expect = known.map_or(0, |primary| primary.revision);
+        let expect = known.map_or(Revision::NONE, |primary| primary.revision);
         let primary = Primary {
             term,
             member: member.clone(),
-            revision: 0,
+            revision: Revision::NONE,
         };
         let write = Write {
             key: key.clone(),
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -26,7 +26,7 @@
 use crate::borders::clock::{Clock, System};
 use crate::borders::member::Members;
 use crate::borders::roster::{Listing, Roster};
-use crate::borders::table::{Commit, Table, TableError, Verdict};
+use crate::borders::table::{Commit, Revision, Table, TableError, Verdict};
 use crate::borders::upstream::Dialer;
 use crate::configs::live::Live;
 use crate::configs::run::Run;
@@ -183,7 +183,7 @@
     }
     let mut configured = snapshot;
     tokio::select! {
-        _ = configured.wait_for(|snapshot| snapshot.revision > 0) => {}
+        _ = configured.wait_for(|snapshot| snapshot.revision > Revision::NONE) => {}
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     }
     events::emit(log, &events::READY, &[("box", name)]);
@@ -319,7 +319,7 @@
 }
 
 /// Names the resources that an operator has changed.
-pub fn note_changed(log: &Logger, commit: &Commit, revision: u64) {
+pub fn note_changed(log: &Logger, commit: &Commit, revision: Revision) {
     for write in &commit.writes {
         let deleted = write.value.is_none();
         let fields: [(_, &dyn std::fmt::Display); 3] = [
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::borders::table::Revision;
 use crate::http::{Answer, Call, Client, HttpError};
 
 /// Time for a call that reads or writes: 4 ms each on a calm day, a few hundred when
@@ -34,7 +35,10 @@
     value: Option<String>,
     /// Number of the transaction that wrote the row.
     #[serde(default)]
-    pub schema_version: u64,
+    schema_version: u64,
+    /// The same as a position in the table's history.
+    #[serde(skip)]
+    pub revision: Revision,
     #[serde(default)]
     deleted: bool,
 }
@@ -61,7 +65,21 @@
     #[serde(default)]
     pub has_more: bool,
     /// Number of the newest transaction in the store.
-    pub schema_version: u64,
+    schema_version: u64,
+    /// The same as a position in the table's history.
+    #[serde(skip)]
+    pub revision: Revision,
+}
+
+impl Rows {
+    fn parse(body: &[u8], era: u64) -> Result<Self, StoreError> {
+        let mut rows: Self = decode(body)?;
+        rows.revision = Revision::new(era, rows.schema_version);
+        for row in &mut rows.rows {
+            row.revision = Revision::new(era, row.schema_version);
+        }
+        Ok(rows)
+    }
 }
 
 /// Why the store gave no answer that can be used.
@@ -72,7 +90,7 @@
     #[error("the history is gone")]
     HistoryGone,
     #[error("a condition does not hold")]
-    Condition(Vec<(Arc<str>, u64, Option<Vec<u8>>)>),
+    Condition(Vec<(Arc<str>, Revision, Option<Vec<u8>>)>),
     #[error("nonsense: {0}")]
     Nonsense(String),
 }
@@ -81,8 +99,8 @@
 #[derive(Clone, Debug)]
 pub struct Change {
     pub key: Arc<str>,
-    /// Version that the row must have, 0 for none.
-    pub expect: Option<u64>,
+    /// Revision that the row must have, the default for none.
+    pub expect: Option<Revision>,
     /// None removes the row.
     pub value: Option<Vec<u8>>,
 }
@@ -151,7 +169,7 @@
         let from = last.map(|row| format!("&from={}", after(&row.tls_key)));
         let from = from.unwrap_or_default();
         let path = format!("/v1/rows-get?table={table}&part={from}");
-        decode(&self.get(&path, CALL_WAIT).await?)
+        self.rows(&path, CALL_WAIT).await
     }
 
     /// Rows of a table that changed after a version, as soon as there is one, or
@@ -159,23 +177,24 @@
     pub async fn changes(
         &self,
         table: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Rows, StoreError> {
         let ms = wait.as_millis();
-        let path = format!("/v1/rows-feed?table={table}&after={after}&wait_ms={ms}");
-        decode(&self.get(&path, wait + FEED_MARGIN).await?)
+        let number = after.number();
+        let path = format!("/v1/rows-feed?table={table}&after={number}&wait_ms={ms}");
+        self.rows(&path, wait + FEED_MARGIN).await
     }
 
-    /// Carries out changes of one table, all or none. Returns their version.
-    pub async fn transact(&self, table: &str, changes: &[Change]) -> Result<u64, StoreError> {
+    /// Carries out changes of one table, all or none. Returns their revision.
+    pub async fn transact(&self, table: &str, changes: &[Change]) -> Result<Revision, StoreError> {
         let named = |change: &Change| change.expect.is_some();
         let expected = changes.iter().filter(|change| named(change));
         let name = |change: &'_ Change| Named {
             table,
             part: "",
             tls_key: "",
-            schema_version: change.expect,
+            schema_version: change.expect.map(Revision::number),
             value: change.value.as_ref().map(|value| BASE64.encode(value)),
         };
         let expected_revision = expected.map(|change| Named {
@@ -212,11 +231,12 @@
         };
         let body = self.ask(call).await?;
         let committed: Committed = decode(&body)?;
-        Ok(committed.schema_version)
+        Ok(Revision::new(0, committed.schema_version))
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<bytes::Bytes, StoreError> {
-        self.ask(Call::get(&self.address, path, wait)).await
+    async fn rows(&self, path: &str, wait: Duration) -> Result<Rows, StoreError> {
+        let body = self.ask(Call::get(&self.address, path, wait)).await?;
+        Rows::parse(&body, 0)
     }
 
     async fn ask(&self, call: Call<'_>) -> Result<bytes::Bytes, StoreError> {
@@ -261,7 +281,11 @@
     };
     let row = |row: &Row| {
         let value = row.bytes()?;
-        Ok((row.tls_key.clone(), row.schema_version, value))
+        Ok((
+            row.tls_key.clone(),
+            Revision::new(0, row.schema_version),
+            value,
+        ))
     };
     let rows: Result<_, StoreError> = found.rows.iter().map(row).collect();
     rows.map_or_else(|error| error, StoreError::Condition)
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -19,7 +19,7 @@
 
 use super::store::{Change, Rows, Store, StoreError};
 use crate::borders::roster::{Listing, Roster, Tagged};
-use crate::borders::table::{Commit, Pace, Scan, Table, TableError, Verdict};
+use crate::borders::table::{Commit, Pace, Revision, Scan, Table, TableError, Verdict};
 use crate::events;
 use crate::metrics::Metrics;
 use cache::{BOXES, Cache, Written};
@@ -183,10 +183,10 @@
                         self.read.set(self.read.get() + 1);
                         self.listed.set(self.listed.get() || source == Source::Own);
                     }
-                    let version = rows.schema_version;
+                    let revision = rows.revision;
                     let news = !rows.rows.is_empty() && after.is_some();
                     self.take(source, rows, after.is_none(), gap.close());
-                    after = Some(version.max(after.unwrap_or_default()));
+                    after = Some(revision.max(after.unwrap_or_default()));
                     if news {
                         tokio::time::sleep(source.rest()).await;
                     }
@@ -298,7 +298,7 @@
 
 #[async_trait(?Send)]
 impl Table for Mirror {
-    async fn head(&self) -> Result<u64, TableError> {
+    async fn head(&self) -> Result<Revision, TableError> {
         let all = self.pace() == Pace::Rest || self.read.get() >= Source::ALL.len();
         match self.is_up() && all {
             true => Ok(self.cache.borrow().head()),
@@ -306,7 +306,7 @@
         }
     }
 
-    async fn scan(&self, _: u64) -> Result<Scan, TableError> {
+    async fn scan(&self, _: Revision) -> Result<Scan, TableError> {
         let told = self.cache.borrow_mut().tell();
         // Members without databases would be taken for all there is.
         told.ok_or_else(|| TableError::Down("the manifest was not read yet".to_owned()))
@@ -324,7 +324,7 @@
         let changes: Vec<Change> = commit.writes.iter().map(change).collect();
         self.metrics.called_store(Source::Own.table(), "record");
         match self.store.transact(Source::Own.table(), &changes).await {
-            Ok(version) => Ok(Verdict::Done(version)),
+            Ok(revision) => Ok(Verdict::Done(revision)),
             Err(StoreError::Condition(rows)) => Ok(conflict(&changes, rows)),
             Err(error) => Err(down(error)),
         }
@@ -365,29 +365,32 @@
 
 /// A row that is not as expected; or all are as wanted, since an earlier try with
 /// the same changes took effect and its answer was lost.
-fn conflict(changes: &[Change], rows: Vec<(Arc<str>, u64, Option<Vec<u8>>)>) -> Verdict {
-    let found: BTreeMap<Arc<str>, (u64, Option<Vec<u8>>)> = rows
+fn conflict(changes: &[Change], rows: Vec<(Arc<str>, Revision, Option<Vec<u8>>)>) -> Verdict {
+    let found: BTreeMap<Arc<str>, (Revision, Option<Vec<u8>>)> = rows
         .into_iter()
-        .map(|(key, version, value)| (key, (version, value)))
+        .map(|(key, revision, value)| (key, (revision, value)))
         .collect();
     let done = |change: &Change| {
         let row = found.get(&change.key);
         row.is_some_and(|(_, value)| *value == change.value && value.is_some())
     };
     if !changes.is_empty() && changes.iter().all(done) {
-        let newest = found.values().map(|(version, _)| *version).max();
+        let newest = found.values().map(|(revision, _)| *revision).max();
         return Verdict::Done(newest.unwrap_or_default());
     }
-    let version = |change: &Change| found.get(&change.key).map_or(0, |(version, _)| *version);
+    let revision = |key: &Arc<str>| {
+        let row = found.get(key);
+        row.map_or(Revision::NONE, |(revision, _)| *revision)
+    };
     let other = changes.iter().find(|change| {
         change
             .expect
-            .is_some_and(|expect| expect != version(change))
+            .is_some_and(|expect| expect != revision(&change.key))
     });
     let key = other.or(changes.first()).map(|change| change.key.clone());
     let key = key.unwrap_or_default();
-    let row = found.get(&key).map_or(0, |(version, _)| *version);
-    Verdict::Conflict { key, found: row }
+    let found = revision(&key);
+    Verdict::Conflict { key, found }
 }
 
 #[async_trait(?Send)]
--- a/src/platform/table/cache.rs
+++ b/src/platform/table/cache.rs
@@ -9,7 +9,7 @@
 
 use super::source::Source;
 use crate::borders::roster::{Listing, Tagged};
-use crate::borders::table::{RESOURCE, Row, Scan, Section};
+use crate::borders::table::{RESOURCE, Revision, Row, Scan, Section};
 use crate::events;
 use crate::platform::manifest::{Declarations, Manifest};
 use crate::platform::members;
@@ -31,8 +31,8 @@
 /// All rows that were read, and those that are still to be told.
 pub struct Cache {
     log: Logger,
-    /// Raw values by source and key, with the version that wrote them.
-    raw: BTreeMap<(Source, Arc<str>), (u64, Vec<u8>)>,
+    /// Raw values by source and key, with the revision that wrote them.
+    raw: BTreeMap<(Source, Arc<str>), (Revision, Vec<u8>)>,
     /// The same in the product's words.
     rows: BTreeMap<Arc<str>, Row>,
     /// Row of the product that each member's entry declares, by its id.
@@ -45,11 +45,11 @@
     written: Option<Written>,
     /// Sections to be told whole the next time.
     whole: BTreeSet<Section>,
-    /// Versions up to which sections are known.
-    read: BTreeMap<Section, u64>,
+    /// Revisions up to which sections are known.
+    read: BTreeMap<Section, Revision>,
     boxes: BTreeMap<Arc<str>, Listing>,
-    /// Version as of which the list of boxes is known.
-    roster: u64,
+    /// Revision as of which the list of boxes is known.
+    roster: Revision,
 }
 
 impl Cache {
@@ -65,12 +65,12 @@
             whole: BTreeSet::new(),
             read: BTreeMap::new(),
             boxes: BTreeMap::new(),
-            roster: 0,
+            roster: Revision::NONE,
         }
     }
 
-    /// The newest version that is known of any section.
-    pub fn head(&self) -> u64 {
+    /// The newest revision that is known of any section.
+    pub fn head(&self) -> Revision {
         self.read.values().copied().max().unwrap_or_default()
     }
 
@@ -118,46 +118,51 @@
 
     /// Takes rows of a source; `whole` says that there are no others. Whether any is news.
     pub fn take(&mut self, source: Source, rows: Rows, whole: bool, written: Written) -> bool {
-        let version = rows.schema_version;
+        let revision = rows.revision;
         let listed: BTreeSet<Arc<str>> = rows.rows.iter().map(|r| r.tls_key.clone()).collect();
         let mut changed = false;
         for row in rows.rows {
             changed |= self.take_row(source, row);
         }
         if whole {
-            changed |= self.keep_only(source, &listed, version);
+            changed |= self.keep_only(source, &listed, revision);
         }
         if changed && source == Source::Members {
             self.written = Some(self.written.map_or(written, |known| known.min(written)));
         }
         let read = self.read.entry(source.section()).or_default();
-        *read = version.max(*read);
+        *read = revision.max(*read);
         changed
     }
 
     /// Drops what a reading of all rows lacks. Whether there was any.
-    fn keep_only(&mut self, source: Source, listed: &BTreeSet<Arc<str>>, version: u64) -> bool {
+    fn keep_only(
+        &mut self,
+        source: Source,
+        listed: &BTreeSet<Arc<str>>,
+        revision: Revision,
+    ) -> bool {
         self.whole.insert(source.section());
         let gone = |(s, key): &&(Source, Arc<str>)| *s == source && !listed.contains(key);
         let gone: Vec<_> = self.raw.keys().filter(gone).cloned().collect();
         for (_, key) in &gone {
-            self.put(source, key, version, None);
+            self.put(source, key, revision, None);
         }
         if source == Source::Own {
             // A box that was removed before has no row that could say so.
-            self.roster = self.roster.max(version);
+            self.roster = self.roster.max(revision);
         }
         !gone.is_empty()
     }
 
     fn take_row(&mut self, source: Source, row: Raw) -> bool {
         let known = self.raw.get(&(source, row.tls_key.clone()));
-        if known.is_some_and(|(version, _)| *version >= row.schema_version) {
+        if known.is_some_and(|(revision, _)| *revision >= row.revision) {
             return false;
         }
         // What is no base64 is as unreadable as an empty value, and newer than the last one.
         let value = row.bytes().unwrap_or_else(|_| Some(Vec::new()));
-        self.put(source, &row.tls_key, row.schema_version, value);
+        self.put(source, &row.tls_key, row.revision, value);
         true
     }
 
@@ -176,10 +181,10 @@
     }
 
     /// Puts a raw row and renews what it declares.
-    fn put(&mut self, source: Source, key: &Arc<str>, version: u64, value: Option<Vec<u8>>) {
+    fn put(&mut self, source: Source, key: &Arc<str>, revision: Revision, value: Option<Vec<u8>>) {
         let place = (source, key.clone());
         let known = match &value {
-            Some(bytes) => self.raw.insert(place, (version, bytes.clone())),
+            Some(bytes) => self.raw.insert(place, (revision, bytes.clone())),
             None => self.raw.remove(&place),
         };
         if value.is_none() && known.is_none() {
@@ -188,16 +193,16 @@
         }
         match source {
             Source::Operator => self.put_manifest(),
-            Source::Members => self.put_member(key, version, value.as_deref()),
-            Source::Own => self.put_own(key, version, value.as_deref()),
+            Source::Members => self.put_member(key, revision, value.as_deref()),
+            Source::Own => self.put_own(key, revision, value.as_deref()),
         }
     }
 
     fn put_manifest(&mut self) {
-        let Some((version, bytes)) = self.raw.get(&(Source::Operator, MANIFEST.into())) else {
+        let Some((revision, bytes)) = self.raw.get(&(Source::Operator, MANIFEST.into())) else {
             return;
         };
-        let version = *version;
+        let revision = *revision;
         let manifest = match Manifest::parse(bytes) {
             Ok(manifest) => manifest,
             // Operators' changes are checked before they are taken: this is none of theirs.
@@ -210,10 +215,10 @@
         self.readable(Source::Operator, &MANIFEST.into());
         self.whole.insert(Section::Declarations);
         let declared = |key: &str| Section::of(key) == Section::Declarations;
-        self.declare(declared, rows_of(manifest.declarations()), version);
+        self.declare(declared, rows_of(manifest.declarations()), revision);
     }
 
-    fn put_member(&mut self, id: &Arc<str>, version: u64, value: Option<&[u8]>) {
+    fn put_member(&mut self, id: &Arc<str>, revision: Revision, value: Option<&[u8]>) {
         let entry = value.map(|bytes| members::declaration(id, bytes));
         let declared = match entry.transpose() {
             Ok(declared) => {
@@ -229,7 +234,7 @@
         let after = declared.keys().next().cloned();
         self.entries.extend(after.map(|key| (id.clone(), key)));
         let own = |key: &str| before.as_deref() == Some(key);
-        self.declare(own, declared, version);
+        self.declare(own, declared, revision);
     }
 
     /// Replaces the product rows that a raw row declares.
@@ -237,21 +242,21 @@
         &mut self,
         own: impl Fn(&str) -> bool,
         declared: BTreeMap<Arc<str>, Value>,
-        version: u64,
+        revision: Revision,
     ) {
         let gone = |key: &&Arc<str>| own(key) && !declared.contains_key(*key);
         let gone: Vec<Arc<str>> = self.rows.keys().filter(gone).cloned().collect();
         for key in gone {
-            self.set(key, version, None);
+            self.set(key, revision, None);
         }
         for (key, value) in declared {
-            self.set(key, version, Some(value));
+            self.set(key, revision, Some(value));
         }
     }
 
-    fn put_own(&mut self, key: &Arc<str>, version: u64, value: Option<&[u8]>) {
+    fn put_own(&mut self, key: &Arc<str>, revision: Revision, value: Option<&[u8]>) {
         if let Some(name) = key.strip_prefix(BOXES) {
-            self.roster = self.roster.max(version);
+            self.roster = self.roster.max(revision);
             self.boxes.remove(name);
             let listing = value.map(serde_json::from_slice::<Listing>).transpose();
             match listing {
@@ -273,22 +278,22 @@
                 Some(Value::Null)
             }
         };
-        // Unchanged or unreadable too: whoever replaces a record names the version of its row.
-        self.put_row(key.clone(), version, value);
+        // Unchanged or unreadable too: whoever replaces a record names the revision of its row.
+        self.put_row(key.clone(), revision, value);
     }
 
     /// Sets a product row; one that stays as it is keeps its revision.
-    fn set(&mut self, key: Arc<str>, revision: u64, value: Option<Value>) {
+    fn set(&mut self, key: Arc<str>, revision: Revision, value: Option<Value>) {
         let known = self.rows.get(&key);
         if known.is_some_and(|row| row.value == value) {
             return;
         }
         // Two rows of the store may declare one row of the product in turn.
-        let revision = known.map_or(revision, |row| revision.max(row.revision + 1));
+        let revision = known.map_or(revision, |row| revision.max(row.revision.next()));
         self.put_row(key, revision, value);
     }
 
-    fn put_row(&mut self, key: Arc<str>, revision: u64, value: Option<Value>) {
+    fn put_row(&mut self, key: Arc<str>, revision: Revision, value: Option<Value>) {
         self.fresh.insert(key.clone());
         let row = Row {
             key: key.clone(),
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -19,7 +19,7 @@
 use super::faults::Gate;
 use super::table::tag_of;
 use crate::borders::roster::Listing;
-use crate::borders::table::{Commit, Row, Scan, Verdict};
+use crate::borders::table::{Commit, Revision, Row, Scan, Verdict};
 
 /// Settings of the stand-in platform.
 #[derive(Clone, Debug)]
@@ -32,8 +32,8 @@
 
 #[derive(Default)]
 struct Table {
-    revision: u64,
-    rows: BTreeMap<Arc<str>, (u64, Option<Value>)>,
+    revision: Revision,
+    rows: BTreeMap<Arc<str>, (Revision, Option<Value>)>,
     /// Verdicts by nonce, so that a lost answer can be asked for again.
     nonces: HashMap<String, Verdict>,
     reads: u64,
@@ -48,16 +48,16 @@
         }
         for write in &commit.writes {
             let row = self.rows.get(&write.key);
-            let found = row.map_or(0, |(revision, value)| match value {
+            let found = row.map_or(Revision::NONE, |(revision, value)| match value {
                 Some(_) => *revision,
-                None => 0,
+                None => Revision::NONE,
             });
             if write.expect.is_some_and(|expect| expect != found) {
                 let key = write.key.clone();
                 return Verdict::Conflict { key, found };
             }
         }
-        self.revision += 1;
+        self.revision = self.revision.next();
         for write in commit.writes {
             self.rows.insert(write.key, (self.revision, write.value));
         }
@@ -67,10 +67,10 @@
         verdict
     }
 
-    fn scan(&mut self, since: u64) -> Scan {
+    fn scan(&mut self, since: Revision) -> Scan {
         self.reads += 1;
         let newer = self.rows.iter().filter(|(_, row)| row.0 > since);
-        let row = |(key, row): (&Arc<str>, &(u64, Option<Value>))| Row {
+        let row = |(key, row): (&Arc<str>, &(Revision, Option<Value>))| Row {
             key: key.clone(),
             revision: row.0,
             value: row.1.clone(),
@@ -153,10 +153,10 @@
 
 #[derive(Deserialize)]
 struct Since {
-    since: u64,
+    since: Revision,
 }
 
-async fn head(State(platform): State<Platform>) -> Json<u64> {
+async fn head(State(platform): State<Platform>) -> Json<Revision> {
     let mut table = platform.table();
     table.reads += 1;
     Json(table.revision)
--- a/src/standin/table.rs
+++ b/src/standin/table.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::borders::roster::{Roster, Tagged};
-use crate::borders::table::{Commit, Scan, Table, TableError, Verdict};
+use crate::borders::table::{Commit, Revision, Scan, Table, TableError, Verdict};
 use crate::http::{Call, Client, HttpError};
 
 const WAIT: Duration = Duration::from_secs(2);
@@ -41,11 +41,11 @@
 
 #[async_trait(?Send)]
 impl Table for Platform {
-    async fn head(&self) -> Result<u64, TableError> {
+    async fn head(&self) -> Result<Revision, TableError> {
         self.get("/head").await
     }
 
-    async fn scan(&self, since: u64) -> Result<Scan, TableError> {
+    async fn scan(&self, since: Revision) -> Result<Scan, TableError> {
         self.get(&format!("/scan?since={since}")).await
     }
 
@@ -86,7 +86,7 @@
         let tag = tag_of(&body);
         Ok(Some(Tagged {
             tag,
-            revision: 0,
+            revision: Revision::NONE,
             boxes,
         }))
     }
--- a/tests/platform/entries.rs
+++ b/tests/platform/entries.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::table::{Row, Table};
+use larkfall::borders::table::{Revision, Row, Table};
 use larkfall::platform::members::declaration;
 use larkfall::platform::table::Mirror;
 use proptest::prelude::*;
@@ -57,7 +57,11 @@
 async fn members_until(mirror: &Rc<Mirror>, key: &str, declared: bool) -> Vec<Row> {
     let mut told: Vec<Row> = Vec::new();
     loop {
-        for row in mirror.scan(0).await.map_or(Vec::new(), |scan| scan.rows) {
+        for row in mirror
+            .scan(Revision::NONE)
+            .await
+            .map_or(Vec::new(), |scan| scan.rows)
+        {
             told.retain(|known| known.key != row.key);
             told.push(row);
         }
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::roster::{Listing, Roster};
-use larkfall::borders::table::{Row, Scan, Table};
+use larkfall::borders::table::{Revision, Row, Scan, Table};
 use larkfall::http::{Client, SILENCE};
 use larkfall::platform::store::Store as Reader;
 use larkfall::platform::table::{Mirror, Settings};
@@ -38,7 +38,12 @@
 async fn rows_until(mirror: &Mirror, key: &str) -> Vec<Row> {
     let mut told = Vec::new();
     loop {
-        told.extend(mirror.scan(0).await.map_or(Vec::new(), |scan| scan.rows));
+        told.extend(
+            mirror
+                .scan(Revision::NONE)
+                .await
+                .map_or(Vec::new(), |scan| scan.rows),
+        );
         if told.iter().any(|row| *row.key == *key) {
             return told;
         }
@@ -59,7 +64,7 @@
     let reader = reader(&store).await;
     let read = reader.read("servers").await.unwrap();
     expect_that!(read.rows.len(), eq(3));
-    let later = reader.changes("servers", read.schema_version, Duration::ZERO);
+    let later = reader.changes("servers", read.revision, Duration::ZERO);
     let told = later.await.unwrap().rows.into_iter();
     let told: Vec<Arc<str>> = told.map(|row| row.tls_key).collect();
     expect_that!(told, contains(eq(&Arc::<str>::from("a"))));
@@ -113,7 +118,7 @@
 }
 
 /// Revision of the list of boxes once it was read.
-async fn listed(mirror: Rc<Mirror>) -> u64 {
+async fn listed(mirror: Rc<Mirror>) -> Revision {
     loop {
         match mirror.boxes("").await.expect("it is known") {
             Some(listed) if !listed.boxes.is_empty() => return listed.revision,
@@ -168,7 +173,7 @@
 /// What a mirror tells when it tells of a member.
 async fn scan_until(mirror: &Mirror, member: &str) -> Scan {
     loop {
-        if let Ok(scan) = mirror.scan(0).await
+        if let Ok(scan) = mirror.scan(Revision::NONE).await
             && scan.rows.iter().any(|row| row.key.ends_with(member))
         {
             return scan;
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -98,7 +98,7 @@
     let _box = Process::start(place);
     let client = Client::new([127, 0, 0, 1].into());
     let question = rmp_serde::to_vec(&Question {
-        since: 0,
+        since: 0.into(),
         digest: 1,
     });
     let question = question.expect("plain data");
--- a/tests/unit/configuration.rs
+++ b/tests/unit/configuration.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use googletest::prelude::*;
-use larkfall::borders::table::{Row, Scan, Section};
+use larkfall::borders::table::{Revision, Row, Scan, Section};
 use larkfall::node::configuration::Store;
 use larkfall::node::news::Question;
 use rand::seq::IndexedRandom;
@@ -21,14 +21,14 @@
 fn row(key: &str, revision: u64, value: Option<u64>) -> Row {
     Row {
         key: key.into(),
-        revision,
+        revision: revision.into(),
         value: value.map(|value| json!({ "value": value })),
     }
 }
 
 fn scan(head: u64, rows: &[Row]) -> Scan {
     Scan {
-        head,
+        head: head.into(),
         rows: rows.to_vec(),
         ..Scan::default()
     }
@@ -36,25 +36,29 @@
 
 fn whole(section: Section, head: u64, rows: &[Row]) -> Scan {
     Scan {
-        whole: BTreeMap::from([(section, head)]),
+        whole: BTreeMap::from([(section, head.into())]),
         ..scan(head, rows)
     }
 }
 
 fn take(store: &mut Store, scan: &Scan) -> bool {
-    store.take(0, scan, &Logger::root(slog::Discard, slog::o!()))
+    store.take(
+        Revision::NONE,
+        scan,
+        &Logger::root(slog::Discard, slog::o!()),
+    )
 }
 
 /// What a key holds; none where there is no such row.
 fn value(store: &Store, key: &str) -> Option<u64> {
-    let rows = store.scan(0).rows;
+    let rows = store.scan(Revision::NONE).rows;
     let row = rows.iter().find(|row| *row.key == *key)?;
     row.value.as_ref()?["value"].as_u64()
 }
 
 /// Keys that have a value.
 fn present(store: &Store) -> Vec<Arc<str>> {
-    let rows = store.scan(0).rows.into_iter();
+    let rows = store.scan(Revision::NONE).rows.into_iter();
     let present = rows.filter(|row| row.value.is_some());
     present.map(|row| row.key).collect()
 }
@@ -120,7 +124,7 @@
         &scan(4, &[row(DOOMED, 4, Some(1)), row(KEPT, 4, Some(1))]),
     );
     expect_that!(other.digest(), not(eq(reader.digest())));
-    take(&mut other, &reader.scan(0));
+    take(&mut other, &reader.scan(Revision::NONE));
     expect_that!(present(&other), eq(&present(&reader)));
     expect_that!(other.digest(), eq(reader.digest()));
 }
@@ -279,7 +283,7 @@
             true => peer.store.follow(asked, Some(taken)),
             false if follows => peer.store.follow(asked, None),
             false => peer.store.answer(&Question {
-                since: 0,
+                since: Revision::NONE,
                 digest: asked,
             }),
         };
--- a/tests/unit/events.rs
+++ b/tests/unit/events.rs
@@ -66,7 +66,7 @@
             write("resource/member/p/m", None),
         ],
     };
-    note_changed(&log, &commit, 7);
+    note_changed(&log, &commit, 7.into());
     let text = lines.0.lock().expect("no panic under the lock").clone();
     let text = String::from_utf8(text).expect("JSON is text");
     expect_that!(text.lines().count(), eq(2));
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -16,7 +16,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::member::Role;
-use larkfall::borders::table::{Ages, Row, Scan};
+use larkfall::borders::table::{Ages, Revision, Row, Scan};
 use larkfall::decisions::departure::Departure;
 use larkfall::decisions::group::{Action, Event, Note};
 use larkfall::declarations::snapshot::{Plan, Snapshot};
@@ -185,19 +185,23 @@
 fn the_age_of_a_members_word_goes_along_from_box_to_box() {
     let row = Row {
         key: "resource/member/p/g.m0".into(),
-        revision: 2,
+        revision: 2.into(),
         value: Some(json!({
             "partner": "p", "group": "g", "name": "m0", "sql": "127.0.0.1:1", "control": "127.0.0.1:1",
             "domain": "d0", "leaving": true,
         })),
     };
     let scan = Scan {
-        head: 2,
+        head: 2.into(),
         rows: vec![row.clone()],
         ..Scan::default()
     };
     let mut store = Store::default();
-    store.take(0, &scan, &Logger::root(slog::Discard, slog::o!()));
+    store.take(
+        Revision::NONE,
+        &scan,
+        &Logger::root(slog::Discard, slog::o!()),
+    );
     let empty = Snapshot::default();
     let snapshot = store.snapshot();
     let mut first = Departures::default();
--- a/tests/unit/orders.rs
+++ b/tests/unit/orders.rs
@@ -8,6 +8,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::member::{Bid, MemberError, Role, Status};
+use larkfall::borders::table::Revision;
 use larkfall::decisions::duty::{Claim, Duty, taken};
 use larkfall::decisions::group::{Action, Event, Group};
 use larkfall::platform::settings::decisions;
@@ -275,19 +276,20 @@
     }
 
     /// Writes the row unless another box has. The new revision.
-    fn commit(&mut self, claim: &Claim) -> Option<u64> {
-        let revision = self.row.as_ref().map_or(0, |row| row.revision);
+    fn commit(&mut self, claim: &Claim) -> Option<Revision> {
+        let row = self.row.as_ref();
+        let revision = row.map_or(Revision::NONE, |row| row.revision);
         if revision != claim.duty.revision {
             return None;
         }
         let duty = Duty {
-            revision: revision + 1,
+            revision: revision.next(),
             ..claim.duty.clone()
         };
         self.row = Some(duty.clone());
         let by = 1 - CUT_OFF;
         self.soon(Step::Hear { by, duty });
-        Some(revision + 1)
+        Some(revision.next())
     }
 
     fn claimed(&mut self, by: usize, mut claim: Claim) {
--- a/tests/unit/setup.rs
+++ b/tests/unit/setup.rs
@@ -99,10 +99,10 @@
         duty: duty.clone(),
         alone: false,
     };
-    let first = at(5, taken(None, &a, &ballot(1, 1)));
+    let first = at(5.into(), taken(None, &a, &ballot(1, 1)));
     expect_that!(claim(&first).stands(None), eq(true));
     expect_that!(claim(&first).stands(Some(&first)), eq(true));
-    let second = at(6, taken(Some(&first), &b, &ballot(1, 2)));
+    let second = at(6.into(), taken(Some(&first), &b, &ballot(1, 2)));
     expect_that!(claim(&first).stands(Some(&second)), eq(false));
     expect_that!(claim(&second).stands(Some(&first)), eq(true));
 }
