test(older_copy, leaving): seven more faults of an older copy, known red

The class asked for at the places where positions, documents, words and rows of our own meet: an older document comes back in force; a box that starts beside it does not learn better; a condition holds on a number that was given out twice; a box that the copy does not list stays unlisted; a member's word that it leaves is lost, or counted from when it is written again.

--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -4,17 +4,28 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use larkfall::borders::table::{Commit, Revision, Table, Verdict, Write};
+use larkfall::platform::table::Mirror;
+use serde_json::json;
+use tokio::task::LocalSet;
 
 use super::client::Client;
+use super::reading::{mirror, rows_until};
 use super::restarts::remove_route;
-use super::store::Fault;
-use super::world::{STRICT, World, manifest};
+use super::store::{Fault, Store};
+use super::world::{STRICT, World, entry, manifest};
 
 /// Time in which a change has to be in force.
 const APPLY: Duration = Duration::from_secs(3);
 /// Until the operator and members write again what the copy lacks.
 const AGAIN: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(20);
+/// Longer than any test: nobody writes again.
+const NEVER: Duration = Duration::from_secs(600);
+/// Time in which what has to happen by itself is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Looks at what must not happen.
+const LOOKS: usize = 40;
 
 /// Changes that leave everything as it is, until they are all known.
 async fn changes(world: &World, versions: std::ops::Range<u64>) {
@@ -68,3 +79,162 @@
         expect_that!(is_removed_in_time(&world, index).await, eq(true), "{index}");
     }
 }
+
+/// Waits until a box has read the copy.
+async fn read_copy(world: &World, index: usize) {
+    // The revision of a later era names it.
+    while !world.boxes[index].log().contains("\"revision\":\"1.") {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Whether a database is refused at each of some looks.
+async fn stays_removed(world: &World, index: usize) -> bool {
+    let front = world.boxes[index].place.front;
+    for _ in 0..LOOKS {
+        if Client::connect(front, STRICT, "a").await.is_ok() {
+            return false;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    true
+}
+
+/// What users would have seen: a database that had been removed is served again, until the
+/// operator writes the change again.
+///
+/// Order of events: the operator removes a database; the store comes back as a copy from before.
+#[gtest]
+#[tokio::test]
+async fn an_older_copy_brings_nothing_back_that_was_removed() {
+    let world = World::start(2).await;
+    let copy = world.store.version();
+    remove_route(&world, 50);
+    for index in 0..2 {
+        expect_that!(is_removed_in_time(&world, index).await, eq(true));
+    }
+    world.store.restore(copy, NEVER);
+    for index in 0..2 {
+        read_copy(&world, index).await;
+        expect_that!(stays_removed(&world, index).await, eq(true), "{index}");
+    }
+}
+
+/// What users would have seen: a box that starts in the moment in which the store holds an older
+/// copy serves a database that was removed, until the operator writes the change again.
+#[gtest]
+#[tokio::test]
+async fn a_box_that_starts_beside_an_older_copy_learns_the_newer_document_from_another() {
+    let mut world = World::start(2).await;
+    let copy = world.store.version();
+    remove_route(&world, 50);
+    for index in 0..2 {
+        expect_that!(is_removed_in_time(&world, index).await, eq(true));
+    }
+    world.store.restore(copy, NEVER);
+    world.add_box(2);
+    world.boxes[2].wait_ready().await;
+    expect_that!(is_removed_in_time(&world, 2).await, eq(true));
+}
+
+fn duty(holder: &str) -> serde_json::Value {
+    json!({"holder": holder, "generation": 7})
+}
+
+async fn claim(mirror: &Mirror, expect: Revision) -> Verdict {
+    let commit = Commit {
+        nonce: "n".to_owned(),
+        writes: vec![Write {
+            key: "duty/a".into(),
+            expect: Some(expect),
+            value: Some(duty("mine")),
+        }],
+    };
+    mirror.commit(&commit).await.expect("the store answers")
+}
+
+/// What could have happened: a box takes a duty that another has just taken, since the number
+/// that its condition names was given out again, to another's row.
+#[gtest]
+#[tokio::test]
+async fn a_condition_on_a_number_that_was_given_out_twice_does_not_hold() {
+    let store = Store::default();
+    store.put("op", "config", &manifest(3, 3_000));
+    let copy = store.version();
+    store.put("larkfall", "duty/a", &duty("before"));
+    let check = async {
+        let mirror = mirror(&store).await;
+        let read = rows_until(&mirror, "duty/a").await;
+        let known = read.iter().find(|row| *row.key == *"duty/a");
+        let known = known.expect("it was read").revision;
+        store.restore(copy, NEVER);
+        store.put("larkfall", "duty/a", &duty("another"));
+        let verdict = claim(&mirror, known).await;
+        expect_that!(verdict, matches_pattern!(Verdict::Conflict { .. }));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+/// What could have happened: a box that joined in the seconds that the copy lacks is listed by
+/// nobody any more, and takes no part in what follows from the list.
+#[gtest]
+#[tokio::test]
+async fn a_box_that_an_older_copy_does_not_list_lists_itself_again() {
+    let mut world = World::without_boxes().await;
+    let copy = world.store.version();
+    world.add_box(0);
+    world.add_box(1);
+    for (index, name) in ["box/box-0", "box/box-1"].into_iter().enumerate() {
+        world.boxes[index].wait_ready().await;
+        world.store.wait_for("larkfall", name).await;
+    }
+    world.store.restore(copy, AGAIN);
+    let listed = async {
+        for name in ["box/box-0", "box/box-1"] {
+            world.store.wait_for("larkfall", name).await;
+        }
+    };
+    let listed = tokio::time::timeout(PATIENCE, listed).await;
+    expect_that!(listed.is_ok(), eq(true));
+}
+
+/// What users would have seen: requests reach a member later than it allows after it said that it
+/// leaves. Its word was lost with the copy, and a box that first reads it when it is written again
+/// counts from then.
+#[gtest]
+#[tokio::test]
+async fn a_word_that_is_written_again_may_be_as_old_as_the_silence_before_the_copy() {
+    let away = Duration::from_millis(400);
+    let store = Store::default();
+    store.put("op", "config", &manifest(3, 3_000));
+    store.put(
+        "servers",
+        "i-0",
+        &entry(0, ([127, 0, 0, 1], 1).into(), "ready"),
+    );
+    let check = async {
+        let mirror = mirror(&store).await;
+        rows_until(&mirror, "resource/member/platform/db1.i-0").await;
+        let copy = store.version();
+        store.set_fault(Fault::Silent);
+        store.put(
+            "servers",
+            "i-1",
+            &entry(1, ([127, 0, 0, 1], 1).into(), "draining"),
+        );
+        tokio::time::sleep(away).await;
+        // By then the copy was read.
+        store.restore(copy, 4 * AGAIN);
+        store.set_fault(Fault::None);
+        let lag = loop {
+            let told = mirror.scan(Revision::NONE).await.unwrap_or_default();
+            if told.rows.iter().any(|row| row.key.ends_with("i-1")) {
+                break told.lag_ms;
+            }
+            tokio::time::sleep(PAUSE).await;
+        };
+        let lag = lag.map(Duration::from_millis);
+        expect_that!(lag, some(ge(away)));
+    };
+    LocalSet::new().run_until(check).await;
+}
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -35,7 +35,7 @@
 }
 
 /// Rows of a mirror as it tells them, until one with this key has come.
-async fn rows_until(mirror: &Mirror, key: &str) -> Vec<Row> {
+pub async fn rows_until(mirror: &Mirror, key: &str) -> Vec<Row> {
     let mut told = Vec::new();
     loop {
         told.extend(
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -221,6 +221,19 @@
         self.rows().version
     }
 
+    /// Waits until a row is there.
+    pub async fn wait_for(&self, table: &str, key: &str) {
+        let place = (table.to_owned(), key.to_owned());
+        loop {
+            let changed = self.changed.notified();
+            let found = self.rows().rows.get(&place).cloned();
+            if found.is_some_and(|(_, value)| value.is_some()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Comes back as the copy that was made at a version. What the operator and members wrote
     /// since is written again after a while.
     pub fn restore(&self, version: u64, again: Duration) {
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -220,6 +220,100 @@
     expect_that!(second.learn(&told, ms(40)), eq(false));
 }
 
+/// A group of one member as a store of rows declares it.
+fn declared(store: &mut Store, revision: Revision, member: serde_json::Value) -> Snapshot {
+    let row = |key: &str, value| Row {
+        key: key.into(),
+        revision,
+        value: Some(value),
+    };
+    let group = json!({ "partner": "p", "name": "g" });
+    let rows = [
+        row("resource/group/p/g", group),
+        row("resource/member/p/g.m0", member),
+    ];
+    let scan = Scan {
+        head: revision,
+        rows: rows.to_vec(),
+        ..Scan::default()
+    };
+    let log = Logger::root(slog::Discard, slog::o!());
+    store.take(Revision::NONE, &scan, &log);
+    store.snapshot()
+}
+
+fn told(leaving: bool, born: u64) -> serde_json::Value {
+    json!({
+        "partner": "p", "group": "g", "name": "m0", "sql": "127.0.0.1:1", "control": "127.0.0.1:1",
+        "domain": "d0", "leaving": leaving, "born": born,
+    })
+}
+
+/// What users would have seen: a member that had said that it leaves is sent statements again,
+/// since an older copy of the table lists it as it was before its word, and its time is counted
+/// anew when it says so again.
+#[gtest]
+fn a_members_word_that_it_leaves_holds_against_an_older_copy() {
+    let mut store = Store::default();
+    let mut departures = Departures::default();
+    let word = declared(&mut store, Revision::new(1, 24), told(true, 5));
+    let heard = Some(Duration::ZERO);
+    let before = Snapshot::default();
+    departures.take((&before, &word), &Ages::new(), heard, ms(1_000));
+    let copy = declared(&mut store, Revision::new(2, 20), told(false, 5));
+    departures.take((&word, &copy), &Ages::new(), heard, ms(2_000));
+    let leaving = |departures: &Departures, snapshot: &Snapshot| {
+        let applied = snapshot.clone().with_departures(departures.known());
+        applied.groups["p/g"].members[0].leaving
+    };
+    expect_that!(leaving(&departures, &copy), eq(true));
+    // Its word, written again, is no new one.
+    let again = declared(&mut store, Revision::new(2, 26), told(true, 5));
+    departures.take((&copy, &again), &Ages::new(), heard, ms(3_000));
+    let key: Arc<str> = "resource/member/p/g.m0".into();
+    expect_that!(departures.ages(ms(3_000))[&key], some(eq(2_000)));
+    // Within one era it is the member that speaks, and after another start it is another one.
+    let stays = declared(&mut store, Revision::new(2, 30), told(false, 5));
+    departures.take((&again, &stays), &Ages::new(), heard, ms(4_000));
+    expect_that!(leaving(&departures, &stays), eq(false));
+}
+
+/// A member that starts again after the copy is not the one that left.
+#[gtest]
+fn a_member_that_starts_again_after_an_older_copy_is_used() {
+    let mut store = Store::default();
+    let mut departures = Departures::default();
+    let word = declared(&mut store, Revision::new(1, 24), told(true, 5));
+    let heard = Some(Duration::ZERO);
+    departures.take(
+        (&Snapshot::default(), &word),
+        &Ages::new(),
+        heard,
+        ms(1_000),
+    );
+    let started = declared(&mut store, Revision::new(2, 20), told(false, 6));
+    departures.take((&word, &started), &Ages::new(), heard, ms(2_000));
+    expect_that!(departures.known().count(), eq(0));
+}
+
+/// What users would have seen: a box that starts after the copy hears a word when it is written
+/// again, and counts from then, though others have heard it before.
+#[gtest]
+fn of_two_ages_of_a_word_the_older_one_counts() {
+    let mut store = Store::default();
+    let word = declared(&mut store, Revision::new(2, 26), told(true, 5));
+    let mut departures = Departures::default();
+    let heard = Some(Duration::ZERO);
+    departures.take((&Snapshot::default(), &word), &Ages::new(), heard, ms(100));
+    let key: Arc<str> = "resource/member/p/g.m0".into();
+    let older = Ages::from([(key.clone(), Some(4_000))]);
+    expect_that!(departures.learn(&older, ms(200)), eq(true));
+    expect_that!(departures.ages(ms(200))[&key], some(eq(4_000)));
+    let younger = Ages::from([(key.clone(), Some(10))]);
+    expect_that!(departures.learn(&younger, ms(300)), eq(false));
+    expect_that!(departures.ages(ms(300))[&key], some(eq(4_100)));
+}
+
 /// A member that the list names no more may have only lapsed while the store was away: it is
 /// served for 3 s in any case, and not longer if the news came behind a silence.
 #[gtest]
