test(older_copy): the copy is read before the member's word is written again

Without a write right after the return no box hears of the copy before the word itself, and the age is right: the test as first committed was green. With one it is red, as listed.

--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -223,9 +223,10 @@
             &entry(1, ([127, 0, 0, 1], 1).into(), "draining"),
         );
         tokio::time::sleep(away).await;
-        // By then the copy was read.
+        // By the time of the member's word the copy was read.
         store.restore(copy, 4 * AGAIN);
         store.set_fault(Fault::None);
+        store.put("op", "config", &manifest(4, 3_000));
         let lag = loop {
             let told = mirror.scan(Revision::NONE).await.unwrap_or_default();
             if told.rows.iter().any(|row| row.key.ends_with("i-1")) {
