fix(platform): the operator's document is known by the operator's own count

What callers would have seen: a database that had been removed is served again after the store came back as a copy from before, until the operator writes the change again; a right that ended or a lowered limit likewise.

Cause: the document was ordered by the store's count of its writes, which a copy turns back. With eras in that order the copy's reading is newer, and its content was taken for newer too.

Why this holds: the manifest's version is the operator's own and only rises. A document of a lower version is logged (213) and not taken, whatever era it comes in, and rows that boxes tell each other carry that version, so that no order of news brings an older one back. Ruled out: keeping what is known for a time after a copy, since nobody can say how long writing again takes.

--- a/src/events.rs
+++ b/src/events.rs
@@ -41,6 +41,7 @@
     PACE = 210, Info, "the table is read in another way: not at all, for this box, or for others";
     MEMBER_LEAVES = 211, Info, "a member leaves or is listed no more";
     OLDER_COPY = 212, Warning, "the table came back as an older copy of itself";
+    OLDER_DECLARATIONS = 213, Warning, "the table's declarations are older than those in force, which hold";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
--- a/src/platform/table/cache.rs
+++ b/src/platform/table/cache.rs
@@ -37,6 +37,8 @@
     rows: BTreeMap<Arc<str>, Row>,
     /// Row of the product that each member's entry declares, by its id.
     entries: BTreeMap<Arc<str>, Arc<str>>,
+    /// Version of the newest manifest that was taken; none before the first.
+    manifest: Option<u64>,
     /// Rows that can't be read, as they were logged: one that stays so is logged once.
     unreadable: BTreeSet<(Source, Arc<str>)>,
     /// Keys of product rows that changed since they were last told.
@@ -59,6 +61,7 @@
             raw: BTreeMap::new(),
             rows: BTreeMap::new(),
             entries: BTreeMap::new(),
+            manifest: None,
             unreadable: BTreeSet::new(),
             fresh: BTreeSet::new(),
             written: None,
@@ -76,9 +79,7 @@
 
     /// What was not told yet; none before the manifest is known.
     pub fn tell(&mut self) -> Option<Scan> {
-        if !self.raw.contains_key(&(Source::Operator, MANIFEST.into())) {
-            return None;
-        }
+        self.manifest?;
         let whole = std::mem::take(&mut self.whole);
         let mut told = std::mem::take(&mut self.fresh);
         if !whole.is_empty() {
@@ -92,7 +93,7 @@
         Some(Scan {
             head: self.head(),
             rows: rows.cloned().collect(),
-            whole: whole.into_iter().map(|s| (s, self.read[&s])).collect(),
+            whole: whole.into_iter().map(|s| (s, self.known_at(s))).collect(),
             lag_ms: match self.written.take() {
                 Some(Written::Ever) => None,
                 Some(Written::After(moment)) => Some(moment.elapsed().as_millis() as u64),
@@ -102,6 +103,14 @@
         })
     }
 
+    /// As of when a section is known.
+    fn known_at(&self, section: Section) -> Revision {
+        match section {
+            Section::Declarations => Revision::counted(self.manifest.unwrap_or_default()),
+            Section::Members | Section::Records => self.read[&section],
+        }
+    }
+
     /// The list of boxes.
     pub fn listed(&self) -> Tagged {
         Tagged {
@@ -199,10 +208,9 @@
     }
 
     fn put_manifest(&mut self) {
-        let Some((revision, bytes)) = self.raw.get(&(Source::Operator, MANIFEST.into())) else {
+        let Some((_, bytes)) = self.raw.get(&(Source::Operator, MANIFEST.into())) else {
             return;
         };
-        let revision = *revision;
         let manifest = match Manifest::parse(bytes) {
             Ok(manifest) => manifest,
             // Operators' changes are checked before they are taken: this is none of theirs.
@@ -213,11 +221,24 @@
             }
         };
         self.readable(Source::Operator, &MANIFEST.into());
+        let version = manifest.version;
+        if let Some(known) = self.manifest.filter(|known| version < *known) {
+            return self.note_older(version, known);
+        }
+        self.manifest = Some(version);
         self.whole.insert(Section::Declarations);
         let declared = |key: &str| Section::of(key) == Section::Declarations;
+        // Known by the operator's own count: an older copy of the store turns back the store's,
+        // and would bring back what was removed.
+        let revision = Revision::counted(version);
         self.declare(declared, rows_of(manifest.declarations()), revision);
     }
 
+    fn note_older(&self, version: u64, known: u64) {
+        let fields: [(_, &dyn std::fmt::Display); 2] = [("version", &version), ("known", &known)];
+        events::emit(&self.log, &events::OLDER_DECLARATIONS, &fields);
+    }
+
     fn put_member(&mut self, id: &Arc<str>, revision: Revision, value: Option<&[u8]>) {
         let entry = value.map(|bytes| members::declaration(id, bytes));
         let declared = match entry.transpose() {
--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -104,6 +104,12 @@
 /// operator writes the change again.
 ///
 /// Order of events: the operator removes a database; the store comes back as a copy from before.
+///
+/// Cause: the operator's document was known by the store's count of its writes, and what the
+/// store says in a newer era is newer. The copy's document is older all the same.
+///
+/// Evidence: both boxes take the copy's rows (200 with a revision of the new era) and serve the
+/// database from then on.
 #[gtest]
 #[tokio::test]
 async fn an_older_copy_brings_nothing_back_that_was_removed() {
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -27,6 +27,8 @@
     pub group: Group,
     pub members: Vec<(String, SocketAddr, Switch)>,
     pub boxes: Vec<Process>,
+    /// Version of the newest manifest that [`World::change`] put.
+    version: u64,
 }
 
 pub fn manifest(version: u64, timeout_ms: u64) -> Value {
@@ -108,9 +110,18 @@
             group,
             members,
             boxes: Vec::new(),
+            version: 3,
         }
     }
 
+    /// Puts a manifest that changes nothing, under a version that is by `step` later:
+    /// operators' versions only rise.
+    pub fn change(&mut self, step: u64) {
+        self.version += step;
+        let next = manifest(self.version, 3_000);
+        self.store.put("op", "config", &next);
+    }
+
     pub fn add_box(&mut self, i: usize) {
         self.add_box_at(i, self.store_address);
     }
