fix(configuration): a box that starts compares what it read with two others, once

What callers would have seen: a box that starts while the store holds an older copy serves a database that was removed, until the operator writes the change again.

Cause: a box asked others only while the table gave no answer. One that has never known the newer document has nothing to hold against the copy's.

Ruled out: telling it unasked (tried: on the users' platform boxes pass nothing on by themselves, so there was nothing to answer). Why this holds: once it has read all declarations it asks two boxes of the list; an answer is small where both know the same, and otherwise the newer document wins by the operator's count. Two questions a start, none at a system's first start; a fleet that starts again at once asks 2 a box. Test red before, green now.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -34,6 +34,9 @@
 const PEER_AFTER: Duration = Duration::from_millis(600);
 /// Peers that are asked how long ago a member left: one of them may have just started too.
 const PEERS_ASKED: usize = 3;
+/// Peers that a box asks once, when it has read the table after its start: one of them may have
+/// just started too.
+const PEERS_COMPARED: usize = 2;
 /// Members that one piece of news names in the log: when the store comes back, the entries of
 /// all may have lapsed.
 const MOST_NAMED: usize = 20;
@@ -117,6 +120,8 @@
     questions: FuturesUnordered<LocalBoxFuture<'static, Heard>>,
     /// Peers that are asked for rows now.
     asked: BTreeSet<Arc<str>>,
+    /// What was read at the start was compared with what others know.
+    compared: bool,
 }
 
 impl Keeper {
@@ -141,6 +146,7 @@
             epoch: rand::random(),
             questions: FuturesUnordered::new(),
             asked: BTreeSet::new(),
+            compared: false,
         }
     }
 
@@ -240,6 +246,7 @@
                 }
                 self.looked = Some(self.context.now());
                 self.read_boxes().await;
+                self.compare();
                 self.ask_for_ages();
             }
             Err(_) => {
@@ -352,6 +359,21 @@
         }
     }
 
+    /// Asks others, once, what they know that the table does not: it may be an older copy of
+    /// itself when a box starts, which has known nothing newer.
+    fn compare(&mut self) {
+        if self.compared || self.context.settings.first_start || self.context.table.is_ordered() {
+            return;
+        }
+        if !self.store.whole().contains_key(&Section::Declarations) {
+            return;
+        }
+        for listing in self.some_peers(PEERS_COMPARED) {
+            self.compared = true;
+            self.ask_for_rows(listing.address);
+        }
+    }
+
     /// Asks others for how long members have been leaving, where this box can't tell: it
     /// started after their word.
     fn ask_for_ages(&mut self) {
--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -128,10 +128,19 @@
 
 /// What users would have seen: a box that starts in the moment in which the store holds an older
 /// copy serves a database that was removed, until the operator writes the change again.
+///
+/// Cause: a box that starts takes what the table says, and asks others only while the table gives
+/// no answer.
+///
+/// Evidence: its log has one 200 from the table, with the older document, and none from a peer; its
+/// peers log that the table's document is older than theirs (213).
 #[gtest]
 #[tokio::test]
 async fn a_box_that_starts_beside_an_older_copy_learns_the_newer_document_from_another() {
     let mut world = World::start(2).await;
+    for name in ["box/box-0", "box/box-1"] {
+        world.store.wait_for("larkfall", name).await;
+    }
     let copy = world.store.version();
     remove_route(&world, 50);
     for index in 0..2 {
