--- a/tests/unit/configuration.rs
+++ b/tests/unit/configuration.rs
@@ -158,6 +158,43 @@
     expect_that!(value(&store, KEPT), some(eq(1)));
 }
 
+/// What could have happened: a box orders under a lower number than one that was ordered under
+/// before, since an older copy of the table names an earlier holder of the duty, or none.
+#[gtest]
+fn the_generation_of_a_duty_does_not_fall_with_an_older_copy() {
+    let held = |era, number, holder: &str, generation: u64| Row {
+        key: DUTY.into(),
+        revision: Revision::new(era, number),
+        value: Some(json!({ "holder": holder, "generation": generation })),
+    };
+    let told = |store: &mut Store, whole: bool, at: Revision, rows: &[Row]| {
+        let whole = whole.then_some((Section::Records, at));
+        let scan = Scan {
+            head: at,
+            rows: rows.to_vec(),
+            whole: whole.into_iter().collect(),
+            ..Scan::default()
+        };
+        take(store, &scan);
+        store.snapshot().duties["g"].clone()
+    };
+    let mut store = Store::default();
+    let rows = [held(1, 25, "b", 100)];
+    told(&mut store, false, Revision::new(1, 25), &rows);
+    let older = [held(2, 20, "a", 40)];
+    let known = told(&mut store, true, Revision::new(2, 21), &older);
+    expect_that!(*known.holder, eq("b"));
+    expect_that!(known.generation, eq(100));
+    // A change of the row names the one that is there.
+    expect_that!(known.revision, eq(Revision::new(2, 20)));
+    let known = told(&mut store, true, Revision::new(3, 15), &[]);
+    expect_that!(known.generation, eq(100));
+    expect_that!(known.revision, eq(Revision::NONE));
+    let later = [held(3, 30, "c", 120)];
+    let known = told(&mut store, false, Revision::new(3, 30), &later);
+    expect_that!(*known.holder, eq("c"));
+}
+
 const KEYS: usize = 4;
 const BOXES: usize = 4;
 const SEEDS: u64 = 1_500;
--- a/tests/unit/setup.rs
+++ b/tests/unit/setup.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use larkfall::borders::table::Revision;
 use larkfall::borders::upstream::{Begin, Opening, Prepared, Setup};
 use larkfall::decisions::duty::{Ballot, Claim, Duty, taken};
 use larkfall::decisions::latency::Latency;
@@ -107,6 +108,22 @@
     expect_that!(claim(&second).stands(Some(&first)), eq(true));
 }
 
+/// What could have happened: a box orders under a claim that nobody but itself knows of any more,
+/// since the copy lacks it, while another takes the duty from there.
+#[gtest]
+fn a_claim_does_not_stand_once_the_table_is_an_older_copy() {
+    let a: Arc<str> = "a".into();
+    let at = |revision, duty: Duty| Duty { revision, ..duty };
+    let first = at(Revision::new(1, 5), taken(None, &a, &ballot(1, 1)));
+    let claim = Claim {
+        duty: first.clone(),
+        alone: false,
+    };
+    expect_that!(claim.stands(Some(&first)), eq(true));
+    let again = at(Revision::new(2, 3), first);
+    expect_that!(claim.stands(Some(&again)), eq(false));
+}
+
 /// As on trouble-1 of cosecha-larkfall, seed 1055612176309.
 #[gtest]
 fn a_later_order_has_the_higher_number_also_after_one_without_the_table() {
