fix(platform): a condition of an older copy is not asked, nor held for granted

What could have happened: a box takes a duty that another has just taken, since the number that its condition names was given out again, to the other's row.

Cause: the store compares a condition by its number, and the number alone says nothing once the store is an older copy. Why this holds: a condition of another era than the newest known is a conflict without a call; and where the answer is the first to tell of the new era, what it granted is not taken, though it was written. Generations follow from the members' ballots, so an overwritten record of another box costs it a ballot at most.

--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -19,7 +19,7 @@
 
 use super::store::{Change, Rows, Store, StoreError};
 use crate::borders::roster::{Listing, Roster, Tagged};
-use crate::borders::table::{Commit, Pace, Revision, Scan, Table, TableError, Verdict};
+use crate::borders::table::{Commit, Pace, Revision, Scan, Table, TableError, Verdict, Write};
 use crate::events;
 use crate::metrics::Metrics;
 use cache::{BOXES, Cache, Written};
@@ -281,6 +281,12 @@
         up.contains(&Source::Operator) && up.contains(&Source::Members)
     }
 
+    /// Whether a condition names a position of an older era than the newest that is known.
+    fn is_outdated(&self, write: &Write) -> bool {
+        let named = write.expect.filter(|expect| *expect != Revision::NONE);
+        named.is_some_and(|expect| !self.store.is_current(expect))
+    }
+
     /// Takes rows of a source; `whole` says that there are no others.
     fn take(&self, source: Source, rows: Rows, whole: bool, written: Written) {
         let changed = self.cache.borrow_mut().take(source, rows, whole, written);
@@ -318,7 +324,10 @@
     }
 
     async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError> {
-        let change = |write: &crate::borders::table::Write| Change {
+        if let Some(write) = commit.writes.iter().find(|write| self.is_outdated(write)) {
+            return Ok(replaced(write));
+        }
+        let change = |write: &Write| Change {
             key: write.key.clone(),
             expect: write.expect,
             value: write
@@ -329,6 +338,11 @@
         let changes: Vec<Change> = commit.writes.iter().map(change).collect();
         self.metrics.called_store(Source::Own.table(), "record");
         match self.store.transact(Source::Own.table(), &changes).await {
+            // Done in another era than that of the conditions, it may have held for a number
+            // that was given out twice, to another row.
+            Ok(_) if commit.writes.iter().any(|write| self.is_outdated(write)) => {
+                Ok(replaced(&commit.writes[0]))
+            }
             Ok(revision) => Ok(Verdict::Done(revision)),
             Err(StoreError::Condition(rows)) => Ok(conflict(&changes, rows)),
             Err(error) => Err(down(error)),
@@ -368,6 +382,14 @@
     }
 }
 
+/// A change whose conditions are of an older copy.
+fn replaced(write: &Write) -> Verdict {
+    Verdict::Conflict {
+        key: write.key.clone(),
+        found: Revision::NONE,
+    }
+}
+
 /// A row that is not as expected; or all are as wanted, since an earlier try with
 /// the same changes took effect and its answer was lost.
 fn conflict(changes: &[Change], rows: Vec<(Arc<str>, Revision, Option<Vec<u8>>)>) -> Verdict {
