fix(duty): claims end with the copy that granted them, generations do not fall with one

What could have happened: an order under a claim that the table has lost, while another box takes the duty from there; or an order under a lower number than one before.

Cause: a claim stood as long as the record named its holder, and a record was taken over by its revision alone. Why this holds: a claim of an older era does not stand, which costs one more ballot; a box keeps the highest generation that it knew with its holder, and takes only the revision from the copy, for the next condition. The same duty under a revision of another era is told to nobody as newly taken. Ruled out: writing the lost records again, since a number follows from the ballot at the members and the record only raises it.

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -65,11 +65,15 @@
     }
 
     /// Whether an order may still go out: nobody else is known to have taken the duty
-    /// since.
+    /// since, nor the table to be an older copy, which may lack the claim and grant it to
+    /// another.
     pub fn stands(&self, known: Option<&Duty>) -> bool {
-        known.is_none_or(|known| {
-            known.holder == self.duty.holder || known.revision <= self.duty.revision
-        })
+        let Some(known) = known else {
+            return true;
+        };
+        let claimed = self.duty.revision;
+        let own = known.holder == self.duty.holder && known.revision.era() <= claimed.era();
+        own || known.revision <= claimed
     }
 }
 
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -172,12 +172,12 @@
             return Ok(());
         }
         if let Some(group) = row.key.strip_prefix(DUTY) {
-            self.duties.remove(group);
+            let known = self.duties.remove(group);
             let told = parsed::<Duty>(row);
             // An unreadable record names no holder; whoever takes the duty replaces it.
             let duty = told.as_ref().map_or(Some(Duty::default()), Option::clone);
-            let duty = duty.map(|duty| (group.into(), Duty { revision, ..duty }));
-            self.duties.extend(duty);
+            let duty = newest_duty(known, duty, revision);
+            self.duties.extend(duty.map(|duty| (group.into(), duty)));
             return told.map(|_| ());
         }
         let key = row.key.strip_prefix(RESOURCE).and_then(Key::parse);
@@ -250,6 +250,18 @@
     }
 }
 
+/// The duty that was taken last, with the revision that the next one to take it must name. An
+/// older copy of the table holds an earlier one or none, and generations must not fall.
+fn newest_duty(known: Option<Duty>, told: Option<Duty>, revision: Revision) -> Option<Duty> {
+    let revision = told.as_ref().map_or(Revision::NONE, |_| revision);
+    let newest = match (known, told) {
+        (Some(known), Some(told)) if told.generation >= known.generation => Some(told),
+        (Some(known), _) => Some(known),
+        (None, told) => told,
+    };
+    newest.map(|duty| Duty { revision, ..duty })
+}
+
 /// What a row holds, none if it was deleted.
 fn parsed<T: DeserializeOwned>(row: &Row) -> Result<Option<T>, String> {
     let value = row.value.clone().map(serde_json::from_value);
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -170,8 +170,12 @@
         let own = &self.context.settings.name;
         let foreign = |group: &Arc<str>, duty: &Duty| {
             let known = before.duties.get(group);
+            // An older copy of the table gives the same duty another revision.
+            let anew = known.is_none_or(|known| {
+                known.generation < duty.generation || known.revision.era() == duty.revision.era()
+            });
             let known = known.map_or(Revision::NONE, |known| known.revision);
-            duty.holder != *own && known < duty.revision
+            duty.holder != *own && known < duty.revision && anew
         };
         let duties = self.snapshot.duties.iter();
         let taken = duties.filter(|(group, duty)| foreign(group, duty));
