fix(platform): what is written again after an older copy may be as old as the gap before it

What users would have seen: requests reach a member later than it allows after it said that it leaves: its word was taken by the store, lost with the copy, and counted from when it was written again.

Cause: the time for which a table went unread ended with its first answer, which lacks what is still to be written again. Why this holds: for four seconds after the copy was noticed news counts as written since the table was last kept up. Members write about every second. What this costs: a member that first says so in these seconds gets less time.

--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -150,7 +150,12 @@
             }
             // The store has come back as an older copy: it counts anew from there, and what it
             // holds has to be read whole, as if nothing had been.
-            after = after.filter(|known| self.store.is_current(*known));
+            if after
+                .take_if(|known| !self.store.is_current(*known))
+                .is_some()
+            {
+                gap.turn();
+            }
             // After an error the first answer tells that the store is back, and after a rest
             // what was missed: it must not wait for a change.
             let wait = match self.up.borrow().contains(&source) && !rested {
@@ -198,7 +203,8 @@
                 }
                 Err(StoreError::HistoryGone | StoreError::Replaced) => {
                     gap.missed(asked, wait);
-                    after = None;
+                    // A position of an older copy is given up above.
+                    after = after.filter(|known| !self.store.is_current(*known));
                     tokio::time::sleep(jittered(FIRST_AGAIN)).await;
                 }
                 Err(error) => {
--- a/src/platform/table/gap.rs
+++ b/src/platform/table/gap.rs
@@ -7,12 +7,27 @@
 use super::cache::Written;
 use crate::http::SILENCE;
 
+/// Time in which what an older copy of the store lacks is written again: members write about
+/// every second, and tell a change at once.
+const REWRITTEN: Duration = Duration::from_secs(4);
+
 /// The time for which a source was not kept up.
 #[derive(Debug, Default)]
 pub struct Gap {
     /// The source was read before.
     read: bool,
     since: Option<Instant>,
+    /// News may have been written before the store came back as an older copy.
+    lost: Option<Lost>,
+}
+
+/// What an older copy lacks.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    /// When it was written, at the earliest.
+    since: Instant,
+    /// When all of it is written again.
+    until: Instant,
 }
 
 impl Gap {
@@ -32,11 +47,23 @@
         self.open(silent.filter(|_| !overdue).unwrap_or(asked));
     }
 
+    /// The store came back as an older copy: what was written since the source was last kept
+    /// up may be written again, and is then older than its news.
+    pub fn turn(&mut self) {
+        let now = Instant::now();
+        let since = self.since.unwrap_or(now);
+        let until = now + REWRITTEN;
+        self.lost = Some(Lost { since, until });
+    }
+
     /// The source has answered: when its news was written at the earliest.
     pub fn close(&mut self) -> Written {
-        let since = self.since.take();
+        let now = Instant::now();
+        self.lost = self.lost.filter(|lost| now < lost.until);
+        let missed = self.since.take().unwrap_or(now);
+        let since = self.lost.map_or(missed, |lost| lost.since.min(missed));
         match std::mem::replace(&mut self.read, true) {
-            true => Written::After(since.unwrap_or_else(Instant::now)),
+            true => Written::After(since),
             false => Written::Ever,
         }
     }
