fix(run): a box that the list has lost lists itself again

What could have happened: a box that joined in the seconds that a copy lacks is listed by nobody for good. It serves its callers, but owns nothing and is no lender in the eyes of others.

Cause: a box listed itself once, at its start. Why this holds: it follows the list, and where that lacks it for 2.5 to 5 s it writes its row again (event 214); the jitter spreads a fleet's rows, one call a box that is missing and none otherwise.

--- a/src/borders/roster.rs
+++ b/src/borders/roster.rs
@@ -42,11 +42,19 @@
     fn is_known(&self) -> bool {
         true
     }
-    /// Puts this box on the list, where boxes list themselves.
+    /// Whether boxes list themselves.
+    fn is_kept_by_boxes(&self) -> bool {
+        false
+    }
+    /// Whether the list names a box just so, as far as this box has read it.
+    fn lists(&self, _: &Listing) -> bool {
+        false
+    }
+    /// Puts this box on the list.
     async fn enter(&self, _: &Listing) -> Result<(), TableError> {
         Ok(())
     }
-    /// Takes a box off the list, where boxes list themselves.
+    /// Takes a box off the list.
     async fn leave(&self, _: &str) -> Result<(), TableError> {
         Ok(())
     }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
+use rand::Rng;
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -42,6 +43,8 @@
 const ENTER_LOOK: Duration = Duration::from_millis(50);
 /// Time for the list at the end.
 const LEAVE_WAIT: Duration = Duration::from_millis(300);
+/// Time for which the list may lack this box before it lists itself again, at least.
+const LACKED: Duration = Duration::from_millis(2_500);
 /// Time between two tries to be listed.
 const ENTER_AGAIN: Duration = Duration::from_millis(800);
 
@@ -250,8 +253,12 @@
     }
 }
 
-/// Puts this box on the list, where boxes list themselves, until it is there.
+/// Puts this box on the list, where boxes list themselves, and again whenever the list has
+/// lost it: the table may come back as a copy from before.
 async fn enter(context: Rc<Context>) {
+    if !context.roster.is_kept_by_boxes() {
+        return;
+    }
     let listing = Listing {
         name: context.settings.name.clone(),
         address: context.own_api_address().into(),
@@ -264,7 +271,24 @@
     while !context.settings.first_start && !context.roster.is_known() {
         tokio::time::sleep(ENTER_LOOK).await;
     }
-    while let Err(error) = context.roster.enter(&listing).await {
+    if !context.roster.lists(&listing) {
+        put_on_list(&context, &listing).await;
+    }
+    let mut boxes = context.boxes.clone();
+    let lacks = |boxes: &Arc<[Listing]>| !boxes.contains(&listing);
+    while boxes.wait_for(lacks).await.is_ok() {
+        // What was just written takes a while to come back, and others write at this moment too.
+        let jitter = rand::rng().random_range(1.0..2.0);
+        tokio::time::sleep(LACKED.mul_f64(jitter)).await;
+        if lacks(&boxes.borrow_and_update()) && !*context.leaving.borrow() {
+            events::emit(&context.log, &events::LISTED_AGAIN, &[]);
+            put_on_list(&context, &listing).await;
+        }
+    }
+}
+
+async fn put_on_list(context: &Context, listing: &Listing) {
+    while let Err(error) = context.roster.enter(listing).await {
         events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
         tokio::time::sleep(ENTER_AGAIN).await;
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -437,10 +437,15 @@
         self.listed.get()
     }
 
+    fn is_kept_by_boxes(&self) -> bool {
+        true
+    }
+
+    fn lists(&self, listing: &Listing) -> bool {
+        self.cache.borrow().lists(listing)
+    }
+
     async fn enter(&self, listing: &Listing) -> Result<(), TableError> {
-        if self.cache.borrow().lists(listing) {
-            return Ok(());
-        }
         let value = serde_json::to_vec(listing).expect("a listing is plain data");
         self.list(&listing.name, Some(value)).await
     }
