fix(departures): of two ages of a member's word the older one counts

What users would have seen: a box that starts after an older copy hears a member's word when it is written again, counts from then, and sends to the member for longer than it allows.

Cause: another box's age was taken only where a box had none of its own. Why this holds: two boxes hear of one word at moments that differ; who heard first is right, and a member that started again is another one. Costs: an age that a box overrates goes round.

--- a/src/node/configuration/departures.rs
+++ b/src/node/configuration/departures.rs
@@ -19,6 +19,10 @@
     known: BTreeMap<Key, Departed>,
 }
 
+/// How much older another box's age of a word has to be to count in place of one's own: what
+/// both have heard from the table differs by less.
+const OLDER: Duration = Duration::from_millis(500);
+
 /// A member that departs.
 #[derive(Clone, Debug)]
 struct Departed {
@@ -61,13 +65,18 @@
         departed
     }
 
-    /// Takes ages that another box has told, where this one has none. Whether any was.
+    /// Takes ages that another box has told, where this one has none or a younger one: it may
+    /// have heard a word only when that was written again. Whether any was.
     pub fn learn(&mut self, told: &Ages, now: Duration) -> bool {
         let mut learned = false;
         for (key, known) in &mut self.known {
-            let age = told.get(&row_key(key)).copied().flatten();
-            if known.departure.age(now).is_none() && age.is_some() {
-                known.departure = Departure::heard(now, age.map(Duration::from_millis));
+            let Some(age) = told.get(&row_key(key)).copied().flatten() else {
+                continue;
+            };
+            let age = Duration::from_millis(age);
+            let own = known.departure.age(now);
+            if own.is_none_or(|own| age > own + OLDER) {
+                known.departure = Departure::heard(now, Some(age));
                 learned = true;
             }
         }
