fix(departures): an older copy takes back no member's word that it leaves

What users would have seen: a member that had said that it leaves is sent statements again, since the copy lists it as it was before, and its time is counted anew once it says so again.

Cause: a word was over as soon as the list named the member without it. Why this holds: within an era the member itself speaks; a list of a later era than the word may be a copy of before, so the word stands for a minute from when it was heard (longer than members serve on) or until the member starts again, and the group is told that it leaves. Its entry written again is the same word, with its first age. Also for one that the list had ceased to name: it is used, and its age is kept.

--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -35,6 +35,15 @@
     pub departures: BTreeMap<Arc<str>, Departure>,
 }
 
+impl Plan {
+    fn leave(&mut self, name: &str) {
+        let known = self.members.iter_mut();
+        for member in known.filter(|member| *member.name == *name) {
+            member.leaving = true;
+        }
+    }
+}
+
 /// Who leads a group, as last recorded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Primary {
@@ -152,7 +161,8 @@
         }
     }
 
-    /// The same with the times since when members leave.
+    /// The same with the times since when members leave. One that said so leaves, also where an
+    /// older copy of the table lists it as before.
     pub fn with_departures<'a>(
         mut self,
         departures: impl Iterator<Item = (&'a Member, Departure)>,
@@ -160,8 +170,11 @@
         for (member, departure) in departures {
             let group = group_id(&member.partner, &member.group);
             if let Some(plan) = self.groups.get_mut(&group) {
-                let departures = &mut Arc::make_mut(plan).departures;
-                departures.insert(member.name.clone(), departure);
+                let plan = Arc::make_mut(plan);
+                plan.departures.insert(member.name.clone(), departure);
+                if member.leaving {
+                    plan.leave(&member.name);
+                }
             }
         }
         self
--- a/src/node/configuration/departures.rs
+++ b/src/node/configuration/departures.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::borders::table::{Ages, RESOURCE};
+use crate::borders::table::{Ages, RESOURCE, Revision};
 use crate::decisions::departure::Departure;
 use crate::declarations::resource::{Key, Member};
 use crate::declarations::snapshot::{Manner, Snapshot};
@@ -28,6 +28,34 @@
 struct Departed {
     member: Member,
     departure: Departure,
+    /// Era of the table in which it was said.
+    era: u64,
+}
+
+impl Departed {
+    /// Whether the word is taken back: by the member itself, or since it started again. An
+    /// older copy of the table that lists the member as it was before takes nothing back.
+    fn is_over(&self, listed: Option<&Listed>, now: Duration) -> bool {
+        let remembered = !self.departure.was_heard(REMEMBERED, now);
+        let Some(listed) = listed else {
+            return !remembered;
+        };
+        let again = self.member.started_again(listed.member);
+        let lost = listed.revision.era() > self.era && remembered;
+        again || (!listed.member.leaving && !lost)
+    }
+}
+
+/// A member as the table lists it.
+struct Listed<'a> {
+    member: &'a Member,
+    revision: Revision,
+}
+
+fn listed<'a>(snapshot: &'a Snapshot, key: &Key) -> Option<Listed<'a>> {
+    let revision = snapshot.resources.get(key)?.revision;
+    let member = snapshot.member(key)?;
+    Some(Listed { member, revision })
 }
 
 impl Departures {
@@ -42,13 +70,8 @@
         now: Duration,
     ) -> Vec<(Key, Manner)> {
         self.learn(told, now);
-        let stays = |key: &Key| snapshot.member(key).is_some_and(|member| !member.leaving);
-        self.known.retain(|key, known| {
-            let listed = snapshot.member(key);
-            let again = listed.is_some_and(|member| known.member.started_again(member));
-            let kept = listed.is_some() || !known.departure.was_heard(REMEMBERED, now);
-            !stays(key) && !again && kept
-        });
+        self.known
+            .retain(|key, known| !known.is_over(listed(snapshot, key).as_ref(), now));
         let departed: Vec<(Key, Manner)> = snapshot.departed_since(before).collect();
         for (key, _) in &departed {
             let age = told.get(&row_key(key)).copied();
@@ -57,10 +80,14 @@
                 continue;
             };
             // A member that leaves, and whose entry goes or lapses later, left when it said so.
-            self.known.entry(key.clone()).or_insert_with(|| Departed {
+            let revision = listed(snapshot, key).map_or(snapshot.revision, |l| l.revision);
+            let known = self.known.entry(key.clone()).or_insert_with(|| Departed {
                 member: member.clone(),
                 departure: Departure::heard(now, age),
+                era: 0,
             });
+            // Said again after an older copy, it is the same word.
+            known.era = revision.era();
         }
         departed
     }
