test(many): a change after an older copy of the product's own table is refused, known red

The stand-in of the platform's table comes back as the copy of an earlier revision, counts on from there and names the era in all answers. The operator's next change is refused for 20 s and more.

--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -7,7 +7,7 @@
 
 use axum::extract::{Query, State};
 use axum::http::{HeaderMap, StatusCode, header};
-use axum::middleware::from_fn_with_state;
+use axum::middleware::{from_fn_with_state, map_response_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -30,10 +30,16 @@
     pub roster_lag_ms: u64,
 }
 
+/// Header of all answers: counts how often the table came back as an older copy of itself.
+pub const ERA: &str = "table-era";
+
 #[derive(Default)]
 struct Table {
+    era: u64,
     revision: Revision,
     rows: BTreeMap<Arc<str>, (Revision, Option<Value>)>,
+    /// What was committed, from which an older copy is made.
+    commits: Vec<(Revision, Commit)>,
     /// Verdicts by nonce, so that a lost answer can be asked for again.
     nonces: HashMap<String, Verdict>,
     reads: u64,
@@ -58,15 +64,36 @@
             }
         }
         self.revision = self.revision.next();
-        for write in commit.writes {
-            self.rows.insert(write.key, (self.revision, write.value));
-        }
         let verdict = Verdict::Done(self.revision);
-        // A refused commit is not remembered: it may be sent again with the same nonce.
-        self.nonces.insert(commit.nonce, verdict.clone());
+        self.apply(&commit, self.revision);
+        self.commits.push((self.revision, commit));
         verdict
     }
 
+    fn apply(&mut self, commit: &Commit, revision: Revision) {
+        for write in &commit.writes {
+            let row = (revision, write.value.clone());
+            self.rows.insert(write.key.clone(), row);
+        }
+        // A refused commit is not remembered: it may be sent again with the same nonce.
+        self.nonces
+            .insert(commit.nonce.clone(), Verdict::Done(revision));
+    }
+
+    /// Becomes the copy that was made at a revision.
+    fn restore(&mut self, revision: Revision) {
+        self.era += 1;
+        self.revision = revision;
+        self.rows.clear();
+        self.nonces.clear();
+        let mut commits = std::mem::take(&mut self.commits);
+        commits.retain(|(at, _)| *at <= revision);
+        for (at, commit) in &commits {
+            self.apply(commit, *at);
+        }
+        self.commits = commits;
+    }
+
     fn scan(&mut self, since: Revision) -> Scan {
         self.reads += 1;
         let newer = self.rows.iter().filter(|(_, row)| row.0 > since);
@@ -141,9 +168,11 @@
         .route("/scan", get(scan))
         .route("/commit", post(commit))
         .route("/boxes", get(boxes))
+        .layer(map_response_with_state(platform.clone(), name_era))
         .layer(from_fn_with_state(gate.clone(), through_gate));
     let open = Router::new()
         .route("/boxes", post(set_boxes))
+        .route("/restore", post(restore))
         .route("/counts", get(counts));
     let router = gated.merge(open).with_state(platform);
     let router = router.merge(faults_router(gate));
@@ -151,6 +180,17 @@
     axum::serve(listener, service).await
 }
 
+async fn name_era(State(platform): State<Platform>, mut response: Response) -> Response {
+    let era = platform.table().era;
+    response.headers_mut().insert(ERA, era.into());
+    response
+}
+
+/// Comes back as the copy that was made at a revision.
+async fn restore(State(platform): State<Platform>, Json(revision): Json<Revision>) {
+    platform.table().restore(revision);
+}
+
 #[derive(Deserialize)]
 struct Since {
     since: Revision,
--- a/src/trial/cluster.rs
+++ b/src/trial/cluster.rs
@@ -12,6 +12,7 @@
 
 use super::client::{Client, ClientError};
 use super::host::{Host, Running};
+use crate::borders::table::Revision;
 use crate::configs::run::Run;
 use crate::events::Format;
 use crate::http::{Call, Client as Http};
@@ -420,6 +421,32 @@
             .await
     }
 
+    /// The newest revision of the platform's table.
+    pub async fn platform_head(&self) -> anyhow::Result<Revision> {
+        let address = format!("{}:{PLATFORM_PORT}", self.platform.ip);
+        let body = self.http.get(&address, "/head", WAIT).await;
+        let body = body.map_err(|error| anyhow!(error))?;
+        serde_json::from_slice(&body).context("the head is a revision")
+    }
+
+    /// Has the platform's table come back as the copy that was made at a revision.
+    pub async fn restore_platform(&self, revision: Revision) -> anyhow::Result<()> {
+        self.post(&self.platform, PLATFORM_PORT, "/restore", &json!(revision))
+            .await
+    }
+
+    /// A resource as a box shows it; none where it shows none.
+    pub async fn resource(&self, i: usize, token: &str, key: &str) -> Option<Value> {
+        let address = self.api_address(i);
+        let path = format!("/v1/resources/{key}");
+        let call = Call {
+            bearer: Some(token),
+            ..Call::get(&address, &path, WAIT)
+        };
+        let body = self.http.call(call).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
     pub async fn set_lag(&self, group: usize, member: usize, ms: u64) -> anyhow::Result<()> {
         let part = &self.members[group][member];
         self.post(part, CONTROL_PORT, "/lag", &json!(ms)).await
--- a/tests/system/many.rs
+++ b/tests/system/many.rs
@@ -80,6 +80,44 @@
     });
 }
 
+/// What operators would have seen: after the table came back as an older copy of itself their
+/// changes are refused, since somebody else changed the resource, or come into force nowhere.
+#[gtest]
+fn a_change_after_an_older_copy_of_the_table_comes_into_force_on_every_box() {
+    with_cluster(nine(), async |cluster| {
+        let copy = cluster.platform_head().await.expect("answers");
+        for age in 1..8 {
+            let lost = [kind("kept", age), kind(&format!("lost-{age}"), age)];
+            until("a change is taken", async || {
+                apply(cluster, 0, &lost).await.is_ok()
+            })
+            .await
+            .expect("a change is taken");
+        }
+        let token = operator_token("huerto");
+        let shown = async |i: usize, age: u64| {
+            let found = cluster.resource(i, &token, "read/huerto/market.kept").await;
+            found.is_some_and(|found| found["spec"]["max_age_ms"] == json!(age))
+        };
+        for i in 0..9 {
+            until("it is in force", async || shown(i, 7).await)
+                .await
+                .expect("it is in force");
+        }
+        cluster.restore_platform(copy).await.expect("restores");
+        until("a change is taken again", async || {
+            apply(cluster, 1, &[kind("kept", 70)]).await.is_ok()
+        })
+        .await
+        .expect("a change is taken again");
+        for i in 0..9 {
+            until("it is in force", async || shown(i, 70).await)
+                .await
+                .expect("it is in force");
+        }
+    });
+}
+
 #[gtest]
 fn a_box_that_starts_while_the_table_is_down_gets_its_configuration_from_a_peer() {
     with_cluster(
