test(copies): drawn copies of the store beside changes, departures, claims and restarts

The real cache of the adapter, merging of rows, departures and duties of 3, 9 or 71 boxes before a store that becomes older copies of itself. In a box's life no document, generation or word goes back, orders rise, and once all is written again every box knows what was declared last. Its first schedules found that the era of a member that is listed no more was taken from the box's newest position of any table; it is that in which the member was last listed now. (A check that also held members which vanish without a word was narrowed: such an entry may have lapsed and come back.)

--- a/src/node/configuration/departures.rs
+++ b/src/node/configuration/departures.rs
@@ -28,7 +28,7 @@
 struct Departed {
     member: Member,
     departure: Departure,
-    /// Era of the table in which it was said.
+    /// Era of the table in which it was said, or in which it was last listed.
     era: u64,
 }
 
@@ -76,18 +76,18 @@
         for (key, _) in &departed {
             let age = told.get(&row_key(key)).copied();
             let age = age.map_or(lag, |age| age.map(Duration::from_millis));
-            let Some(member) = snapshot.member(key).or(before.member(key)) else {
+            let Some(last) = listed(snapshot, key).or(listed(before, key)) else {
                 continue;
             };
             // A member that leaves, and whose entry goes or lapses later, left when it said so.
-            let revision = listed(snapshot, key).map_or(snapshot.revision, |l| l.revision);
+            let era = last.revision.era();
             let known = self.known.entry(key.clone()).or_insert_with(|| Departed {
-                member: member.clone(),
+                member: last.member.clone(),
                 departure: Departure::heard(now, age),
-                era: 0,
+                era,
             });
             // Said again after an older copy, it is the same word.
-            known.era = revision.era();
+            known.era = known.era.max(era);
         }
         departed
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -72,7 +72,8 @@
 }
 
 impl Rows {
-    fn parse(body: &[u8], era: u64) -> Result<Self, StoreError> {
+    /// Rows as the store sends them, in an answer of this era.
+    pub fn parse(body: &[u8], era: u64) -> Result<Self, StoreError> {
         let mut rows: Self = decode(body)?;
         rows.revision = Revision::new(era, rows.schema_version);
         for row in &mut rows.rows {
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -1,9 +1,9 @@
 //! The store as the product's table: the operator's manifest, the members' entries
 //! and larkfall's own rows, each kept up by a wait for changes.
 
-mod cache;
+pub mod cache;
 mod gap;
-mod source;
+pub mod source;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- /dev/null
+++ b/tests/unit/copies.rs
@@ -0,0 +1,419 @@
+//! A store that comes back as older copies of itself, at drawn moments, beside changes, members
+//! that leave, claims, boxes that start again and news between boxes, in virtual time.
+//!
+//! `PROPTEST_CASES=20000 cargo test --release --test unit copies::` plays more schedules.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use larkfall::borders::table::{Ages, Revision, Scan};
+use larkfall::decisions::duty::{Ballot, Claim, Duty, taken};
+use larkfall::declarations::resource::Key;
+use larkfall::declarations::snapshot::Snapshot;
+use larkfall::node::configuration::{Departures, Store};
+use larkfall::node::news::Question;
+use larkfall::platform::store::Rows;
+use larkfall::platform::table::cache::{Cache, Written};
+use larkfall::platform::table::source::Source;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use serde_json::{Value, json};
+use slog::Logger;
+use tokio::time::Instant;
+
+/// Small, as the smaller deployments have, and as the larger ones have.
+const SIZES: [usize; 3] = [3, 9, 71];
+const MEMBERS: usize = 4;
+const DATABASES: usize = 4;
+const GROUP: &str = "platform/db1";
+const STEP: Duration = Duration::from_millis(20);
+
+type Place = (&'static str, Arc<str>);
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// The operator declares these databases.
+    Change(BTreeSet<usize>),
+    /// A member joins, says that it leaves, or is gone.
+    Member(Index),
+    /// A box takes the duty.
+    Claim(Index),
+    /// A box reads a table.
+    Read(Index, usize),
+    /// A box asks another for its rows.
+    Ask(Index, Index),
+    Restart(Index),
+    /// The store becomes a copy from so many writes ago.
+    Older(u64),
+    /// What the operator and members wrote is written again.
+    Again,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let changed = proptest::collection::btree_set(0..DATABASES, 0..=DATABASES);
+    let step = prop_oneof![
+        3 => changed.prop_map(Step::Change),
+        2 => any::<Index>().prop_map(Step::Member),
+        2 => any::<Index>().prop_map(Step::Claim),
+        8 => (any::<Index>(), 0..3_usize).prop_map(|(at, source)| Step::Read(at, source)),
+        4 => (any::<Index>(), any::<Index>()).prop_map(|(to, from)| Step::Ask(to, from)),
+        1 => any::<Index>().prop_map(Step::Restart),
+        1 => (0..12_u64).prop_map(Step::Older),
+        1 => Just(Step::Again),
+    ];
+    proptest::collection::vec(step, 20..300)
+}
+
+/// The store's tables.
+#[derive(Default)]
+struct Tables {
+    era: u64,
+    number: u64,
+    written: Vec<(u64, Place, Option<Value>)>,
+    /// What the operator and members wrote last.
+    truth: BTreeMap<Place, Option<Value>>,
+}
+
+impl Tables {
+    fn put(&mut self, place: Place, value: Option<Value>) -> Revision {
+        self.number += 1;
+        self.written.push((self.number, place, value));
+        Revision::new(self.era, self.number)
+    }
+
+    fn declare(&mut self, place: Place, value: Option<Value>) {
+        self.truth.insert(place.clone(), value.clone());
+        self.put(place, value);
+    }
+
+    fn rows(&self) -> BTreeMap<&Place, (u64, &Option<Value>)> {
+        let written = self.written.iter();
+        written
+            .map(|(number, place, value)| (place, (*number, value)))
+            .collect()
+    }
+
+    fn row(&self, place: &Place) -> (u64, Option<Value>) {
+        let rows = self.rows();
+        let row = rows
+            .get(place)
+            .map(|(number, value)| (*number, (*value).clone()));
+        row.unwrap_or_default()
+    }
+
+    fn older(&mut self, by: u64) {
+        self.era += 1;
+        self.number = self.number.saturating_sub(by);
+        self.written.retain(|(number, _, _)| *number <= self.number);
+    }
+
+    fn again(&mut self) {
+        for (place, value) in self.truth.clone() {
+            if self.row(&place).1 != value {
+                self.put(place, value);
+            }
+        }
+    }
+
+    /// Rows of a table after a number, or those that are there.
+    fn read(&self, table: &str, after: Option<u64>) -> Rows {
+        let rows = self.rows().into_iter().filter(|(place, (number, value))| {
+            let told = after.map_or(value.is_some(), |after| *number > after);
+            place.0 == table && told
+        });
+        let row = |(place, (number, value)): (&Place, (u64, &Option<Value>))| {
+            let value = value.as_ref().map(|value| BASE64.encode(value.to_string()));
+            let deleted = value.is_none();
+            json!({"tls_key": place.1, "schema_version": number, "value": value, "deleted": deleted})
+        };
+        let rows: Vec<Value> = rows.map(row).collect();
+        let answer = json!({ "rows": rows, "schema_version": self.number }).to_string();
+        Rows::parse(answer.as_bytes(), self.era).expect("rows as the store sends them")
+    }
+}
+
+fn log() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+/// What a box keeps of the store.
+struct Reader {
+    name: Arc<str>,
+    cache: Cache,
+    after: BTreeMap<Source, Revision>,
+    store: Store,
+    departures: Departures,
+    snapshot: Snapshot,
+    /// Newest version that was in force in this life.
+    version: u64,
+    generation: u64,
+    /// Members of which this box has heard, by their word, that they leave.
+    left: BTreeSet<Arc<str>>,
+}
+
+impl Reader {
+    fn new(number: usize) -> Self {
+        Self {
+            name: format!("box-{number}").into(),
+            cache: Cache::new(log()),
+            after: BTreeMap::new(),
+            store: Store::default(),
+            departures: Departures::default(),
+            snapshot: Snapshot::default(),
+            version: 0,
+            generation: 0,
+            left: BTreeSet::new(),
+        }
+    }
+
+    fn read(&mut self, tables: &Tables, source: Source, now: Duration) {
+        let after = self.after.get(&source);
+        let after = after.filter(|after| after.era() == tables.era);
+        let rows = tables.read(source.table(), after.map(|after| after.number()));
+        let whole = after.is_none();
+        self.after.insert(source, rows.revision);
+        self.cache
+            .take(source, rows, whole, Written::After(Instant::now()));
+        if let Some(scan) = self.cache.tell() {
+            self.accept(&scan, now);
+        }
+    }
+
+    fn accept(&mut self, scan: &Scan, now: Duration) {
+        if !self.store.take(Revision::NONE, scan, &log()) {
+            return;
+        }
+        let snapshot = self.store.snapshot();
+        let change = (&self.snapshot, &snapshot);
+        let heard = Some(Duration::ZERO);
+        self.departures.take(change, &Ages::new(), heard, now);
+        self.snapshot = snapshot;
+    }
+
+    fn answer(&self, question: &Question) -> Scan {
+        self.store.answer(question)
+    }
+
+    fn duty(&self) -> Option<&Duty> {
+        self.snapshot.duties.get(GROUP)
+    }
+
+    /// Databases in force and the document's version, which one of them carries.
+    fn document(&self) -> (u64, BTreeSet<Arc<str>>) {
+        let databases = &self.snapshot.databases;
+        let marked = databases.get("mark").map(|mark| mark.timeout_ms);
+        (
+            marked.unwrap_or_default(),
+            databases.keys().cloned().collect(),
+        )
+    }
+
+    /// Members in use.
+    fn used(&self) -> BTreeSet<Arc<str>> {
+        let snapshot = self.snapshot.clone();
+        let applied = snapshot.with_departures(self.departures.known());
+        let plans = applied.groups.values();
+        let members = plans.flat_map(|plan| plan.members.clone());
+        let used = members.filter(|member| !member.leaving);
+        used.map(|member| member.name).collect()
+    }
+}
+
+/// Boxes before a store.
+struct World {
+    tables: Tables,
+    boxes: Vec<Reader>,
+    /// Databases of each version.
+    documents: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    /// How far members have come: joined, leaving, gone.
+    members: [u8; MEMBERS],
+    turn: u64,
+    orders: Vec<u64>,
+    now: Duration,
+}
+
+impl World {
+    fn new(boxes: usize) -> Self {
+        let mut world = Self {
+            tables: Tables::default(),
+            boxes: (0..boxes).map(Reader::new).collect(),
+            documents: BTreeMap::new(),
+            members: [0; MEMBERS],
+            turn: 0,
+            orders: Vec::new(),
+            now: Duration::ZERO,
+        };
+        world.change(&BTreeSet::new());
+        world
+    }
+
+    fn take(&mut self, step: &Step) {
+        self.now += STEP;
+        let now = self.now;
+        let count = self.boxes.len();
+        match step {
+            Step::Change(databases) => self.change(databases),
+            Step::Member(member) => self.member(member.index(MEMBERS)),
+            Step::Claim(at) => self.claim(at.index(count)),
+            Step::Read(at, source) => {
+                let source = Source::ALL[*source];
+                self.boxes[at.index(count)].read(&self.tables, source, now);
+            }
+            Step::Ask(to, from) => self.ask(to.index(count), from.index(count)),
+            Step::Restart(at) => {
+                let at = at.index(count);
+                self.boxes[at] = Reader::new(at);
+            }
+            Step::Older(by) => self.tables.older(*by),
+            Step::Again => self.tables.again(),
+        }
+    }
+
+    fn change(&mut self, databases: &BTreeSet<usize>) {
+        let version = self.documents.len() as u64 + 1;
+        let route = |name: &str| {
+            json!({
+                "hostname": name, "type": "primary", "backend": "db1", "timeout_ms": version,
+            })
+        };
+        let names = databases.iter().map(|number| format!("d{number}"));
+        let names: Vec<String> = names.chain(["mark".to_owned()]).collect();
+        let routes: Vec<Value> = names.iter().map(|name| route(name)).collect();
+        let document = json!({
+            "version": version, "routes": routes, "services": [{"name": "db1"}], "limits": {},
+        });
+        let declared = names.iter().map(|name| name.as_str().into()).collect();
+        self.documents.insert(version, declared);
+        self.tables.declare(("op", "config".into()), Some(document));
+    }
+
+    fn member(&mut self, member: usize) {
+        let entry = |state: &str| {
+            json!({
+                "backend": "db1", "address": format!("127.0.0.1:{}", member + 1), "zone": "z",
+                "version": "v1", "capacity": 3, "state": state, "cold_remaining_ms": 0,
+                "sequence": 1,
+            })
+        };
+        let value = match self.members[member] {
+            0 => Some(entry("ready")),
+            1 => Some(entry("draining")),
+            2 => None,
+            _ => return,
+        };
+        self.members[member] += 1;
+        let place = ("servers", format!("i-{member}").into());
+        self.tables.declare(place, value);
+    }
+
+    /// A box takes the duty under a condition, and orders if that was granted.
+    fn claim(&mut self, at: usize) {
+        let place: Place = ("larkfall", format!("duty/{GROUP}").into());
+        let claimant = &self.boxes[at];
+        self.turn += 1;
+        let ballot = Ballot {
+            replaced: 1,
+            turn: self.turn,
+        };
+        let mut duty = taken(claimant.duty(), &claimant.name, &ballot);
+        let (number, value) = self.tables.row(&place);
+        let there = value.map_or(0, |_| number);
+        if duty.revision.number() != there {
+            return;
+        }
+        // The store compares numbers alone.
+        let granted = duty.revision == Revision::NONE || duty.revision.era() == self.tables.era;
+        let written = self.tables.put(place, Some(json!(duty)));
+        if granted {
+            duty.revision = written;
+            let claim = Claim { duty, alone: false };
+            self.orders.push(claim.number(&ballot));
+        }
+    }
+
+    fn ask(&mut self, to: usize, from: usize) {
+        let question = Question {
+            since: Revision::NONE,
+            digest: self.boxes[to].store.digest(),
+        };
+        let scan = self.boxes[from].answer(&question);
+        self.boxes[to].accept(&scan, self.now);
+    }
+
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        for at in &mut self.boxes {
+            let (version, databases) = at.document();
+            prop_assert!(
+                version >= at.version,
+                "{}: {version} after {}",
+                at.name,
+                at.version
+            );
+            let declared = self.documents.get(&version);
+            prop_assert!(declared.is_none_or(|declared| *declared == databases));
+            at.version = version;
+            let generation = at.duty().map_or(0, |duty| duty.generation);
+            prop_assert!(
+                generation >= at.generation,
+                "{}: a lower generation",
+                at.name
+            );
+            at.generation = generation;
+            let used = at.used();
+            let back: Vec<_> = used.intersection(&at.left).collect();
+            prop_assert!(back.is_empty(), "{}: {back:?} used again", at.name);
+            // One that is listed no more without its word may have lapsed, and come back.
+            let said = at.departures.known().filter(|(member, _)| member.leaving);
+            at.left.extend(said.map(|(member, _)| member.name.clone()));
+        }
+        let rises = self.orders.is_sorted_by(|earlier, later| earlier < later);
+        prop_assert!(rises, "orders {:?}", self.orders);
+        Ok(())
+    }
+
+    /// Once all is written again and read, every box knows what was declared last.
+    fn settle(&mut self) -> Result<(), TestCaseError> {
+        self.tables.again();
+        let newest = *self.documents.keys().next_back().expect("one");
+        let members = self.members.iter().enumerate();
+        let ready = members.filter(|(_, state)| **state == 1);
+        let ready: BTreeSet<Arc<str>> = ready.map(|(i, _)| format!("i-{i}").into()).collect();
+        for at in &mut self.boxes {
+            for source in Source::ALL {
+                at.read(&self.tables, source, self.now);
+            }
+            prop_assert_eq!(at.document().0, newest);
+            prop_assert_eq!(at.used(), ready.clone());
+            let listed = Key::parse("member/platform/db1.i-0").expect("a key");
+            let known = at.snapshot.member(&listed).is_some();
+            prop_assert_eq!(known, matches!(self.members[0], 1 | 2));
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(40),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(160)
+    })]
+
+    /// However often the store goes back, in the life of a box no document, generation or word
+    /// that it knew does; orders rise; and in the end every box knows what was declared last.
+    #[test]
+    fn no_box_goes_back_with_the_store(
+        size in proptest::sample::select(&SIZES[..]),
+        steps in steps(),
+    ) {
+        let mut world = World::new(size);
+        for step in &steps {
+            world.take(step);
+            world.check()?;
+        }
+        world.settle()?;
+    }
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -2,6 +2,7 @@
 
 mod classify;
 mod configuration;
+mod copies;
 mod declarations;
 mod departing;
 mod events;
