test(soak, older_copy): the store comes back as older copies in the soak; answers of two copies

The soak's store comes back as a copy of up to four seconds ago, once or twice in a row, beside changes and killed boxes, and at the end of each play a change has to be in force on every box. Three tests of the client: changes after a position that was given out twice, pages of two copies and late answers of the copy before are not taken. The stand-in writes nothing again over what was written since.

--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -5,12 +5,13 @@
 
 use googletest::prelude::*;
 use larkfall::borders::table::{Commit, Revision, Table, Verdict, Write};
+use larkfall::platform::store::StoreError;
 use larkfall::platform::table::Mirror;
 use serde_json::json;
 use tokio::task::LocalSet;
 
 use super::client::Client;
-use super::reading::{mirror, rows_until};
+use super::reading::{mirror, reader, rows_until};
 use super::restarts::remove_route;
 use super::store::{Fault, Store};
 use super::world::{STRICT, World, entry, manifest};
@@ -152,6 +153,56 @@
     expect_that!(is_removed_in_time(&world, 2).await, eq(true));
 }
 
+/// Once the counter has passed a position again, nothing but the era tells that what follows on it
+/// is not all that has changed.
+#[gtest]
+#[tokio::test]
+async fn changes_after_a_position_that_was_given_out_twice_are_not_taken() {
+    let store = Store::default();
+    store.put("op", "a", &json!(1));
+    let copy = store.version();
+    store.put("op", "b", &json!(1));
+    let reader = reader(&store).await;
+    let read = reader.read("op").await.expect("the store answers");
+    store.restore(copy, NEVER);
+    for key in ["c", "d", "e"] {
+        store.put("op", key, &json!(1));
+    }
+    let changes = reader.changes("op", read.revision, Duration::ZERO).await;
+    expect_that!(changes.err(), some(eq(&StoreError::Replaced)));
+    expect_that!(reader.is_current(read.revision), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn pages_of_two_copies_are_no_reading() {
+    let store = Store::default();
+    for key in ["a", "b", "c"] {
+        store.put("op", key, &json!(1));
+    }
+    store.page_and_restore(1, store.version());
+    let reader = reader(&store).await;
+    let read = reader.read("op").await;
+    expect_that!(read.err(), some(eq(&StoreError::Replaced)));
+    expect_that!(
+        reader.read("op").await.map(|read| read.rows.len()),
+        ok(eq(&3))
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_of_the_copy_before_that_comes_late_is_not_taken() {
+    let store = Store::default();
+    store.put("op", "a", &json!(1));
+    store.name_era(5);
+    let reader = reader(&store).await;
+    expect_that!(reader.read("op").await.is_ok(), eq(true));
+    store.name_era(4);
+    let late = reader.read("op").await;
+    expect_that!(late.err(), some(eq(&StoreError::Replaced)));
+}
+
 fn duty(holder: &str) -> serde_json::Value {
     json!({"holder": holder, "generation": 7})
 }
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -19,7 +19,7 @@
 
 const PAUSE: Duration = Duration::from_millis(5);
 
-async fn reader(store: &Store) -> Reader {
+pub async fn reader(store: &Store) -> Reader {
     let address = store.start().await;
     let client = Client::new(address.ip());
     Reader::new(client, address.to_string().into())
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -23,6 +23,10 @@
 
 const BOXES: usize = 3;
 const CALLERS: usize = 9;
+/// Time in which a change has to be in force.
+const APPLY: Duration = Duration::from_secs(3);
+/// Time after the last fault for which nothing is asked of boxes.
+const SETTLED: Duration = Duration::from_secs(4);
 /// Codes that promise that nothing of the statement is kept.
 const PROMISES: [&str; 6] = [
     "RETRY",
@@ -46,6 +50,8 @@
     stale_own: usize,
     /// Acknowledged and not in the newest primary's log, without a promotion between.
     lost: usize,
+    /// Boxes on which the last change was not in force when all was well again.
+    behind: usize,
     acknowledged: usize,
     refused: usize,
     unknown: usize,
@@ -55,7 +61,7 @@
 
 impl Seen {
     fn faults(&self) -> usize {
-        self.refused_kept + self.twice + self.mixed + self.stale_own + self.lost
+        self.refused_kept + self.twice + self.mixed + self.stale_own + self.lost + self.behind
     }
 }
 
@@ -182,7 +188,7 @@
     let member = dice.random_range(0..world.members.len());
     let index = dice.random_range(0..world.boxes.len());
     let id = world.members[member].0.clone();
-    match dice.random_range(0..12) {
+    match dice.random_range(0..14) {
         0 => {
             world.boxes[index].kill();
             tokio::time::sleep(lasts / 4).await;
@@ -246,6 +252,7 @@
             proxies[member].hush();
             format!("open connections to {id} go silent")
         }
+        10 | 11 => older_copy(world, index, dice).await,
         _ => {
             let harms = [Harm::Silent, Harm::OneWay, Harm::Reset, Harm::Delay(30)];
             let chosen = harms[dice.random_range(0..harms.len())];
@@ -257,6 +264,42 @@
     }
 }
 
+/// The store is away and comes back as a copy of some seconds ago, once or twice, at times with
+/// changes right before and after, or beside a box that is killed meanwhile. What others wrote is
+/// written again, at once or late.
+async fn older_copy(world: &mut World, index: usize, dice: &mut SmallRng) -> String {
+    let times = dice.random_range(1..3);
+    let killed = dice.random_bool(0.3);
+    for _ in 0..times {
+        let by = Duration::from_millis(dice.random_range(0..4_000));
+        let again = Duration::from_millis(dice.random_range(0..1_500));
+        let away = Duration::from_millis(dice.random_range(0..800));
+        for _ in 0..dice.random_range(0..6) {
+            world.change(1);
+        }
+        world.store.set_fault(Fault::Silent);
+        if killed {
+            world.boxes[index].kill();
+        }
+        tokio::time::sleep(away).await;
+        world.store.restore_older(by, again);
+        world.store.set_fault(Fault::None);
+        if killed {
+            let place = world.boxes[index].place.clone();
+            world.boxes[index] = Process::start(place);
+        }
+        for _ in 0..dice.random_range(0..3) {
+            world.change(1);
+        }
+    }
+    let beside = if killed {
+        format!(", box {index} killed")
+    } else {
+        String::new()
+    };
+    format!("{times} older copies{beside}")
+}
+
 /// Plays one seed.
 async fn play(seed: u64, length: Duration) -> (Seen, Vec<String>) {
     let (mut world, proxies) = World::behind_proxies(BOXES).await;
@@ -281,11 +324,36 @@
         let rest = Duration::from_millis(dice.random_range(0..400));
         tokio::time::sleep(rest).await;
     }
+    let behind = behind(&mut world).await;
     watch.stop.store(true, Ordering::SeqCst);
     for caller in callers {
         caller.await.expect("no caller panics");
     }
-    (judge(&watch), played)
+    let seen = Seen {
+        behind,
+        ..judge(&watch)
+    };
+    (seen, played)
+}
+
+/// Boxes on which a change does not come into force in time.
+async fn behind(world: &mut World) -> usize {
+    tokio::time::sleep(SETTLED).await;
+    let added = world.add_database();
+    let mut behind = 0;
+    let end = tokio::time::Instant::now() + APPLY;
+    for started in &world.boxes {
+        let served = async {
+            while Client::connect(started.place.front, &added, "soak")
+                .await
+                .is_err()
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        behind += usize::from(tokio::time::timeout_at(end, served).await.is_err());
+    }
+    behind
 }
 
 /// What the logs say of what callers were told.
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -35,6 +35,8 @@
     LosesAnswers,
 }
 
+const ERA: &str = "store-era";
+
 /// A write, from which an older copy is made.
 struct Written {
     at: Instant,
@@ -60,6 +62,8 @@
     silent: Option<String>,
     /// Rows of one answer to a reading; none for all.
     page: Option<usize>,
+    /// Version of a copy that the store becomes right after the next page that is not the last.
+    copy_meanwhile: Option<u64>,
     /// A row that is put right after the next page that is not the last.
     meanwhile: Option<(String, String, Value)>,
 }
@@ -199,6 +203,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Names another era from now on, as answers do that were held up on their way.
+    pub fn name_era(&self, era: u64) {
+        self.rows().era = era;
+    }
+
+    /// Has readings take several answers, with a copy of a version between the first two.
+    pub fn page_and_restore(&self, size: usize, version: u64) {
+        let mut rows = self.rows();
+        rows.page = Some(size);
+        rows.copy_meanwhile = Some(version);
+    }
+
     /// Has readings take several answers, and a row be put between the first two.
     pub fn page(&self, size: usize, meanwhile: (&str, &str, &Value)) {
         let (table, key, value) = meanwhile;
@@ -242,8 +258,12 @@
         let store = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(again).await;
-            for ((table, key), value) in lost {
-                store.put_raw(&table, &key, value);
+            for (place, value) in lost {
+                // Whoever has written there since wrote something newer.
+                let copied = store.rows().rows.get(&place).map(|(at, _)| *at);
+                if copied.is_none_or(|at| at <= version) {
+                    store.put_raw(&place.0, &place.1, value);
+                }
             }
         });
     }
@@ -290,7 +310,7 @@
 /// Names the era in every answer, refusals too.
 async fn name_era(State(store): State<Store>, mut response: Response) -> Response {
     let era = store.rows().era;
-    response.headers_mut().insert("store-era", era.into());
+    response.headers_mut().entry(ERA).or_insert(era.into());
     response
 }
 
@@ -316,20 +336,32 @@
     if let Some(refusal) = store.gate(&asked.table).await {
         return refusal;
     }
-    let mut rows = store.rows();
-    let found = rows.rows.iter();
-    let found = found.filter(|((table, key), (_, value))| {
-        *table == asked.table && *key >= asked.from && value.is_some()
-    });
-    let mut found: Vec<Value> = found.map(|((_, key), known)| row(key, known)).collect();
-    let size = rows.page.unwrap_or(usize::MAX);
-    let more = found.len() > size;
-    found.truncate(size);
-    let page = json!({"rows": found, "has_more": more, "schema_version": rows.version});
-    if more && let Some((table, key, value)) = rows.meanwhile.take() {
-        rows.put(&table, &key, Some(BASE64.encode(value.to_string())));
-    }
-    Json(page).into_response()
+    store.page_of(&asked)
+}
+
+impl Store {
+    fn page_of(&self, asked: &Asked) -> Response {
+        let mut rows = self.rows();
+        let found = rows.rows.iter();
+        let found = found.filter(|((table, key), (_, value))| {
+            *table == asked.table && *key >= asked.from && value.is_some()
+        });
+        let mut found: Vec<Value> = found.map(|((_, key), known)| row(key, known)).collect();
+        let size = rows.page.unwrap_or(usize::MAX);
+        let more = found.len() > size;
+        found.truncate(size);
+        let page = json!({"rows": found, "has_more": more, "schema_version": rows.version});
+        if more && let Some((table, key, value)) = rows.meanwhile.take() {
+            rows.put(&table, &key, Some(BASE64.encode(value.to_string())));
+        }
+        let mut response = Json(page).into_response();
+        // What is answered is still of the store before.
+        response.headers_mut().insert(ERA, rows.era.into());
+        if let Some(version) = rows.copy_meanwhile.take_if(|_| more) {
+            rows.restore(version);
+        }
+        response
+    }
 }
 
 async fn feed(State(store): State<Store>, Query(asked): Query<Asked>) -> Response {
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -122,6 +122,19 @@
         self.store.put("op", "config", &next);
     }
 
+    /// Puts a manifest with one more database, and returns its name.
+    pub fn add_database(&mut self) -> String {
+        self.version += 1;
+        let name = format!("added-{}", self.version);
+        let mut next = manifest(self.version, 3_000);
+        let routes = next["routes"].as_array_mut().expect("routes");
+        let mut added = routes[0].clone();
+        added["hostname"] = name.as_str().into();
+        routes.push(added);
+        self.store.put("op", "config", &next);
+        name
+    }
+
     pub fn add_box(&mut self, i: usize) {
         self.add_box_at(i, self.store_address);
     }
