fix(limits): a lender forgets what it lends once another box lends in its place

What users would have seen: a workspace gets more than its limit: 740 operations in 5 s where 610 are allowed, since older copies of the table changed the list of boxes, and so the lenders, and back.

Cause: a box kept its part of the limit while another lent that part, and it filled up meanwhile. Why this holds: with each new list a box drops what it no longer lends, and lends again from what has filled since the list's last change, as a new lender does. Ruled out: lists that differ between boxes for a moment (the drawn schedules with restarts and leavers held before). What is lent stands in a type of its own, which the model of the tests uses too, in place of a copy of its rule.

--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -11,6 +11,8 @@
 //! that starts, or lends for a workspace for the first time, knows nothing of what was lent
 //! before it: its part has filled only since, but for what a workspace may pass its limit by.
 
+mod lender;
+
 use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::borders::roster::Listing;
+pub use lender::Lender;
 
 /// Lenders of a workspace, at least: with one of three lost, two thirds of the limit are
 /// left, which is what a workspace usually asks for.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -301,7 +301,9 @@
             &events::ROSTER_CHANGED,
             &[("boxes", &count)],
         );
-        self.context.limits.boxes_changed(self.context.now());
+        let now = self.context.now();
+        let name = &self.context.settings.name;
+        self.context.limits.set_boxes(name, &boxes, now);
         self.boxes.send_replace(boxes.clone());
         let _ = self.context.decisions.send(Message::Boxes(boxes));
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -1,7 +1,7 @@
 //! Lets a workspace's operations through as its limit allows, over all boxes: asks the
 //! boxes that lend out its parts, and is one of them.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 use super::peers;
 use crate::borders::roster::Listing;
 use crate::decisions::group::{Reason, Refusal};
-use crate::decisions::limit::{Bucket, Limit, Loan, Purse, SILENT, Spending, lenders};
+use crate::decisions::limit::{Lender, Limit, Loan, Purse, SILENT, Spending, lenders};
 use crate::declarations::resource::Workspace;
 use crate::declarations::snapshot::group_id;
 use crate::events;
@@ -54,12 +54,9 @@
     /// with a read say nothing of a lender: shunned as those are, 81 of 494 operations of a
     /// workspace at half its limit were refused on a calm day.
     spent: RefCell<HashMap<Pair, Duration>>,
-    /// What this box lends, by workspace.
-    buckets: RefCell<HashMap<Arc<str>, Bucket>>,
+    lender: RefCell<Lender>,
     /// When it was last logged of a workspace that its limit is used up.
     noted: RefCell<HashMap<Arc<str>, Duration>>,
-    /// Since when this box may have been a lender: its start, or the list's last change.
-    since: Cell<Duration>,
 }
 
 impl Context {
@@ -161,7 +158,8 @@
         let own = |lender: &&Listing| lender.name == self.settings.name;
         lenders.into_iter().take(parts).find(own)?;
         let part = limit.part(parts);
-        Some(self.limits.lend(id, part, question.wanted, self.now()))
+        let mut lender = self.limits.lender.borrow_mut();
+        Some(lender.lend(id, part, question.wanted, self.now()))
     }
 }
 
@@ -197,9 +195,9 @@
 }
 
 impl Limits {
-    /// The list of boxes has changed: for some workspaces this box may only lend now.
-    pub fn boxes_changed(&self, now: Duration) {
-        self.since.set(now);
+    /// Takes a new list of boxes for the box of this name.
+    pub fn set_boxes(&self, name: &str, boxes: &[Listing], now: Duration) {
+        self.lender.borrow_mut().set_boxes(name, boxes, now);
     }
 
     fn purse<T>(
@@ -249,15 +247,6 @@
         spent.insert((id.clone(), lender.clone()), until);
     }
 
-    fn lend(&self, id: &Arc<str>, part: Limit, wanted: u32, now: Duration) -> Loan {
-        let mut buckets = self.buckets.borrow_mut();
-        let since = self.since.get();
-        let bucket = buckets
-            .entry(id.clone())
-            .or_insert_with(|| Bucket::new(part, since, now));
-        bucket.take(part, wanted, now)
-    }
-
     fn is_worth_a_line(&self, workspace: &Arc<str>, now: Duration) -> bool {
         let mut noted = self.noted.borrow_mut();
         noted.retain(|_, at| now < *at + NOTED);
