refactor(platform): the keeping up of a table in smaller steps; a test for its waits

Whether to rest, what a first reading means and why a source is asked are functions of their own. The wait for the copy before is given up: taken out, no test had noticed.

--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -136,15 +136,7 @@
         let mut first = true;
         loop {
             let before = Instant::now();
-            let rested = match source {
-                // By the list a box knows whom to follow.
-                Source::Own if first => {
-                    tokio::time::sleep(self.settings.gather).await;
-                    false
-                }
-                _ => self.rest().await,
-            };
-            first = false;
+            let rested = self.rest_before(source, std::mem::take(&mut first)).await;
             if rested {
                 gap.open(before);
             }
@@ -163,13 +155,8 @@
                 false => Duration::ZERO,
             };
             let asked = Instant::now();
-            let why = match (after, errors) {
-                (None, 0) => "start",
-                (_, 1..) => "retry",
-                _ if rested => "stale",
-                _ => "wait",
-            };
-            self.metrics.called_store(source.table(), why);
+            let cause = cause(after, errors, rested);
+            self.metrics.called_store(source.table(), cause);
             let read = match after {
                 None => self.store.read(source.table()).await,
                 Some(after) => {
@@ -186,15 +173,9 @@
                 Ok(rows) => {
                     errors = 0;
                     self.note(source, None);
-                    if source == Source::Operator {
-                        self.heard.set(Some(Instant::now()));
-                    }
-                    if after.is_none() {
-                        self.read.set(self.read.get() + 1);
-                        self.listed.set(self.listed.get() || source == Source::Own);
-                    }
-                    let revision = rows.revision;
+                    self.note_read(source, after.is_none());
                     let news = !rows.rows.is_empty() && after.is_some();
+                    let revision = rows.revision;
                     self.take(source, rows, after.is_none(), gap.close());
                     after = Some(revision.max(after.unwrap_or_default()));
                     if news {
@@ -217,6 +198,27 @@
         }
     }
 
+    /// Waits until a source is to be asked. Whether others told what is new meanwhile.
+    async fn rest_before(&self, source: Source, first: bool) -> bool {
+        if source == Source::Own && first {
+            // By the list a box knows whom to follow.
+            tokio::time::sleep(self.settings.gather).await;
+            return false;
+        }
+        self.rest().await
+    }
+
+    /// Notes that a source has answered; `whole` says that it was read anew.
+    fn note_read(&self, source: Source, whole: bool) {
+        if source == Source::Operator {
+            self.heard.set(Some(Instant::now()));
+        }
+        if whole {
+            self.read.set(self.read.get() + 1);
+            self.listed.set(self.listed.get() || source == Source::Own);
+        }
+    }
+
     /// Waits before a source is asked again, after so many errors before the last one.
     async fn pause(&self, source: Source, errors: u32) {
         let doubled = FIRST_AGAIN * 2_u32.saturating_pow(errors.min(MOST_DOUBLED));
@@ -302,6 +304,16 @@
     }
 }
 
+/// Why a source is asked, as metrics count it.
+fn cause(after: Option<Revision>, errors: u32, rested: bool) -> &'static str {
+    match (after, errors) {
+        (None, 0) => "start",
+        (_, 1..) => "retry",
+        _ if rested => "stale",
+        _ => "wait",
+    }
+}
+
 fn jittered(most: Duration) -> Duration {
     most.mul_f64(rand::rng().random_range(0.3..1.0))
 }
--- a/tests/platform/older_copy.rs
+++ b/tests/platform/older_copy.rs
@@ -1,17 +1,19 @@
 //! The store is away for a moment and comes back as an older copy of itself: versions go back
 //! and are given out again, and what boxes wrote since is gone.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use larkfall::borders::table::{Commit, Revision, Table, Verdict, Write};
+use larkfall::metrics::Metrics;
 use larkfall::platform::store::StoreError;
 use larkfall::platform::table::Mirror;
 use serde_json::json;
 use tokio::task::LocalSet;
 
 use super::client::Client;
-use super::reading::{mirror, reader, rows_until};
+use super::reading::{measured, mirror, reader, rows_until};
 use super::restarts::remove_route;
 use super::store::{Fault, Store};
 use super::world::{STRICT, World, entry, manifest};
@@ -203,6 +205,41 @@
     expect_that!(late.err(), some(eq(&StoreError::Replaced)));
 }
 
+/// A wait that the old copy was asked for may never be answered, and nobody would notice for as
+/// long as it lasts: one answer of another table tells that it is in vain.
+#[gtest]
+#[tokio::test]
+async fn a_wait_for_changes_of_the_copy_before_is_given_up() {
+    let store = Store::default();
+    store.put("op", "config", &manifest(3, 3_000));
+    let copy = store.version();
+    let check = async {
+        let metrics: Rc<Metrics> = Rc::default();
+        let _mirror = measured(&store, metrics.clone()).await;
+        let asked = |cause: &str| {
+            let text = metrics.text();
+            let label = format!("cause=\"{cause}\",table=\"servers\"");
+            let line = text.lines().find(|line| line.contains(&label));
+            line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+                .unwrap_or(0)
+        };
+        while asked("wait") == 0 {
+            tokio::time::sleep(PAUSE).await;
+        }
+        store.silence("servers");
+        store.restore(copy, NEVER);
+        store.put("op", "config", &manifest(4, 3_000));
+        let again = async {
+            while asked("start") < 2 {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        let again = tokio::time::timeout(APPLY, again).await;
+        expect_that!(again.is_ok(), eq(true));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
 fn duty(holder: &str) -> serde_json::Value {
     json!({"holder": holder, "generation": 7})
 }
--- a/tests/platform/reading.rs
+++ b/tests/platform/reading.rs
@@ -8,6 +8,7 @@
 use larkfall::borders::roster::{Listing, Roster};
 use larkfall::borders::table::{Revision, Row, Scan, Table};
 use larkfall::http::{Client, SILENCE};
+use larkfall::metrics::Metrics;
 use larkfall::platform::store::Store as Reader;
 use larkfall::platform::table::{Mirror, Settings};
 use serde_json::{Value, json};
@@ -26,10 +27,14 @@
 }
 
 pub async fn mirror(store: &Store) -> Rc<Mirror> {
+    measured(store, Rc::default()).await
+}
+
+pub async fn measured(store: &Store, metrics: Rc<Metrics>) -> Rc<Mirror> {
     Mirror::start(
         reader(store).await,
         Settings::default(),
-        Rc::default(),
+        metrics,
         slog::Logger::root(slog::Discard, slog::o!()),
     )
 }
