fix(duty): a claim ends too where the copy lacks the duty altogether; a leaving box lists itself no more

Where the copy had no record of the duty the revision of 'not there' was of no era, and the claim of the copy before stood on; it is now of the era in which the record was missing (the test's line on that revision is stricter by the claim that must not stand). And a box that was writing its row while the store was away could have listed itself after it had left.

--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -253,7 +253,9 @@
 /// The duty that was taken last, with the revision that the next one to take it must name. An
 /// older copy of the table holds an earlier one or none, and generations must not fall.
 fn newest_duty(known: Option<Duty>, told: Option<Duty>, revision: Revision) -> Option<Duty> {
-    let revision = told.as_ref().map_or(Revision::NONE, |_| revision);
+    // That it is not there is known as of an era too: a claim of the one before has ended.
+    let absent = Revision::new(revision.era(), 0);
+    let revision = told.as_ref().map_or(absent, |_| revision);
     let newest = match (known, told) {
         (Some(known), Some(told)) if told.generation >= known.generation => Some(told),
         (Some(known), _) => Some(known),
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -280,7 +280,8 @@
         // What was just written takes a while to come back, and others write at this moment too.
         let jitter = rand::rng().random_range(1.0..2.0);
         tokio::time::sleep(LACKED.mul_f64(jitter)).await;
-        if lacks(&boxes.borrow_and_update()) && !*context.leaving.borrow() {
+        let leaving = *context.leaving.borrow();
+        if lacks(&boxes.borrow_and_update()) && !leaving {
             events::emit(&context.log, &events::LISTED_AGAIN, &[]);
             put_on_list(&context, &listing).await;
         }
@@ -288,7 +289,10 @@
 }
 
 async fn put_on_list(context: &Context, listing: &Listing) {
-    while let Err(error) = context.roster.enter(listing).await {
+    while !*context.leaving.borrow() {
+        let Err(error) = context.roster.enter(listing).await else {
+            return;
+        };
         events::emit(&context.log, &events::NOT_LISTED, &[("error", &error)]);
         tokio::time::sleep(ENTER_AGAIN).await;
     }
--- a/tests/unit/configuration.rs
+++ b/tests/unit/configuration.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use larkfall::borders::table::{Revision, Row, Scan, Section};
+use larkfall::decisions::duty::{Claim, Duty};
 use larkfall::node::configuration::Store;
 use larkfall::node::news::Question;
 use rand::seq::IndexedRandom;
@@ -189,7 +190,15 @@
     expect_that!(known.revision, eq(Revision::new(2, 20)));
     let known = told(&mut store, true, Revision::new(3, 15), &[]);
     expect_that!(known.generation, eq(100));
-    expect_that!(known.revision, eq(Revision::NONE));
+    expect_that!(known.revision, eq(Revision::new(3, 0)));
+    let claim = Claim {
+        duty: Duty {
+            revision: Revision::new(2, 25),
+            ..known
+        },
+        alone: false,
+    };
+    expect_that!(claim.stands(store.snapshot().duties.get("g")), eq(false));
     let later = [held(3, 30, "c", 120)];
     let known = told(&mut store, false, Revision::new(3, 30), &later);
     expect_that!(*known.holder, eq("c"));
