fix(configuration): a follower learns under which revision a record stands in a copy

What could have happened: after an older copy a box that follows others, or any box after two copies in a row that both lack the duty, is refused every claim for good, and promotes nobody.

Cause: a record of the same content had the same digest in both copies, so that a follower was told that it knows all; and a condition on 'not there' was held for one of an older era. Why this holds: the era of a record is part of the digest, and that a row is not there is a condition of no era. The drawn copies now end with the question whether every box may take the duty.

--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use slog::Logger;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::PRIMARY;
 use crate::borders::table::{RESOURCE, Revision, Row, Scan, Section};
@@ -270,13 +270,18 @@
     value.transpose().map_err(|error| error.to_string())
 }
 
-/// A row's part of the digest; none once it is gone. The revision has no part in it:
-/// boxes that learn of a row by different ways may know it by different ones.
+/// A row's part of the digest; none once it is gone. The revision's number has no part in it:
+/// boxes that learn of a row by different ways may know it by different ones. A record's era
+/// has: whoever replaces the record has to name a revision of the copy that is there.
 fn mark(row: &Row) -> u64 {
     let Some(value) = &row.value else {
         return 0;
     };
-    let value = xxh3_64(value.to_string().as_bytes());
+    let era = match Section::of(&row.key) {
+        Section::Records => row.revision.era(),
+        Section::Declarations | Section::Members => 0,
+    };
+    let value = xxh3_64_with_seed(value.to_string().as_bytes(), era);
     xxh3_64_with_seed(row.key.as_bytes(), value)
 }
 
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -289,9 +289,10 @@
         up.contains(&Source::Operator) && up.contains(&Source::Members)
     }
 
-    /// Whether a condition names a position of an older era than the newest that is known.
+    /// Whether a condition names a position of an older era than the newest that is known. That
+    /// a row is not there names none.
     fn is_outdated(&self, write: &Write) -> bool {
-        let named = write.expect.filter(|expect| *expect != Revision::NONE);
+        let named = write.expect.filter(|expect| expect.number() > 0);
         named.is_some_and(|expect| !self.store.is_current(expect))
     }
 
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -27,6 +27,8 @@
 const APPLY: Duration = Duration::from_secs(3);
 /// Time after the last fault for which nothing is asked of boxes.
 const SETTLED: Duration = Duration::from_secs(4);
+/// Lines of a box's log that stand beside a fault.
+const LAST_LINES: usize = 12;
 /// Codes that promise that nothing of the statement is kept.
 const PROMISES: [&str; 6] = [
     "RETRY",
@@ -333,9 +335,29 @@
         behind,
         ..judge(&watch)
     };
+    if seen.faults() > 0 {
+        played.extend(state(&world));
+    }
     (seen, played)
 }
 
+/// Members and what boxes last decided of them, for whoever traces a fault.
+fn state(world: &World) -> Vec<String> {
+    let members = world.group.members().clone().into_iter();
+    let members = members.map(|(id, member)| {
+        let (primary, term, length) = (member.primary, member.term, member.log.len());
+        format!("{id}: primary {primary}, term {term}, {length} entries")
+    });
+    let logs = world.boxes.iter().map(|started| {
+        let log = started.log();
+        let decided = log.lines().filter(|line| line.contains("\"event\":3"));
+        let decided: Vec<&str> = decided.collect();
+        let last = decided.len().saturating_sub(LAST_LINES);
+        format!("{}: {:?}", started.place.name, &decided[last..])
+    });
+    members.chain(logs).collect()
+}
+
 /// Boxes on which a change does not come into force in time.
 async fn behind(world: &mut World) -> usize {
     tokio::time::sleep(SETTLED).await;
--- a/tests/platform/workspaces.rs
+++ b/tests/platform/workspaces.rs
@@ -141,6 +141,25 @@
     expect_that!(read.rows, elements_are![eq("none []")]);
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_key_that_was_taken_away_is_not_good_again_with_an_older_copy() {
+    let world = start(2).await;
+    let copy = world.store.version();
+    put(&world, &with_workspaces(7, &[SECOND_KEY])).await;
+    // Nobody writes it again for as long as this runs.
+    world.store.restore(copy, Duration::from_secs(600));
+    for started in &world.boxes {
+        while !started.log().contains("\"event\":213") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let refused = Client::connect(started.place.front, STRICT, FIRST_KEY).await;
+        expect_that!(refused.err(), some(starts_with("ERROR NOAUTH")));
+        let kept = Client::connect(started.place.front, STRICT, SECOND_KEY).await;
+        expect_that!(kept.is_ok(), eq(true));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_key_that_moves_to_another_workspace_moves_its_sessions() {
--- a/tests/unit/configuration.rs
+++ b/tests/unit/configuration.rs
@@ -159,6 +159,33 @@
     expect_that!(value(&store, KEPT), some(eq(1)));
 }
 
+/// What could have happened: a box that follows others never learns under which revision a record
+/// stands in the copy, since its content is the same, and every claim of it is refused.
+#[gtest]
+fn a_follower_learns_the_revision_of_a_record_in_a_copy() {
+    let held = |era| Row {
+        key: DUTY.into(),
+        revision: Revision::new(era, 20),
+        value: Some(json!({ "holder": "b", "generation": 100 })),
+    };
+    let told = |era| Scan {
+        head: Revision::new(era, 21),
+        rows: vec![held(era)],
+        ..Scan::default()
+    };
+    let mut reader = Store::default();
+    let mut follower = Store::default();
+    for store in [&mut reader, &mut follower] {
+        take(store, &told(1));
+    }
+    let taken = reader.taken();
+    take(&mut reader, &told(2));
+    let answer = reader.follow(follower.digest(), Some(taken));
+    take(&mut follower, &answer);
+    let known = follower.snapshot().duties["g"].revision;
+    expect_that!(known, eq(Revision::new(2, 20)));
+}
+
 /// What could have happened: a box orders under a lower number than one that was ordered under
 /// before, since an older copy of the table names an earlier holder of the duty, or none.
 #[gtest]
--- a/tests/unit/copies.rs
+++ b/tests/unit/copies.rs
@@ -325,7 +325,7 @@
             return;
         }
         // The store compares numbers alone.
-        let granted = duty.revision == Revision::NONE || duty.revision.era() == self.tables.era;
+        let granted = there == 0 || duty.revision.era() == self.tables.era;
         let written = self.tables.put(place, Some(json!(duty)));
         if granted {
             duty.revision = written;
@@ -374,7 +374,8 @@
         Ok(())
     }
 
-    /// Once all is written again and read, every box knows what was declared last.
+    /// Once all is written again and read, every box knows what was declared last, and may
+    /// take the duty.
     fn settle(&mut self) -> Result<(), TestCaseError> {
         self.tables.again();
         let newest = *self.documents.keys().next_back().expect("one");
@@ -390,6 +391,12 @@
             let listed = Key::parse("member/platform/db1.i-0").expect("a key");
             let known = at.snapshot.member(&listed).is_some();
             prop_assert_eq!(known, matches!(self.members[0], 1 | 2));
+            let condition = at.duty().map_or(Revision::NONE, |duty| duty.revision);
+            let place: Place = ("larkfall", format!("duty/{GROUP}").into());
+            let (number, value) = self.tables.row(&place);
+            prop_assert_eq!(condition.number(), value.map_or(0, |_| number));
+            let current = condition.number() == 0 || condition.era() == self.tables.era;
+            prop_assert!(current, "{}: no claim is ever granted", at.name);
         }
         Ok(())
     }
