feat(reach): boxes of a cut failure domain warn each other

Cause: a balancer turns away from a failure domain only once every box of it says not ready. Change: a box that finds itself cut off warns the next two boxes of its domain by name and two at random; who is warned asks at once and warns others. Owners are asked at the same time and for 150 ms; every failure that a cut brings is a reason to ask; callers are told to come back when the balancer has turned. Ruled out: that owners decide late where connections are reset (all know after 0.3 s).

--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -42,6 +42,8 @@
     pub callers: usize,
     /// Time that requests in flight get at a stop.
     pub drain: Duration,
+    /// Time after which a balancer sends no callers any more to a box that is not ready.
+    pub balancer_turn: Duration,
     /// Retries that each hundred answers earn.
     pub retry_percent: u64,
     /// Retries that can be saved up.
@@ -79,6 +81,7 @@
             connect_wait: Duration::from_secs(1),
             callers: 10_000,
             drain: Duration::from_secs(30),
+            balancer_turn: Duration::from_millis(2_300),
             retry_percent: 10,
             retry_most: 20,
             duty: false,
@@ -226,6 +229,7 @@
             connect_wait: reader.milliseconds("connect-wait-ms", defaults.connect_wait),
             callers: reader.number("callers", defaults.callers),
             drain: reader.milliseconds("drain-ms", defaults.drain),
+            balancer_turn: defaults.balancer_turn,
             retry_percent: defaults.retry_percent,
             retry_most: defaults.retry_most,
             duty: defaults.duty,
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -380,9 +380,13 @@
             Event::Late { member, after } => {
                 self.members[member].latency.late(after, now);
                 self.members[member].detector.hurry(now);
+                if self.members[member].spec.domain != self.domain {
+                    self.hurry_far(now);
+                }
             }
             Event::Full { member } => self.full(member, now),
             Event::Look => self.want_all(),
+            Event::Hurry => self.hurry_far(now),
             Event::Unreached { member } => {
                 self.members[member].wanted = true;
                 self.members[member].detector.hurry(now);
@@ -460,6 +464,16 @@
         out
     }
 
+    /// Looks at the members of other failure domains before their turn: where one of them is
+    /// silent, the way there may be cut, and a cut is known only once a majority is lost.
+    fn hurry_far(&mut self, now: Duration) {
+        let domain = &self.domain;
+        let far = self.members.iter_mut();
+        for member in far.filter(|member| member.spec.domain != *domain) {
+            member.detector.hurry(now);
+        }
+    }
+
     /// Invariants, asserted after every event.
     fn check(&self) {
         if let Some(primary) = self.replace.primary {
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -158,6 +158,8 @@
     },
     /// A member answered as if it were not what we take it for.
     Look,
+    /// Something speaks for a cut: members of other failure domains are looked at now.
+    Hurry,
     /// A replica's log lacked a floor that it was believed to hold.
     Behind {
         member: usize,
--- a/src/decisions/reach.rs
+++ b/src/decisions/reach.rs
@@ -3,14 +3,32 @@
 //! An owner sees by itself whether it reaches a majority of its groups' members. A
 //! box that does not own every group asks owners of the others, but only while
 //! something speaks for a cut: it would cost each box questions to all owners.
+//!
+//! A balancer turns to other failure domains only once every box of the lost one says that
+//! it is not ready. So a box that finds itself cut off warns a few neighbours, who ask at
+//! once and warn others in turn: the domain is handed over as one. A warning is no verdict;
+//! each box goes by what it sees and by owners' words.
 
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::borders::roster::Listing;
+
 /// Time between two rounds of questions: short against the seconds that a balancer
 /// takes to turn to others.
 const AGAIN: Duration = Duration::from_millis(500);
-/// Time for which a refusal speaks for a cut.
+/// The same after a neighbour's warning: it may come before the owners know.
+const SOON: Duration = Duration::from_millis(100);
+/// Time for which a refusal or a warning speaks for a cut.
 const DOUBT: Duration = Duration::from_secs(2);
+/// Neighbours that are warned because they come next by name: followed from box to box,
+/// they are the whole failure domain.
+const NEXT: usize = 2;
+/// Neighbours that are warned besides, at random: the number of those who know grows with
+/// each hop.
+const AT_RANDOM: usize = 2;
 
 /// What a box's own groups show.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,9 +60,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     view: View,
-    /// When an exchange was last refused because its owner reached no majority.
+    /// When an exchange last failed as in a cut.
     refused: Option<Duration>,
+    /// When a neighbour last said that it is cut off.
+    warned: Option<Duration>,
     asked: Option<Duration>,
+    /// An owner has said something since the start of this box.
+    told: bool,
     cut_off: bool,
 }
 
@@ -66,18 +88,28 @@
         self.refused = Some(now);
     }
 
+    /// A box of the same failure domain says that it is cut off.
+    pub fn warn(&mut self, now: Duration) {
+        self.warned = Some(now);
+    }
+
     /// When owners are to be asked next, if at all.
     pub fn due(&self, now: Duration) -> Option<Duration> {
         if self.view.verdict().is_some() {
             return None;
         }
-        let doubted = self.refused.is_some_and(|refused| now < refused + DOUBT);
+        let doubt = self.refused.max(self.warned);
+        let doubted = doubt.is_some_and(|since| now < since + DOUBT);
         // A box that starts again in a cut failure domain is to know it before callers
-        // do. When all boxes start for the first time, all would ask the few that the
-        // list names by then.
-        let fresh = self.asked.is_none() && self.view.listed;
+        // do: alone in calling itself ready, it would get all of the domain's. When all
+        // boxes start for the first time, all would ask the few that the list names by then.
+        let fresh = !self.told && self.view.listed;
         let wanted = self.cut_off || self.view.owned > 0 || doubted || fresh;
-        let next = self.asked.map_or(now, |asked| asked + AGAIN);
+        let pause = match self.warned > self.asked && !self.cut_off {
+            true => SOON,
+            false => AGAIN,
+        };
+        let next = self.asked.map_or(now, |asked| asked + pause);
         wanted.then_some(next)
     }
 
@@ -91,9 +123,31 @@
     /// failure domain in the middle of a cut.
     pub fn answer(&mut self, words: &[Option<bool>]) {
         let told = words.iter().flatten();
-        if self.view.verdict().is_some() || told.clone().count() == 0 {
+        if told.clone().count() == 0 {
+            return;
+        }
+        self.told = true;
+        if self.view.verdict().is_some() {
             return;
         }
         self.cut_off = told.clone().all(|reached| !reached);
     }
 }
+
+/// The boxes of the same failure domain that a box warns.
+pub fn neighbours<'a>(
+    boxes: &'a [Listing],
+    name: &str,
+    domain: &str,
+    dice: &mut impl Rng,
+) -> Vec<&'a Listing> {
+    let near = |listing: &&Listing| *listing.domain == *domain && *listing.name != *name;
+    let mut ring: Vec<&Listing> = boxes.iter().filter(near).collect();
+    ring.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    let start = ring.partition_point(|listing| *listing.name < *name);
+    ring.rotate_left(start);
+    let mut warned: Vec<&Listing> = ring.iter().take(NEXT).copied().collect();
+    let rest = ring.into_iter().skip(NEXT);
+    warned.extend(rest.choose_multiple(dice, AT_RANDOM));
+    warned
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -30,6 +30,8 @@
     pub forwarded: Counter<u64>,
     pub replacements: Counter<u64>,
     pub probes: Counter<u64>,
+    /// Boxes of the failure domain that were warned of a cut.
+    pub cut_warnings: Counter<u64>,
     /// Calls to the platform's store, by table and cause.
     store_calls: Counter<u64>,
     settings_reads: Counter<u64>,
@@ -69,6 +71,7 @@
             forwarded: counter("larkfall_forwarded"),
             replacements: counter("larkfall_replacements"),
             probes: counter("larkfall_probes"),
+            cut_warnings: counter("larkfall_cut_warnings"),
             store_calls: counter("larkfall_store_calls"),
             settings_reads: counter("larkfall_settings_reads"),
             older_copies: counter("larkfall_older_copies"),
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -69,6 +69,7 @@
         .route(peers::BOXES, post(boxes))
         .route(peers::FOLLOW, post(follow))
         .route(peers::BORROW, post(borrow))
+        .route(peers::WARN, post(warn))
         .route("/v1/resources", get(resources::list).post(resources::apply))
         .route(
             "/v1/resources/{*key}",
@@ -138,6 +139,12 @@
     Ok(packed(&given_up))
 }
 
+async fn warn(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let from = unpacked(&body)?;
+    let _ = api.decisions.send(Message::Warned { from });
+    Ok(packed(&()))
+}
+
 async fn borrow(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let question = unpacked(&body)?;
     let (reply, answer) = oneshot::channel();
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -116,6 +116,14 @@
         since.is_some_and(|since| self.now() >= since + rest)
     }
 
+    /// Time until callers of a box that said it is not ready are sent elsewhere; none where
+    /// it is ready, or that time is over.
+    pub fn turns_in(&self) -> Option<Duration> {
+        let since = (*self.away.borrow())?;
+        let turned = since + self.settings.balancer_turn;
+        turned.checked_sub(self.now()).filter(|left| !left.is_zero())
+    }
+
     /// Returns when callers have been better served elsewhere for so long.
     pub async fn away_for(&self, rest: Duration) {
         let mut away = self.away.subscribe();
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -179,6 +179,7 @@
             Message::LeaveMost(most) => self.set_leave_most(most),
             Message::Listed => self.tell_listed(),
             Message::Refused => self.reach.refuse(self.context.now()),
+            Message::Warned { from } => self.take_warning(&from),
             Message::Reached(words) => self.reach.answer(&words),
             Message::Reach { group, reply } => {
                 let now = self.context.now();
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -1,11 +1,12 @@
-//! Asks owners of other groups whether they reach a majority of their members.
+//! Asks owners of other groups whether they reach a majority of their members, and warns
+//! the failure domain of a cut.
 
 use std::sync::Arc;
 
 use rand::seq::IndexedRandom;
 
 use super::*;
-use crate::decisions::reach::View;
+use crate::decisions::reach::{View, neighbours};
 use crate::node::peers;
 
 /// Groups that are asked about: a cut shows in all of them.
@@ -59,6 +60,38 @@
             };
             events::emit(&self.context.log, kind, &[]);
         }
+        if changed && cut_off {
+            self.warn_neighbours();
+        }
+    }
+
+    fn warn_neighbours(&self) {
+        let settings = &self.context.settings;
+        let boxes = self.context.boxes.borrow().clone();
+        let warned = neighbours(
+            &boxes,
+            &settings.name,
+            &settings.domain,
+            &mut rand::rng(),
+        );
+        for neighbour in warned {
+            self.context.metrics.cut_warnings.add(1, &[]);
+            let warning = peers::warn(self.context.clone(), neighbour.address.clone());
+            tokio::task::spawn_local(warning);
+        }
+    }
+
+    /// Takes a neighbour's word that it is cut off: owners and members are looked at now.
+    pub(super) fn take_warning(&mut self, from: &str) {
+        if self.reach.is_cut_off() {
+            return;
+        }
+        events::emit(&self.context.log, &events::CUT_WARNING, &[("from", &from)]);
+        self.reach.warn(self.context.now());
+        let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
+        for group in groups {
+            self.handle(&group, Event::Hurry);
+        }
     }
 
     fn ask_reach(&self) {
@@ -87,13 +120,11 @@
     }
 }
 
-/// Whether the first owner that can tell reaches a majority of the group.
+/// Whether the first owner that can tell reaches a majority of the group. They are asked at
+/// the same time: in a cut some say nothing.
 async fn reaches(context: Rc<Context>, group: Arc<str>, owners: Vec<Arc<str>>) -> Option<bool> {
-    for owner in owners {
-        let told = peers::reaches(&context, &owner, &group).await;
-        if told.is_some() {
-            return told;
-        }
-    }
-    None
+    let asked = owners.iter();
+    let asked = asked.map(|owner| peers::reaches(&context, owner, &group));
+    let words = futures::future::join_all(asked).await;
+    words.into_iter().flatten().next()
 }
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -11,7 +11,7 @@
 
 pub use crate::borders::upstream::Status;
 use crate::borders::upstream::{Setup, Task};
-use crate::decisions::group::{Refusal, Target};
+use crate::decisions::group::{Reason, Refusal, Target};
 use crate::decisions::position::Position;
 
 /// What the exchange does to data, for retries and outcomes.
@@ -145,6 +145,17 @@
         }
     }
 
+    /// Whether it would come of a cut between this box and the members or owners.
+    pub fn speaks_for_cut(&self) -> bool {
+        match self {
+            Failure::NotRun(refusal) => {
+                matches!(refusal.reason, Reason::CutOff | Reason::Stale)
+            }
+            Failure::NotOwner | Failure::ReadLost => true,
+            _ => false,
+        }
+    }
+
     /// One word for logs and metrics.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -129,8 +129,12 @@
     LeaveMost(Duration),
     /// Enough time has passed since this box was listed.
     Listed,
-    /// An exchange was refused because its owner reached no majority.
+    /// An exchange failed as in a cut: its owner reached no majority, or was not reached.
     Refused,
+    /// A box of the same failure domain says that it is cut off.
+    Warned {
+        from: Arc<str>,
+    },
     /// Owners of other groups have said whether they reach a majority, as far as they
     /// can tell.
     Reached(Vec<Option<bool>>),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -28,8 +28,12 @@
 pub const BOXES: &str = "/peer/boxes";
 pub const FOLLOW: &str = "/peer/follow";
 pub const BORROW: &str = "/peer/borrow";
+pub const WARN: &str = "/peer/warn";
 
 const SMALL_WAIT: Duration = Duration::from_millis(500);
+/// Time for an owner's word on a cut: those that matter are in the same failure domain, and
+/// the others are waited for in vain.
+const REACH_WAIT: Duration = Duration::from_millis(150);
 /// A forwarded read gets this part of its time before another owner is asked.
 const READ_TRIES: u32 = 2;
 const EXCHANGE_WAIT: Duration = Duration::from_secs(600);
@@ -101,10 +105,16 @@
 
 /// Whether an owner reaches a majority of a group's members, none if it can't tell.
 pub async fn reaches(context: &Context, owner: &str, group: &Arc<str>) -> Option<bool> {
-    let answer: Result<Option<bool>, _> = call(context, owner, REACH, group, SMALL_WAIT).await;
+    let answer: Result<Option<bool>, _> = call(context, owner, REACH, group, REACH_WAIT).await;
     answer.ok().flatten()
 }
 
+/// Tells a box of the same failure domain that this one is cut off.
+pub async fn warn(context: Rc<Context>, peer: Arc<str>) {
+    let from = &context.settings.name;
+    let _: Result<(), _> = call(&context, &peer, WARN, from, SMALL_WAIT).await;
+}
+
 /// Asks a box to lend operations out of a workspace's limit, none if it can't.
 pub async fn borrow(
     context: &Context,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -120,7 +120,8 @@
                 self.took(&reply, owner, exchange, scope);
                 Ok(reply)
             }
-            Err(failure) => {
+            Err(mut failure) => {
+                self.send_elsewhere(&mut failure);
                 self.failed(&failure, exchange, took);
                 Err(failure)
             }
@@ -141,12 +142,24 @@
         }
     }
 
+    /// Tells a caller whom a cut box can't serve to come back once it is sent elsewhere.
+    fn send_elsewhere(&self, failure: &mut Failure) {
+        let Failure::NotRun(refusal) = failure else {
+            return;
+        };
+        if let (Reason::CutOff | Reason::Stale, Some(turns)) =
+            (refusal.reason, self.context.turns_in())
+        {
+            refusal.retry_after = refusal.retry_after.max(turns);
+        }
+    }
+
     fn failed(&mut self, failure: &Failure, exchange: &Exchange, took: Duration) {
-        if let Failure::NotRun(refusal) = failure {
+        if let Failure::NotRun(_) = failure {
             self.context.metrics.not_run.add(1, &[]);
-            if refusal.reason == Reason::CutOff {
-                let _ = self.context.decisions.send(Message::Refused);
-            }
+        }
+        if failure.speaks_for_cut() {
+            let _ = self.context.decisions.send(Message::Refused);
         }
         self.held = None;
         if exchange.effect == Effect::Writes && *failure == Failure::Unknown {
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -31,9 +31,6 @@
 /// What a late caller of a box that leaves, or is cut off, is told to wait: the balancer
 /// asks each second.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(300);
-/// A box that leaves, or is cut off, closes idle sessions after this time: by then the
-/// balancer sends no new ones here, so that they come back elsewhere.
-const LEAVE_IDLE: Duration = Duration::from_millis(2_300);
 
 /// Takes callers that speak lines.
 pub struct Lines;
@@ -99,7 +96,7 @@
         context.metrics.strangers.add(1, &[]);
         return refuse(&mut channel, code::NO_KEY, &stranger.to_string()).await;
     }
-    if context.is_away_for(LEAVE_IDLE) {
+    if context.is_away_for(context.settings.balancer_turn) {
         // A session that is closed right after its start looks like a lost answer.
         let text = format!(
             "not run: callers are served elsewhere; retry after {} ms",
@@ -188,7 +185,9 @@
 
     async fn run(&mut self) -> Result<(), LineError> {
         loop {
-            let left = self.context.away_for(LEAVE_IDLE);
+            // By then the balancer sends no new sessions here: closed idle ones come back
+            // elsewhere.
+            let left = self.context.away_for(self.context.settings.balancer_turn);
             let idle = self.open.is_none();
             let line = tokio::select! {
                 biased;
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -32,6 +32,8 @@
 /// Time that a new connection to a member may take: 12 ms on the sites, and a lost
 /// packet is sent again after a second.
 const CONNECT_WAIT: Duration = Duration::from_millis(400);
+/// The balancer asks each box every second, and turns away after two misses.
+const BALANCER_TURN: Duration = Duration::from_millis(2_300);
 /// Part of the operations by which a workspace may pass its limit that is used.
 const SLACK_USED: f64 = 0.5;
 /// The most that is used.
@@ -268,6 +270,7 @@
             connect_wait: CONNECT_WAIT,
             callers: (self.limits.max_fds * CALLERS_PERCENT / 100) as usize,
             drain: grace.saturating_sub(KILL_MARGIN),
+            balancer_turn: BALANCER_TURN,
             // Every box hears of changes from the store itself.
             fanout: 0,
             retry_percent: RETRY_PERCENT,
