--- a/src/configs/run.rs
+++ b/src/configs/run.rs
@@ -8,7 +8,7 @@
 use crate::events::Format;
 
 /// Settings of `larkfall run`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Run {
     /// The box's name, as the platform lists it.
     pub name: Arc<str>,
@@ -44,6 +44,8 @@
     pub drain: Duration,
     /// Time after which a balancer sends no callers any more to a box that is not ready.
     pub balancer_turn: Duration,
+    /// Time after which it is expected to send none.
+    pub balancer_notice: Duration,
     /// Retries that each hundred answers earn.
     pub retry_percent: u64,
     /// Retries that can be saved up.
@@ -58,6 +60,12 @@
     pub apply: Duration,
     /// Operations that a workspace may do at once beyond its declared burst.
     pub limit_slack: u32,
+    /// Part of a workspace's limit by which it may be passed.
+    pub limit_overage: f64,
+    /// Operations wait for their turn where a workspace's limit is used up.
+    pub limit_waits: bool,
+    /// The loss of a whole failure domain is to be borne: its boxes warn each other of it.
+    pub domain_loss: bool,
     /// The whole system starts for the first time: no box is listed yet.
     pub first_start: bool,
 }
@@ -82,6 +90,7 @@
             callers: 10_000,
             drain: Duration::from_secs(30),
             balancer_turn: Duration::from_millis(2_300),
+            balancer_notice: Duration::from_millis(1_500),
             retry_percent: 10,
             retry_most: 20,
             duty: false,
@@ -89,6 +98,9 @@
             link_mbps: 0,
             apply: Duration::from_secs(3),
             limit_slack: 0,
+            limit_overage: 0.0,
+            limit_waits: false,
+            domain_loss: false,
             first_start: false,
         }
     }
@@ -230,6 +242,7 @@
             callers: reader.number("callers", defaults.callers),
             drain: reader.milliseconds("drain-ms", defaults.drain),
             balancer_turn: defaults.balancer_turn,
+            balancer_notice: defaults.balancer_notice,
             retry_percent: defaults.retry_percent,
             retry_most: defaults.retry_most,
             duty: defaults.duty,
@@ -237,6 +250,9 @@
             link_mbps: defaults.link_mbps,
             apply: defaults.apply,
             limit_slack: defaults.limit_slack,
+            limit_overage: defaults.limit_overage,
+            limit_waits: defaults.limit_waits,
+            domain_loss: defaults.domain_loss,
             first_start: defaults.first_start,
         };
         match reader.findings.is_empty() {
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -16,5 +16,6 @@
 pub mod reach;
 pub mod readers;
 pub mod replace;
+pub mod returns;
 pub mod route;
 pub mod setup;
--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -6,6 +6,13 @@
 //! Admission is by deadline: a request whose expected wait passes its deadline
 //! is refused at once, with the time to come back.
 //!
+//! Where late answers are worth something, a request that can't be answered within its aim
+//! waits behind all that can, while it can be answered within its limit: it never takes a
+//! place from one that would be on time. Refused callers come back one after the other.
+//!
+//! An open transaction that rests between its statements keeps its connection and no place:
+//! it works for nobody. Its next statement runs at once.
+//!
 //! No decision walks the queue: with 100,000 waiting one takes 1 us instead of 1.2 ms
 //! (examples/queue).
 
@@ -13,6 +20,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::returns::Returns;
+
 /// By how much a tag grows with a request of weight 1.
 const SCALE: u64 = 1_000_000;
 /// Answers over which the mean is taken, about.
@@ -33,13 +42,39 @@
     Refuse { retry_after: Duration },
 }
 
-/// Finish tag, and order of arrival among equal ones.
-type Turn = (u64, u64);
+/// Until when a request is worth an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Due {
+    /// Answered later, it is late.
+    pub aim: Duration,
+    /// Answered later, it is lost.
+    pub limit: Duration,
+}
+
+impl From<Duration> for Due {
+    /// One that is on time until it is lost.
+    fn from(limit: Duration) -> Self {
+        Self { aim: limit, limit }
+    }
+}
+
+/// Whether a request that waits can still be answered within its aim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    OnTime,
+    Late,
+}
+
+/// Who is next: those on time by finish tag, then the late ones by limit; order of arrival
+/// among equal ones.
+type Turn = (Class, u64, u64);
 
 #[derive(Clone, Debug)]
 struct Waiter {
     id: u64,
     partner: Arc<str>,
+    due: Due,
+    /// When it is refused, or becomes late.
     deadline: Duration,
 }
 
@@ -55,7 +90,20 @@
 #[derive(Clone, Debug)]
 pub struct Fair {
     capacity: usize,
+    /// Running requests and resting transactions at once.
+    connections: usize,
     running: usize,
+    /// Open transactions between their statements.
+    resting: usize,
+    /// Requests may be answered after their aim.
+    serves_late: bool,
+    /// Late ones that wait.
+    late: usize,
+    /// Since when late ones have waited without one of them getting a place.
+    stalled: Option<Duration>,
+    returns: Returns,
+    /// Time of the last event that told it.
+    clock: Duration,
     waiting: BTreeMap<Turn, Waiter>,
     /// By request.
     turns: HashMap<u64, Turn>,
@@ -74,7 +122,14 @@
     pub fn new(capacity: usize, service: Duration) -> Self {
         Self {
             capacity,
+            connections: usize::MAX,
             running: 0,
+            resting: 0,
+            serves_late: false,
+            late: 0,
+            stalled: None,
+            returns: Returns::default(),
+            clock: Duration::ZERO,
             waiting: BTreeMap::new(),
             turns: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -91,16 +146,46 @@
         self.capacity = capacity;
     }
 
+    /// Running requests and resting transactions at once.
+    pub fn set_connections(&mut self, connections: usize) {
+        self.connections = connections;
+    }
+
+    /// Lets requests wait past their aim, behind those that are on time.
+    pub fn set_serves_late(&mut self, serves_late: bool) {
+        self.serves_late = serves_late;
+    }
+
     pub fn running(&self) -> usize {
         self.running
     }
 
+    /// Open transactions between their statements.
+    pub fn resting(&self) -> usize {
+        self.resting
+    }
+
+    /// Places that requests may have now.
+    pub fn places(&self) -> usize {
+        let free = self.connections.saturating_sub(self.resting);
+        self.capacity.min(free).max(1)
+    }
+
+    /// Requests that wait and can be answered within their aim.
+    pub fn on_time(&self) -> usize {
+        self.waiting.len() - self.late
+    }
+
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
     pub fn has_room(&self) -> bool {
-        self.running < self.capacity && self.waiting.is_empty()
+        self.has_place() && self.waiting.is_empty()
+    }
+
+    fn has_place(&self) -> bool {
+        self.running < self.capacity && self.running + self.resting < self.connections
     }
 
     pub fn arrive(
@@ -109,22 +194,68 @@
         partner: &Arc<str>,
         weight: u32,
         now: Duration,
-        deadline: Duration,
+        due: impl Into<Due>,
     ) -> Admission {
+        let due = due.into();
+        self.clock = now;
         if self.has_room() {
             self.running += 1;
             return Admission::Run;
         }
         let own = self.lines.get(partner).map_or(0, |line| line.waiting);
         let wait = self.expected(own, self.active.max(1));
-        if now + wait + self.allowance(wait) > deadline {
-            return Admission::Refuse { retry_after: wait };
+        if now + wait + self.allowance(wait) <= due.aim {
+            self.enqueue(id, partner, weight, due);
+            return Admission::Wait;
+        }
+        if self.may_wait_late(due, now) {
+            self.enqueue_late(id, partner.clone(), due);
+            return Admission::Wait;
         }
-        self.enqueue(id, partner, weight, deadline);
-        Admission::Wait
+        let retry_after = match self.serves_late {
+            true => self.promise_return(now),
+            false => wait,
+        };
+        Admission::Refuse { retry_after }
+    }
+
+    /// Whether a request that can't be on time can be answered before its limit. A line of
+    /// late ones that has not moved for some time will not move within a shorter one.
+    fn may_wait_late(&self, due: Due, now: Duration) -> bool {
+        let queue = self.service * (self.waiting.len() as u32 + 1) / self.places() as u32;
+        let stall = self.stalled.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let wait = queue.max(stall);
+        self.serves_late && now + wait + self.allowance(wait) <= due.limit
+    }
+
+    /// Time after which a caller refused now finds room.
+    pub fn promise_return(&mut self, now: Duration) -> Duration {
+        let gap = self.service / self.places() as u32;
+        let queue = gap * (self.waiting.len() as u32 + 1);
+        self.returns.promise(queue, gap, now)
     }
 
-    fn enqueue(&mut self, id: u64, partner: &Arc<str>, weight: u32, deadline: Duration) {
+    fn enqueue_late(&mut self, id: u64, partner: Arc<str>, due: Due) {
+        self.sequence += 1;
+        let limit = u64::try_from(due.limit.as_micros()).unwrap_or(u64::MAX);
+        self.late += 1;
+        self.stalled = self.stalled.or(Some(self.clock));
+        let waiter = Waiter {
+            id,
+            partner,
+            due,
+            deadline: due.limit,
+        };
+        self.insert((Class::Late, limit, self.sequence), waiter);
+    }
+
+    fn insert(&mut self, turn: Turn, waiter: Waiter) {
+        self.turns.insert(waiter.id, turn);
+        self.deadlines.insert((waiter.deadline, waiter.id));
+        self.waiting.insert(turn, waiter);
+    }
+
+    fn enqueue(&mut self, id: u64, partner: &Arc<str>, weight: u32, due: Due) {
         if self.lines.len() >= MOST_LINES {
             self.lines.retain(|_, line| line.waiting > 0);
         }
@@ -133,22 +264,20 @@
         self.active += usize::from(line.waiting == 0);
         line.waiting += 1;
         self.sequence += 1;
-        let turn = (line.finish, self.sequence);
-        self.turns.insert(id, turn);
-        self.deadlines.insert((deadline, id));
-        let partner = partner.clone();
+        let turn = (Class::OnTime, line.finish, self.sequence);
         let waiter = Waiter {
             id,
-            partner,
-            deadline,
+            partner: partner.clone(),
+            due,
+            deadline: due.aim,
         };
-        self.waiting.insert(turn, waiter);
+        self.insert(turn, waiter);
     }
 
     /// Expected wait behind `own` of the partner's requests with `active` partners.
     fn expected(&self, own: usize, active: usize) -> Duration {
         let turns = (own + 1) * active;
-        self.service * turns as u32 / self.capacity.max(1) as u32
+        self.service * turns as u32 / self.places() as u32
     }
 
     /// Time kept between the expected start and the deadline: for the statement
@@ -171,18 +300,51 @@
     pub fn release(&mut self, took: Duration) -> Option<u64> {
         assert!(self.running > 0, "a place is released that nobody held");
         self.running -= 1;
-        self.service = (self.service * (SMOOTHING - 1) + took) / SMOOTHING;
+        self.note_service(took);
+        self.admit_next()
+    }
+
+    /// A transaction rests after a statement that took a place for `took`: it keeps its
+    /// connection alone.
+    pub fn rest(&mut self, took: Duration) -> Option<u64> {
+        assert!(self.running > 0, "a transaction rests that did not run");
+        self.running -= 1;
+        self.resting += 1;
+        self.note_service(took);
+        self.admit_next()
+    }
+
+    /// A resting transaction runs again. It holds what others wait for, so it does not wait.
+    pub fn resume(&mut self) {
+        assert!(self.resting > 0, "a transaction runs on that did not rest");
+        self.resting -= 1;
+        self.running += 1;
+    }
+
+    /// A resting transaction is given up.
+    pub fn vacate(&mut self) -> Option<u64> {
+        assert!(self.resting > 0, "a transaction ends that did not rest");
+        self.resting -= 1;
         self.admit_next()
     }
 
+    fn note_service(&mut self, took: Duration) {
+        self.service = (self.service * (SMOOTHING - 1) + took) / SMOOTHING;
+    }
+
     /// Fills a place that is free without a release, as after a change of capacity.
     pub fn admit_next(&mut self) -> Option<u64> {
-        if self.running >= self.capacity {
+        if !self.has_place() {
             return None;
         }
         let (turn, waiter) = self.waiting.pop_first()?;
-        self.virtual_time = self.virtual_time.max(turn.0);
-        self.forget(&waiter);
+        if turn.0 == Class::OnTime {
+            self.virtual_time = self.virtual_time.max(turn.1);
+        }
+        self.forget(turn, &waiter);
+        if turn.0 == Class::Late {
+            self.stalled = (self.late > 0).then_some(self.clock);
+        }
         self.running += 1;
         Some(waiter.id)
     }
@@ -193,28 +355,51 @@
             return false;
         };
         let waiter = self.waiting.remove(&turn).expect("who has a turn waits");
-        self.forget(&waiter);
+        self.forget(turn, &waiter);
         true
     }
 
-    /// Takes out those who can't be served by their deadline any more, to be
-    /// answered at once.
+    /// Takes out those who can't be served by their limit any more, to be answered at once.
+    /// Those who can't be on time any more wait behind the others.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
+        self.clock = now;
         let end = now + self.run();
-        let late = self.deadlines.iter();
-        let late = late.take_while(|(deadline, _)| *deadline < end);
-        let ids: Vec<u64> = late.map(|(_, id)| *id).collect();
+        let due = self.deadlines.iter();
+        let due = due.take_while(|(deadline, _)| *deadline < end);
+        let mut ids: Vec<u64> = due.map(|(_, id)| *id).collect();
+        ids.retain(|id| !self.becomes_late(*id, now));
         for id in &ids {
             self.withdraw(*id);
         }
         ids
     }
 
+    /// Has a request that was on time wait behind the others, where that makes sense.
+    fn becomes_late(&mut self, id: u64, now: Duration) -> bool {
+        let turn = self.turns[&id];
+        let due = self.waiting[&turn].due;
+        if turn.0 == Class::Late || !self.may_wait_late(due, now) {
+            return false;
+        }
+        let waiter = self.waiting.remove(&turn).expect("who has a turn waits");
+        self.forget(turn, &waiter);
+        self.enqueue_late(id, waiter.partner, due);
+        true
+    }
+
+    /// When somebody who waits is refused, or becomes late, if no place becomes free.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let (deadline, _) = self.deadlines.first()?;
+        Some(deadline.saturating_sub(self.run()))
+    }
+
     /// Takes out all who wait.
     pub fn drain(&mut self) -> Vec<u64> {
         self.turns.clear();
         self.deadlines.clear();
         self.active = 0;
+        self.late = 0;
+        self.stalled = None;
         for line in self.lines.values_mut() {
             line.waiting = 0;
         }
@@ -224,12 +409,19 @@
 
     /// Expected wait of a newcomer.
     pub fn wait(&self) -> Duration {
-        self.service * (self.waiting.len() as u32 / self.capacity.max(1) as u32 + 1)
+        self.service * (self.on_time() as u32 / self.places() as u32 + 1)
     }
 
-    fn forget(&mut self, waiter: &Waiter) {
+    fn forget(&mut self, turn: Turn, waiter: &Waiter) {
         self.turns.remove(&waiter.id);
         self.deadlines.remove(&(waiter.deadline, waiter.id));
+        if turn.0 == Class::Late {
+            self.late -= 1;
+            if self.late == 0 {
+                self.stalled = None;
+            }
+            return;
+        }
         let line = self.lines.get_mut(&waiter.partner);
         let line = line.expect("whoever waits has a line");
         line.waiting -= 1;
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -25,7 +25,7 @@
 use super::detect::Detector;
 use super::detect::baseline::Baseline;
 use super::duty::Ballot;
-use super::fair::{Admission, Fair};
+use super::fair::{Admission, Due, Fair};
 use super::latency::Latency;
 use super::owners::{LEAST_SHARE, share};
 use super::position::Position;
@@ -76,7 +76,7 @@
     joined: bool,
     /// When it was last told to follow the primary.
     told: Option<Duration>,
-    /// Statements at once that its connections allow, as far as was found out.
+    /// Connections at once that it takes, as far as was found out.
     room: usize,
     /// When one more is tried.
     widen: Duration,
@@ -139,12 +139,12 @@
 
     /// Time until it is expected to answer one more statement.
     fn wait(&self, now: Duration, slots: usize) -> Duration {
-        let load = self.fair.running() + self.fair.waiting();
+        let load = self.fair.running() + self.fair.on_time();
         let turns = 1.0 + load as f64 / slots.max(1) as f64;
         let run = self.latency.mean(now);
         let queue = match self.fair.has_room() {
             true => Duration::ZERO,
-            false => run * (self.fair.waiting() as u32 + 1) / self.room.max(1) as u32,
+            false => run * (self.fair.on_time() as u32 + 1) / self.fair.places() as u32,
         };
         run.mul_f64(turns) + queue
     }
@@ -214,7 +214,13 @@
     pub age_ms: Option<u64>,
     pub suspected: bool,
     pub running: usize,
+    /// Open transactions between their statements.
+    pub resting: usize,
     pub waiting: usize,
+    /// Those of them that can't be answered within their aim any more.
+    pub late: usize,
+    /// Connections at once that the member takes from this box.
+    pub room: usize,
 }
 
 /// What a dump shows of a group.
@@ -377,6 +383,9 @@
                 led,
             } => self.answered(member, began, position, led, now, &mut out),
             Event::Release { member, took } => self.release(member, took, now, &mut out),
+            Event::Rest { member, took } => self.rest(member, took, now, &mut out),
+            Event::Resume { member } => self.members[member].fair.resume(),
+            Event::Vacate { member } => self.vacate(member, now, &mut out),
             Event::Late { member, after } => {
                 self.members[member].latency.late(after, now);
                 self.members[member].detector.hurry(now);
@@ -467,6 +476,9 @@
     /// Looks at the members of other failure domains before their turn: where one of them is
     /// silent, the way there may be cut, and a cut is known only once a majority is lost.
     fn hurry_far(&mut self, now: Duration) {
+        if !self.settings.domain_loss {
+            return;
+        }
         let domain = &self.domain;
         let far = self.members.iter_mut();
         for member in far.filter(|member| member.spec.domain != *domain) {
@@ -510,7 +522,7 @@
         let parked = parked.map(|request| request.deadline.saturating_sub(ballot));
         let floorless = self.waiting.floorless.values().map(|r| r.deadline);
         let lagging = self.waiting.lagging.values().map(|(_, until)| *until);
-        let queued = self.waiting.queued.values().map(|(r, _)| r.deadline);
+        let queued = self.members.iter().filter_map(|m| m.fair.next_expiry());
         let look = (!self.confirm.is_empty() && !self.settings.replace.lease.is_zero())
             .then(|| self.settings.probe_gap.max(LEAST_LOOK));
         let look = look.zip(self.members.iter().filter_map(|m| m.probed).max());
@@ -520,8 +532,8 @@
         let replace = self.replace.wake().into_iter();
         let replace = replace.chain(self.hand_over).chain(spent);
         let all = probes.chain(parked).chain(floorless).chain(lagging);
-        let capacity = self.capacity();
-        let narrow = self.members.iter().filter(|m| m.room < capacity && !m.gone);
+        let most = self.most_connections();
+        let narrow = self.members.iter().filter(|m| m.room < most && !m.gone);
         let narrow = narrow.filter(|m| m.fair.waiting() > 0).map(|m| m.widen);
         let all = all
             .chain(queued)
@@ -552,7 +564,10 @@
                 .map(|age| age.as_millis() as u64),
             suspected: member.suspected,
             running: member.fair.running(),
+            resting: member.fair.resting(),
             waiting: member.fair.waiting(),
+            late: member.fair.waiting() - member.fair.on_time(),
+            room: member.room,
         };
         let members = self.members.iter().enumerate();
         let members = members.filter(|(_, member)| !member.succeeded);
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -18,6 +18,14 @@
         self.share().min(useful.max(LEAST_SHARE))
     }
 
+    /// Connections that this box may have at a member at once.
+    pub(super) fn most_connections(&self) -> usize {
+        match self.settings.rests {
+            true => self.share(),
+            false => self.capacity(),
+        }
+    }
+
     /// Takes a new plan. Members keep their places; new ones get places of their own.
     pub fn set_plan(&mut self, plan: Arc<Plan>, now: Duration) {
         let listed = plan.members.iter().map(|spec| self.take_spec(spec, now));
@@ -134,9 +142,13 @@
     /// narrowed it, it widens again by itself.
     pub(super) fn set_rooms(&mut self) {
         let capacity = self.capacity();
+        let most = self.most_connections();
+        let serves_late = self.settings.serve_late;
         for member in &mut self.members {
-            member.room = capacity;
+            member.room = most;
             member.fair.set_capacity(capacity);
+            member.fair.set_connections(most);
+            member.fair.set_serves_late(serves_late);
         }
     }
 
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -139,6 +139,19 @@
         member: usize,
         took: Duration,
     },
+    /// A statement was answered, and its transaction rests.
+    Rest {
+        member: usize,
+        took: Duration,
+    },
+    /// A resting transaction's next statement is sent.
+    Resume {
+        member: usize,
+    },
+    /// A resting transaction is given up.
+    Vacate {
+        member: usize,
+    },
     /// A member's answer is not waited for any more.
     Late {
         member: usize,
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -318,13 +318,16 @@
         let run = self.members[member].latency.mean(now);
         let fair = &mut self.members[member].fair;
         // Who waited for a primary is late anyhow; all others are worth most in time.
-        let fresh = now < request.arrived + FRESH;
-        let deadline = match request.aim {
-            Some(aim) if fresh => request.deadline.min(request.arrived + aim),
-            _ => request.deadline,
+        let fresh = now < request.arrived + FRESH || self.settings.serve_late;
+        let aim = request.aim.filter(|_| fresh);
+        let limit = request.deadline;
+        let due = Due {
+            aim: aim.map_or(limit, |aim| limit.min(request.arrived + aim)),
+            // Without late answers, all that passes the aim is refused.
+            limit,
         };
         fair.set_run(run);
-        match fair.arrive(id, &request.partner, request.weight, now, deadline) {
+        match fair.arrive(id, &request.partner, request.weight, now, due) {
             Admission::Run => {
                 let term = self.replace.term;
                 out.push(Action::Assign {
@@ -365,6 +368,24 @@
         self.fill(member, next, now, out);
     }
 
+    pub(super) fn rest(
+        &mut self,
+        member: usize,
+        took: Duration,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        self.expire_queue(member, now, out);
+        let next = self.members[member].fair.rest(took);
+        self.fill(member, next, now, out);
+    }
+
+    pub(super) fn vacate(&mut self, member: usize, now: Duration, out: &mut Vec<Action>) {
+        self.expire_queue(member, now, out);
+        let next = self.members[member].fair.vacate();
+        self.fill(member, next, now, out);
+    }
+
     /// Gives a free place to the first of those whose turn it is that it still fits.
     fn fill(&mut self, member: usize, mut next: Option<u64>, now: Duration, out: &mut Vec<Action>) {
         while let Some(id) = next {
@@ -411,10 +432,10 @@
     pub(super) fn full(&mut self, member: usize, now: Duration) {
         let step = self.room_step();
         let known = &mut self.members[member];
-        let fits = known.fair.running().saturating_sub(1);
-        known.room = fits.min(known.room);
+        let held = known.fair.running() + known.fair.resting();
+        known.room = held.saturating_sub(1).min(known.room);
         known.widen = now + step;
-        known.fair.set_capacity(known.room);
+        known.fair.set_connections(known.room);
     }
 
     /// Drawn anew each time, so that boxes do not try in step.
@@ -424,7 +445,7 @@
 
     /// Tries one more statement at once where no refusal came for a while.
     pub(super) fn widen(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let most = self.capacity();
+        let most = self.most_connections();
         for member in 0..self.members.len() {
             let step = self.room_step();
             let known = &mut self.members[member];
@@ -433,7 +454,7 @@
             }
             known.room += 1;
             known.widen = now + step;
-            known.fair.set_capacity(known.room);
+            known.fair.set_connections(known.room);
             let next = known.fair.admit_next();
             self.fill(member, next, now, out);
         }
--- a/src/decisions/group/settings.rs
+++ b/src/decisions/group/settings.rs
@@ -46,6 +46,14 @@
     /// Statements at a member at once, from all boxes, for each of its slots; none
     /// where connections alone bound them.
     pub turns: Option<u32>,
+    /// A transaction that rests between its statements takes no turn, only a connection.
+    pub rests: bool,
+    /// Requests that can't be answered within their aim wait behind the others, and refused
+    /// callers are told to come back one after the other.
+    pub serve_late: bool,
+    /// The loss of a whole failure domain is to be borne: where a member of another one is
+    /// silent, all of those are looked at.
+    pub domain_loss: bool,
 }
 
 impl Default for Settings {
@@ -72,6 +80,9 @@
             patient: false,
             keep: 100,
             turns: None,
+            rests: false,
+            serve_late: false,
+            domain_loss: false,
         }
     }
 }
--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -10,8 +10,12 @@
 //! What is lent is used at once or lapses, so that it counts about when it was lent. A box
 //! that starts, or lends for a workspace for the first time, knows nothing of what was lent
 //! before it: its part has filled only since, but for what a workspace may pass its limit by.
+//!
+//! Where a part is used up, an operation may wait for its turn at the lender, which serves
+//! all boxes' operations in one line; or its caller is told when to come back.
 
 mod lender;
+mod line;
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
@@ -20,7 +24,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::borders::roster::Listing;
-pub use lender::Lender;
+pub use lender::{Lender, Place, Waiting};
+pub use line::{Line, Turns};
 
 /// Lenders of a workspace, at least: with one of three lost, two thirds of the limit are
 /// left, which is what a workspace usually asks for.
@@ -66,6 +71,15 @@
         }
     }
 
+    /// The same with a part of it more, as far as the operator lets limits be passed.
+    pub fn widened(self, overage: f64) -> Self {
+        Self {
+            rate: self.rate * (1.0 + overage),
+            burst: self.burst * (1.0 + overage),
+            start: self.start,
+        }
+    }
+
     /// In how many parts it is lent. Each lends one operation at once, or it never would.
     pub fn parts(self, lenders: usize) -> usize {
         (self.burst as usize).clamp(1, lenders.max(1))
@@ -119,12 +133,24 @@
         if granted >= 1.0 {
             return Loan::Granted(granted as u32);
         }
-        let missing = (1.0 - self.tokens) / limit.rate;
-        let wait = match missing.is_finite() {
-            true => Duration::from_secs_f64(missing).clamp(LEAST_RETRY, MOST_RETRY),
-            false => MOST_RETRY,
+        let turns = self.turns(limit, now);
+        Loan::Spent((turns.first - now).clamp(LEAST_RETRY, MOST_RETRY))
+    }
+
+    /// When operations beyond those that may be lent now can be.
+    fn turns(&mut self, limit: Limit, now: Duration) -> Turns {
+        self.fill(limit, now);
+        let time = |operations: f64| {
+            let seconds = (operations / limit.rate).max(0.0);
+            match seconds < MOST_RETRY.as_secs_f64() {
+                true => Duration::from_secs_f64(seconds),
+                false => MOST_RETRY,
+            }
         };
-        Loan::Spent(wait)
+        Turns {
+            first: now + time(1.0 - self.tokens),
+            gap: time(1.0),
+        }
     }
 }
 
--- a/src/decisions/limit/lender.rs
+++ b/src/decisions/limit/lender.rs
@@ -4,15 +4,44 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Bucket, Limit, Loan, lenders};
+use super::{Bucket, LEAST_RETRY, Limit, Line, Loan, MOST_RETRY, lenders};
 use crate::borders::roster::Listing;
+use crate::decisions::returns::Returns;
+
+/// An operation that waits for its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    id: u64,
+    /// Latest moment of its turn.
+    end: Duration,
+}
+
+/// What becomes of an operation whose limit is used up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// It may run.
+    Granted,
+    /// Its turn is expected at this moment.
+    Waits(Waiting, Duration),
+    /// Its turn would come too late; worth another try after this time.
+    Spent(Duration),
+}
+
+/// A part of a workspace's limit, and who waits for it.
+#[derive(Clone, Debug)]
+struct Account {
+    bucket: Bucket,
+    line: Line,
+    returns: Returns,
+}
 
 /// A box as a lender.
 #[derive(Clone, Debug, Default)]
 pub struct Lender {
-    buckets: HashMap<Arc<str>, Bucket>,
+    accounts: HashMap<Arc<str>, Account>,
     /// Since when this box may have been a lender: its start, or the list's last change.
     since: Duration,
+    next: u64,
 }
 
 impl Lender {
@@ -25,14 +54,92 @@
             let lenders = lenders(workspace, boxes);
             lenders.iter().any(|lender| *lender.name == *name)
         };
-        self.buckets.retain(|workspace, _| lends(workspace));
+        self.accounts.retain(|workspace, _| lends(workspace));
     }
 
-    /// Lends out of a part of a workspace's limit.
-    pub fn lend(&mut self, workspace: &Arc<str>, part: Limit, wanted: u32, now: Duration) -> Loan {
+    fn account(&mut self, workspace: &Arc<str>, part: Limit, now: Duration) -> &mut Account {
         let since = self.since;
-        let bucket = self.buckets.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(part, since, now));
-        bucket.take(part, wanted, now)
+        let account = self.accounts.entry(workspace.clone());
+        account.or_insert_with(|| Account {
+            bucket: Bucket::new(part, since, now),
+            line: Line::default(),
+            returns: Returns::default(),
+        })
+    }
+
+    /// Lends out of a part of a workspace's limit, at once: nothing while others wait.
+    pub fn lend(&mut self, workspace: &Arc<str>, part: Limit, wanted: u32, now: Duration) -> Loan {
+        let account = self.account(workspace, part, now);
+        if account.line.is_empty() {
+            return account.bucket.take(part, wanted, now);
+        }
+        let turns = account.bucket.turns(part, now);
+        let turn = turns.of(account.line.len());
+        Loan::Spent((turn - now).clamp(LEAST_RETRY, MOST_RETRY))
+    }
+
+    /// Lends one operation, or has it wait for its turn, for `wait` at most.
+    pub fn queue(
+        &mut self,
+        workspace: &Arc<str>,
+        part: Limit,
+        wait: Duration,
+        now: Duration,
+    ) -> Place {
+        self.next += 1;
+        let id = self.next;
+        let end = now + wait;
+        let account = self.account(workspace, part, now);
+        if account.line.is_empty() && account.bucket.take(part, 1, now) == Loan::Granted(1) {
+            return Place::Granted;
+        }
+        let turns = account.bucket.turns(part, now);
+        if account.line.join(id, end, turns) {
+            return account.waits(Waiting { id, end }, part, now);
+        }
+        let queue = turns.of(account.line.len()) - now;
+        let wait = account.returns.promise(queue, turns.gap, now);
+        Place::Spent(wait.clamp(LEAST_RETRY, MOST_RETRY))
+    }
+
+    /// Whether the turn of one that waits has come.
+    pub fn turn(
+        &mut self,
+        workspace: &Arc<str>,
+        part: Limit,
+        waiting: Waiting,
+        now: Duration,
+    ) -> Place {
+        let account = self.account(workspace, part, now);
+        let first = account.line.place(waiting.id, waiting.end) == Some(0);
+        if first && account.bucket.take(part, 1, now) == Loan::Granted(1) {
+            account.line.leave(waiting.id, waiting.end);
+            return Place::Granted;
+        }
+        if now < waiting.end {
+            return account.waits(waiting, part, now);
+        }
+        // The limit was lowered, or another box lends in this one's place.
+        account.line.leave(waiting.id, waiting.end);
+        let turns = account.bucket.turns(part, now);
+        Place::Spent((turns.first - now).clamp(LEAST_RETRY, MOST_RETRY))
+    }
+
+    /// An operation does not wait any more.
+    pub fn leave(&mut self, workspace: &str, waiting: Waiting) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.line.leave(waiting.id, waiting.end);
+        }
+    }
+}
+
+impl Account {
+    fn waits(&mut self, waiting: Waiting, part: Limit, now: Duration) -> Place {
+        let turns = self.bucket.turns(part, now);
+        let place = self.line.place(waiting.id, waiting.end);
+        let turn = turns.of(place.unwrap_or_default());
+        // A turn that is due but was not taken waits for the one before it to leave.
+        let next = turn.max(now + LEAST_RETRY).min(waiting.end.max(now + LEAST_RETRY));
+        Place::Waits(waiting, next)
     }
 }
--- a/src/decisions/reach.rs
+++ b/src/decisions/reach.rs
@@ -5,10 +5,12 @@
 //! something speaks for a cut: it would cost each box questions to all owners.
 //!
 //! A balancer turns to other failure domains only once every box of the lost one says that
-//! it is not ready. So a box that finds itself cut off warns a few neighbours, who ask at
-//! once and warn others in turn: the domain is handed over as one. A warning is no verdict;
-//! each box goes by what it sees and by owners' words.
+//! it is not ready. So a box that finds all other domains silent warns a few neighbours, who
+//! look and ask at once and warn others in turn: the domain is handed over as one. A warning
+//! is no verdict; each box goes by what it sees and by owners' words.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -56,9 +58,26 @@
     }
 }
 
+/// When members of another failure domain last answered, and last did not.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sight {
+    heard: Option<Duration>,
+    missed: Option<Duration>,
+}
+
+impl Sight {
+    fn is_lost(&self) -> bool {
+        self.missed > self.heard
+    }
+}
+
 /// Whether this box is cut off.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
+    /// Other failure domains in which this box watches members.
+    far: BTreeMap<Arc<str>, Sight>,
+    /// When neighbours were last warned that all of these are silent.
+    told_of: Option<Duration>,
     view: View,
     /// When an exchange last failed as in a cut.
     refused: Option<Duration>,
@@ -76,7 +95,11 @@
     }
 
     /// Takes what the box's own groups show.
-    pub fn see(&mut self, view: View) {
+    pub fn see(&mut self, view: View, now: Duration) {
+        if view.cut_off > self.view.cut_off {
+            // What others see is worth knowing at once.
+            self.warned = Some(now);
+        }
         self.view = view;
         if let Some(verdict) = view.verdict() {
             self.cut_off = verdict;
@@ -88,9 +111,40 @@
         self.refused = Some(now);
     }
 
-    /// A box of the same failure domain says that it is cut off.
-    pub fn warn(&mut self, now: Duration) {
+    /// A box of the same failure domain finds the others silent. Whether the neighbours are
+    /// to be warned too: they have not been of late.
+    pub fn warn(&mut self, now: Duration) -> bool {
         self.warned = Some(now);
+        self.tells_now(now)
+    }
+
+    /// A member of another failure domain answered.
+    pub fn hear(&mut self, domain: &Arc<str>, now: Duration) {
+        match self.far.get_mut(domain) {
+            Some(sight) => sight.heard = Some(now),
+            None => {
+                let sight = Sight {
+                    heard: Some(now),
+                    missed: None,
+                };
+                self.far.insert(domain.clone(), sight);
+            }
+        }
+    }
+
+    /// A member of another failure domain did not answer in time. Whether all the others are
+    /// silent now, so that the neighbours are to be warned.
+    pub fn miss(&mut self, domain: &Arc<str>, now: Duration) -> bool {
+        self.far.entry(domain.clone()).or_default().missed = Some(now);
+        self.far.values().all(Sight::is_lost) && self.tells_now(now)
+    }
+
+    fn tells_now(&mut self, now: Duration) -> bool {
+        let rested = self.told_of.is_none_or(|told| now >= told + DOUBT);
+        if rested {
+            self.told_of = Some(now);
+        }
+        rested
     }
 
     /// When owners are to be asked next, if at all.
--- a/src/events.rs
+++ b/src/events.rs
@@ -43,7 +43,7 @@
     OLDER_COPY = 212, Warning, "the table came back as an older copy of itself";
     OLDER_DECLARATIONS = 213, Warning, "the table's declarations are older than those in force, which hold";
     LISTED_AGAIN = 214, Warning, "the list of boxes has lost this one, which lists itself again";
-    CUT_WARNING = 215, Info, "a box of this failure domain says that it is cut off";
+    CUT_WARNING = 215, Info, "a box of this failure domain finds the others silent";
     SUSPECTED = 300, Warning, "member suspected";
     TRUSTED = 301, Info, "member trusted again";
     FENCING = 302, Warning, "replacing the primary: fencing";
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -59,6 +59,8 @@
     pub callers: Cell<usize>,
     /// When the box began to leave, or was cut off: callers are better served elsewhere.
     pub away: watch::Sender<Option<Duration>>,
+    /// Whether the box has found out if it is cut off.
+    pub settled: watch::Sender<bool>,
     /// How the table is read.
     pub pace: Cell<Pace>,
 }
@@ -116,11 +118,11 @@
         since.is_some_and(|since| self.now() >= since + rest)
     }
 
-    /// Time until callers of a box that said it is not ready are sent elsewhere; none where
-    /// it is ready, or that time is over.
+    /// Time until callers of a box that said it is not ready are expected to be sent
+    /// elsewhere; none where it is ready, or that time is over.
     pub fn turns_in(&self) -> Option<Duration> {
         let since = (*self.away.borrow())?;
-        let turned = since + self.settings.balancer_turn;
+        let turned = since + self.settings.balancer_notice;
         turned.checked_sub(self.now()).filter(|left| !left.is_zero())
     }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -148,6 +148,7 @@
             } => {
                 let current = self.groups.get(&group).map(|owned| owned.incarnation);
                 if current == Some(incarnation) {
+                    self.note_sight(&group, &event);
                     self.handle(&group, event);
                 }
             }
@@ -180,7 +181,10 @@
             Message::Listed => self.tell_listed(),
             Message::Refused => self.reach.refuse(self.context.now()),
             Message::Warned { from } => self.take_warning(&from),
-            Message::Reached(words) => self.reach.answer(&words),
+            Message::Reached(words) => {
+                self.reach.answer(&words);
+                self.context.settled.send_replace(true);
+            }
             Message::Reach { group, reply } => {
                 let now = self.context.now();
                 let owned = self.groups.get(&group);
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -26,6 +26,7 @@
                     primary: owned.group.primary() == Some(member),
                     believed,
                     patience: owned.group.patience(member, self.context.now()),
+                    rests: self.settings.rests,
                     health: owned.health.subscribe(),
                 };
                 let reply = self.grants.remove(&request);
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -35,7 +35,11 @@
                 None => {}
             }
         }
-        self.reach.see(view);
+        if view.owned == view.groups && view.owned > 0 {
+            // Its own groups tell.
+            self.context.settled.send_if_modified(|settled| !std::mem::replace(settled, true));
+        }
+        self.reach.see(view, now);
         if self.reach.due(now).is_some_and(|due| due <= now) {
             self.reach.ask(now);
             self.ask_reach();
@@ -67,6 +71,9 @@
 
     fn warn_neighbours(&self) {
         let settings = &self.context.settings;
+        if !settings.domain_loss {
+            return;
+        }
         let boxes = self.context.boxes.borrow().clone();
         let warned = neighbours(
             &boxes,
@@ -81,19 +88,57 @@
         }
     }
 
-    /// Takes a neighbour's word that it is cut off: owners and members are looked at now.
+    /// Takes a neighbour's word that other failure domains are silent.
     pub(super) fn take_warning(&mut self, from: &str) {
         if self.reach.is_cut_off() {
             return;
         }
-        events::emit(&self.context.log, &events::CUT_WARNING, &[("from", &from)]);
-        self.reach.warn(self.context.now());
+        if self.reach.warn(self.context.now()) {
+            events::emit(&self.context.log, &events::CUT_WARNING, &[("from", &from)]);
+            self.warn_neighbours();
+        }
+        self.hurry();
+    }
+
+    /// Looks at the members of other failure domains before their turn.
+    fn hurry(&mut self) {
         let groups: Vec<Arc<str>> = self.groups.keys().cloned().collect();
         for group in groups {
             self.handle(&group, Event::Hurry);
         }
     }
 
+    /// Notes what an event of a group tells of the way to another failure domain.
+    pub(super) fn note_sight(&mut self, group: &Arc<str>, event: &Event) {
+        let (member, answered) = match event {
+            Event::Answered { member, .. }
+            | Event::Status {
+                member,
+                answer: Ok(_),
+                ..
+            } => (*member, true),
+            Event::Late { member, .. }
+            | Event::Unreached { member }
+            | Event::Broken { member } => (*member, false),
+            _ => return,
+        };
+        let Some(owned) = self.groups.get(group) else {
+            return;
+        };
+        let domain = &owned.group.plan.members[member].domain;
+        if *domain == self.context.settings.domain {
+            return;
+        }
+        let now = self.context.now();
+        if answered {
+            return self.reach.hear(domain, now);
+        }
+        if self.reach.miss(&domain.clone(), now) {
+            self.warn_neighbours();
+            self.hurry();
+        }
+    }
+
     fn ask_reach(&self) {
         let others = self.snapshot.groups.keys();
         let others = others.filter(|id| !self.groups.contains_key(*id));
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -1,5 +1,6 @@
 //! Lets a workspace's operations through as its limit allows, over all boxes: asks the
-//! boxes that lend out its parts, and is one of them.
+//! boxes that lend out its parts, and is one of them. Where the limit is used up, an
+//! operation may wait for its turn at a lender.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -14,13 +15,20 @@
 use super::peers;
 use crate::borders::roster::Listing;
 use crate::decisions::group::{Reason, Refusal};
-use crate::decisions::limit::{Lender, Limit, Loan, Purse, SILENT, Spending, lenders};
+use crate::decisions::limit::{
+    Lender, Limit, Loan, Place, Purse, SILENT, Spending, Waiting, lenders,
+};
 use crate::declarations::resource::Workspace;
 use crate::declarations::snapshot::group_id;
 use crate::events;
 
 /// Time that a lender gets: ten times what it needs.
 const LEND_WAIT: Duration = Duration::from_millis(100);
+/// Lenders that are asked for a turn: the second where the first says nothing.
+const TURN_TRIES: usize = 2;
+/// Part of the time in which an answer is worth most that an operation may wait for its
+/// turn, as a divisor: the rest is for its statements.
+const TURN_PART: u32 = 2;
 /// Purses that are kept; above it, those that say nothing any more are forgotten.
 const MANY_PURSES: usize = 4_096;
 /// Time between two lines of log about one workspace: each refusal would be one otherwise.
@@ -32,6 +40,10 @@
     /// `PARTNER/WORKSPACE`.
     pub workspace: Arc<str>,
     pub wanted: u32,
+    /// Time for which one operation may wait for its turn; none where what is there now is
+    /// asked for.
+    #[serde(default)]
+    pub within: Option<Duration>,
 }
 
 /// A workspace and one of its lenders.
@@ -60,20 +72,29 @@
 }
 
 impl Context {
-    /// Counts an operation of a workspace against its limit. Refused, it has not run.
-    pub async fn admit(&self, workspace: &Workspace) -> Result<(), Refusal> {
-        let admitted = match limit(workspace, self.settings.limit_slack) {
-            Some(limit) => self.admit_limited(workspace, limit).await,
-            None => Ok(()),
+    /// Counts an operation of a workspace against its limit; an answer is worth most within
+    /// `aim`. Refused, it has not run.
+    pub async fn admit(&self, workspace: &Workspace, aim: Duration) -> Result<(), Refusal> {
+        let admitted = match self.limit(workspace) {
+            Some(limit) => self.admit_limited(workspace, limit, aim).await,
+            None => Ok(Admitted::AtOnce),
         };
         match &admitted {
-            Ok(()) => self.metrics.operation(&workspace.name, "admitted"),
+            Ok(Admitted::AtOnce) => self.metrics.operation(&workspace.name, "admitted"),
+            Ok(Admitted::InTurn) => self.metrics.operation(&workspace.name, "waited"),
             Err(refusal) => {
                 self.metrics.operation(&workspace.name, "over limit");
                 self.note_spent(workspace, refusal);
             }
         }
-        admitted
+        admitted.map(|_| ())
+    }
+
+    /// A workspace's limit, none where it has none.
+    fn limit(&self, workspace: &Workspace) -> Option<Limit> {
+        let rate = workspace.rate_per_s?;
+        let limit = Limit::new(rate, workspace.burst, self.settings.limit_slack);
+        Some(limit.widened(self.settings.limit_overage))
     }
 
     /// Logs that a workspace's limit is used up, now and then.
@@ -87,7 +108,12 @@
         events::emit(&self.log, &events::LIMITED, &fields);
     }
 
-    async fn admit_limited(&self, workspace: &Workspace, limit: Limit) -> Result<(), Refusal> {
+    async fn admit_limited(
+        &self,
+        workspace: &Workspace,
+        limit: Limit,
+        aim: Duration,
+    ) -> Result<Admitted, Refusal> {
         let id = group_id(&workspace.partner, &workspace.name);
         self.limits
             .purse(&id, self.now(), |purse, now| purse.count(now));
@@ -95,7 +121,10 @@
             let waiting = self.limits.waiting(&id);
             let spend = |purse: &mut Purse, now| purse.spend(waiting, now);
             let wanted = match self.limits.purse(&id, self.now(), spend) {
-                Spending::Paid => return Ok(()),
+                Spending::Paid => return Ok(Admitted::AtOnce),
+                Spending::Spent(_) if self.settings.limit_waits => {
+                    return self.wait_for_turn(&id, limit, aim / TURN_PART).await;
+                }
                 Spending::Spent(wait) => return Err(Refusal::new(Reason::Limit, wait)),
                 Spending::Ask(wanted) => wanted,
             };
@@ -109,18 +138,59 @@
         }
     }
 
-    /// Asks the lenders in turn, that of the own failure domain first.
-    async fn borrow(&self, id: &Arc<str>, limit: Limit, wanted: u32) -> Loan {
+    /// Waits for a turn at the lender that has one soonest, as far as is known.
+    async fn wait_for_turn(
+        &self,
+        id: &Arc<str>,
+        limit: Limit,
+        wait: Duration,
+    ) -> Result<Admitted, Refusal> {
+        let until = self.now() + wait;
         let boxes = self.boxes.borrow().clone();
-        let mut lenders = lenders(id, &boxes);
+        let mut lenders = self.lenders(id, limit, &boxes);
+        let spent = |lender: &&Listing| self.limits.spent(id, &lender.name, self.now());
+        lenders.sort_by_cached_key(|lender| spent(lender));
+        for lender in lenders.into_iter().take(TURN_TRIES) {
+            let question = Question {
+                workspace: id.clone(),
+                wanted: 1,
+                within: Some(until.saturating_sub(self.now())),
+            };
+            match self.ask(lender, question).await {
+                Some(Loan::Granted(_)) => return Ok(Admitted::InTurn),
+                Some(Loan::Spent(wait)) => return Err(Refusal::new(Reason::Limit, wait)),
+                None => self.limits.note_lender(id, &lender.name, self.now() + SILENT),
+            }
+        }
+        Err(Refusal::new(Reason::Limit, SILENT))
+    }
+
+    /// The boxes that lend for a workspace, that of the own failure domain first.
+    fn lenders<'a>(&self, id: &str, limit: Limit, boxes: &'a [Listing]) -> Vec<&'a Listing> {
+        let mut lenders = lenders(id, boxes);
         lenders.truncate(limit.parts(lenders.len()));
         lenders.sort_by_key(|lender| lender.domain != self.settings.domain);
+        lenders
+    }
+
+    /// Asks the lenders in turn, that of the own failure domain first.
+    async fn borrow(&self, id: &Arc<str>, limit: Limit, wanted: u32) -> Loan {
+        let boxes = self.boxes.borrow().clone();
+        let lenders = self.lenders(id, limit, &boxes);
         let mut soonest: Option<Duration> = None;
         for lender in lenders {
             let known = self.limits.spent(id, &lender.name, self.now());
             let loan = match known {
                 Some(wait) => Loan::Spent(wait),
-                None => self.ask(lender, id, wanted).await,
+                None => {
+                    let question = Question {
+                        workspace: id.clone(),
+                        wanted,
+                        within: None,
+                    };
+                    let loan = self.ask(lender, question).await;
+                    loan.unwrap_or(Loan::Spent(SILENT))
+                }
             };
             let Loan::Spent(wait) = loan else {
                 return loan;
@@ -134,39 +204,80 @@
         Loan::Spent(soonest.unwrap_or(SILENT))
     }
 
-    async fn ask(&self, lender: &Listing, id: &Arc<str>, wanted: u32) -> Loan {
-        let question = Question {
-            workspace: id.clone(),
-            wanted,
+    /// A lender's answer, none where it gives none.
+    async fn ask(&self, lender: &Listing, question: Question) -> Option<Loan> {
+        if lender.name == self.settings.name {
+            return self.lend(&question).await;
+        }
+        let wait = LEND_WAIT + question.within.unwrap_or_default();
+        peers::borrow(self, &lender.address, &question, wait).await
+    }
+
+    /// Lends out of the part that this box lends, in turn where that is asked for; none where
+    /// it is no lender of the workspace, as far as it knows.
+    pub async fn lend(&self, question: &Question) -> Option<Loan> {
+        let id = &question.workspace;
+        let now = self.now();
+        let part = self.part(id)?;
+        let Some(wait) = question.within else {
+            let mut lender = self.limits.lender.borrow_mut();
+            return Some(lender.lend(id, part, question.wanted, now));
         };
-        let loan = match lender.name == self.settings.name {
-            true => self.lend(&question),
-            false => peers::borrow(self, &lender.address, &question, LEND_WAIT).await,
+        let place = self.limits.lender.borrow_mut().queue(id, part, wait, now);
+        let (waiting, mut turn) = match place {
+            Place::Waits(waiting, turn) => (waiting, turn),
+            Place::Granted => return Some(Loan::Granted(1)),
+            Place::Spent(wait) => return Some(Loan::Spent(wait)),
         };
-        loan.unwrap_or(Loan::Spent(SILENT))
+        let _in_line = InLine {
+            limits: &self.limits,
+            id,
+            waiting,
+        };
+        loop {
+            tokio::time::sleep(turn.saturating_sub(self.now())).await;
+            let part = self.part(id)?;
+            let now = self.now();
+            let place = self.limits.lender.borrow_mut().turn(id, part, waiting, now);
+            match place {
+                Place::Waits(_, next) => turn = next,
+                Place::Granted => return Some(Loan::Granted(1)),
+                Place::Spent(wait) => return Some(Loan::Spent(wait)),
+            }
+        }
     }
 
-    /// Lends out of the part that this box lends; none where it is no lender of the
-    /// workspace, as far as it knows.
-    pub fn lend(&self, question: &Question) -> Option<Loan> {
-        let id = &question.workspace;
+    /// The part of a workspace's limit that this box lends.
+    fn part(&self, id: &Arc<str>) -> Option<Limit> {
         let workspace = self.snapshot.borrow().workspaces.get(id).cloned();
-        let limit = limit(&*workspace?, self.settings.limit_slack)?;
+        let limit = self.limit(&*workspace?)?;
         let boxes = self.boxes.borrow().clone();
         let lenders = lenders(id, &boxes);
         let parts = limit.parts(lenders.len());
         let own = |lender: &&Listing| lender.name == self.settings.name;
         lenders.into_iter().take(parts).find(own)?;
-        let part = limit.part(parts);
-        let mut lender = self.limits.lender.borrow_mut();
-        Some(lender.lend(id, part, question.wanted, self.now()))
+        Some(limit.part(parts))
     }
 }
 
-/// A workspace's limit, none where it has none.
-fn limit(workspace: &Workspace, slack: u32) -> Option<Limit> {
-    let rate = workspace.rate_per_s?;
-    Some(Limit::new(rate, workspace.burst, slack))
+/// How an operation was let through.
+enum Admitted {
+    AtOnce,
+    InTurn,
+}
+
+/// Takes an operation out of its line when whoever waits for it goes away.
+struct InLine<'a> {
+    limits: &'a Limits,
+    id: &'a str,
+    waiting: Waiting,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        let mut lender = self.limits.lender.borrow_mut();
+        lender.leave(self.id, self.waiting);
+    }
 }
 
 /// Ends a question under way, however it ends.
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -39,6 +39,8 @@
     pub believed: bool,
     /// Time after which a read is better repeated elsewhere.
     pub patience: Duration,
+    /// A transaction gives its turn back while it rests.
+    pub rests: bool,
     pub health: watch::Receiver<Health>,
 }
 
@@ -131,7 +133,7 @@
     Listed,
     /// An exchange failed as in a cut: its owner reached no majority, or was not reached.
     Refused,
-    /// A box of the same failure domain says that it is cut off.
+    /// A box of the same failure domain finds the others silent.
     Warned {
         from: Arc<str>,
     },
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -211,6 +211,8 @@
             group: group.clone(),
             grant,
             began: self.context.now(),
+            turn: self.context.now(),
+            resting: false,
         })
     }
 
@@ -453,6 +455,9 @@
         }
         let id = self.next();
         lease.touched = self.context.now();
+        if lease.place.grant.rests {
+            lease.place.rest();
+        }
         self.leases.borrow_mut().insert(id, lease);
         Ok(Reply {
             messages: answer.messages,
@@ -469,6 +474,7 @@
     async fn go_on(&self, id: u64, exchange: &Exchange) -> Result<Reply, Failure> {
         let held = self.leases.borrow_mut().remove(&id);
         let mut lease = held.ok_or(Failure::TransactionLost)?;
+        lease.place.resume();
         let now = self.context.now();
         let deadline = now + exchange.patience;
         let wrote = lease.wrote;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -109,7 +109,7 @@
     answer.ok().flatten()
 }
 
-/// Tells a box of the same failure domain that this one is cut off.
+/// Tells a box of the same failure domain that the others are silent.
 pub async fn warn(context: Rc<Context>, peer: Arc<str>) {
     let from = &context.settings.name;
     let _: Result<(), _> = call(&context, &peer, WARN, from, SMALL_WAIT).await;
--- a/src/node/place.rs
+++ b/src/node/place.rs
@@ -15,20 +15,49 @@
     pub group: Arc<str>,
     pub grant: Grant,
     pub began: Duration,
+    /// When it last took a turn.
+    pub turn: Duration,
+    /// Its transaction waits for the caller's next statement.
+    pub resting: bool,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let now = self.context.now();
-        let event = Event::Release {
-            member: self.grant.member,
-            took: now.saturating_sub(self.began),
-        };
-        self.tell(event);
+        let member = self.grant.member;
+        self.tell(match self.resting {
+            true => Event::Vacate { member },
+            false => Event::Release {
+                member,
+                took: self.took(),
+            },
+        });
     }
 }
 
 impl Place {
+    fn took(&self) -> Duration {
+        self.context.now().saturating_sub(self.turn)
+    }
+
+    /// The transaction rests until the caller's next statement.
+    pub fn rest(&mut self) {
+        self.resting = true;
+        self.tell(Event::Rest {
+            member: self.grant.member,
+            took: self.took(),
+        });
+    }
+
+    /// The caller's next statement is there.
+    pub fn resume(&mut self) {
+        if std::mem::take(&mut self.resting) {
+            self.turn = self.context.now();
+            self.tell(Event::Resume {
+                member: self.grant.member,
+            });
+        }
+    }
+
     /// Tells the loop what this statement saw of the member.
     pub fn tell(&self, event: Event) {
         let incarnation = self.grant.incarnation;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -45,6 +45,9 @@
 const LEAVE_WAIT: Duration = Duration::from_millis(300);
 /// Time for which the list may lack this box before it lists itself again, at least.
 const LACKED: Duration = Duration::from_millis(2_500);
+/// Time that a box's first question whether it is cut off gets before it takes callers:
+/// a round of owners' words, those that are silent included.
+const SETTLE_WAIT: Duration = Duration::from_millis(200);
 /// Time between two tries to be listed.
 const ENTER_AGAIN: Duration = Duration::from_millis(800);
 
@@ -143,6 +146,7 @@
         shunned: RefCell::default(),
         callers: Cell::new(0),
         away: watch::channel(None).0,
+        settled: watch::channel(false).0,
         pace: Cell::default(),
         settings,
         live: live.clone(),
@@ -242,8 +246,14 @@
     let _ = api::serve(api, listener).await;
 }
 
-/// Says that the box takes callers, except while they are better served elsewhere.
+/// Says that the box takes callers, except while they are better served elsewhere. A box
+/// that starts in a cut failure domain would be the only one of it that calls itself ready,
+/// and get all of its callers.
 async fn tell_ready(context: Rc<Context>, ready: watch::Sender<bool>) {
+    if context.settings.domain_loss {
+        let mut settled = context.settled.subscribe();
+        let _ = tokio::time::timeout(SETTLE_WAIT, settled.wait_for(|settled| *settled)).await;
+    }
     let mut away = context.away.subscribe();
     loop {
         ready.send_replace(away.borrow_and_update().is_none());
@@ -327,8 +337,15 @@
                     let _ = reply.send(owner.serve_peer(&exchange).await);
                 });
             }
-            Work::Lend(question, reply) => {
-                let _ = reply.send(context.lend(&question));
+            Work::Lend(question, mut reply) => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    let lent = tokio::select! {
+                        lent = context.lend(&question) => lent,
+                        () = reply.closed() => return,
+                    };
+                    let _ = reply.send(lent);
+                });
             }
             Work::Abandon(lease) => owner.abandon(lease),
             Work::Commit(commit, reply) => {
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -417,8 +417,9 @@
         let opening = self.open.as_ref().and_then(|open| open.unsent.clone());
         let starts = begin.is_none() || opening.is_some();
         if let Some(workspace) = workspace.as_ref().filter(|_| starts) {
+            let aim = Duration::from_millis(database.target_ms);
             let admitted = tokio::select! {
-                admitted = self.context.admit(workspace) => admitted,
+                admitted = self.context.admit(workspace, aim) => admitted,
                 error = self.channel.gone() => return Err(error),
             };
             if let Err(refusal) = admitted {
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -32,12 +32,20 @@
 /// Time that a new connection to a member may take: 12 ms on the sites, and a lost
 /// packet is sent again after a second.
 const CONNECT_WAIT: Duration = Duration::from_millis(400);
-/// The balancer asks each box every second, and turns away after two misses.
+/// The balancer asks each box every second, and turns away after two misses: by then it has.
 const BALANCER_TURN: Duration = Duration::from_millis(2_300);
+/// The same, at the mean.
+const BALANCER_NOTICE: Duration = Duration::from_millis(1_500);
 /// Part of the operations by which a workspace may pass its limit that is used.
 const SLACK_USED: f64 = 0.5;
 /// The most that is used.
 const MOST_SLACK: f64 = 1_000_000.0;
+/// The largest part of a limit by which it may be passed.
+const MOST_OVERAGE: f64 = 1.0;
+/// The part of the rules under which callers compete for too little room.
+const PRESSURE: &str = "pressure";
+/// The part of the rules on the members' connections, which sessions share.
+const POOL: &str = "pool";
 /// A cut makes every statement of a second be placed again, once or twice.
 const RETRY_PERCENT: u64 = 20;
 const RETRY_MOST: u64 = 100;
@@ -60,6 +68,12 @@
     pub bootstrap: bool,
     pub limits: Limits,
     pub bounds: Bounds,
+    /// Parts of the platform's rules that are in force.
+    #[serde(default)]
+    pub contracts: Vec<Arc<str>>,
+    /// What may be lost at once.
+    #[serde(default)]
+    pub fault_tolerance: Tolerance,
     pub platform: Service,
     /// Where promotions are ordered.
     pub cloud_api: Service,
@@ -98,6 +112,17 @@
     /// Operations by which a workspace may pass its limit.
     #[serde(default)]
     pub quota_slack: f64,
+    /// Part of its limit by which it may pass it besides.
+    #[serde(default)]
+    pub quota_overage: f64,
+}
+
+/// What the system has to bear the loss of.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct Tolerance {
+    /// Whole failure domains.
+    #[serde(default)]
+    pub zones: u64,
 }
 
 /// A service of the platform.
@@ -209,6 +234,15 @@
                 "bounds.quota_slack",
                 self.bounds.quota_slack != other.bounds.quota_slack,
             ),
+            (
+                "bounds.quota_overage",
+                self.bounds.quota_overage != other.bounds.quota_overage,
+            ),
+            ("contracts", self.contracts != other.contracts),
+            (
+                "fault_tolerance",
+                self.fault_tolerance != other.fault_tolerance,
+            ),
             ("platform", self.platform != other.platform),
             ("cloud_api", self.cloud_api != other.cloud_api),
         ];
@@ -241,9 +275,29 @@
 
     /// Settings of the decisions.
     pub fn decisions(&self) -> Settings {
-        settings::with_drain(Duration::from_secs_f64(
-            self.bounds.drain_ms.max(0.0) / 1_000.0,
-        ))
+        let drain = Duration::from_secs_f64(self.bounds.drain_ms.max(0.0) / 1_000.0);
+        Settings {
+            rests: self.holds(POOL),
+            serve_late: self.holds(POOL),
+            domain_loss: self.bears_domain_loss(),
+            ..settings::with_drain(drain)
+        }
+    }
+
+    /// Whether a part of the platform's rules is in force.
+    fn holds(&self, contract: &str) -> bool {
+        self.contracts.iter().any(|held| **held == *contract)
+    }
+
+    fn bears_domain_loss(&self) -> bool {
+        self.fault_tolerance.zones > 0
+    }
+
+    fn limit_overage(&self) -> f64 {
+        match self.holds(PRESSURE) {
+            true => (self.bounds.quota_overage * SLACK_USED).clamp(0.0, MOST_OVERAGE),
+            false => 0.0,
+        }
     }
 
     /// The rest is kept for what waits before a member while its time counts already.
@@ -271,6 +325,7 @@
             callers: (self.limits.max_fds * CALLERS_PERCENT / 100) as usize,
             drain: grace.saturating_sub(KILL_MARGIN),
             balancer_turn: BALANCER_TURN,
+            balancer_notice: BALANCER_NOTICE,
             // Every box hears of changes from the store itself.
             fanout: 0,
             retry_percent: RETRY_PERCENT,
@@ -280,6 +335,9 @@
             link_mbps: self.limits.link_mbps as u32,
             apply: self.apply(),
             limit_slack: self.limit_slack(),
+            limit_overage: self.limit_overage(),
+            limit_waits: self.holds(PRESSURE),
+            domain_loss: self.bears_domain_loss(),
             first_start: self.bootstrap,
             ..Run::default()
         }
--- a/tests/unit/reach.rs
+++ b/tests/unit/reach.rs
@@ -18,9 +18,9 @@
 #[gtest]
 fn a_box_that_owns_every_group_needs_nobody_elses_word() {
     let mut reach = Reach::default();
-    reach.see(view(3, 3, 2));
+    reach.see(view(3, 3, 2), ms(0));
     expect_that!(reach.is_cut_off(), eq(false));
-    reach.see(view(3, 3, 3));
+    reach.see(view(3, 3, 3), ms(0));
     expect_that!(reach.is_cut_off(), eq(true));
     expect_that!(reach.due(ms(10)), none());
     reach.answer(&[Some(false), Some(true)]);
@@ -33,13 +33,14 @@
 fn a_box_that_owns_nothing_asks_only_after_a_refusal_and_goes_by_the_owners_word() {
     let mut reach = Reach::default();
     expect_that!(reach.due(ms(5)), none());
-    reach.see(View {
+    let unlisted = View {
         listed: false,
         ..view(8, 0, 0)
-    });
+    };
+    reach.see(unlisted, ms(8));
     expect_that!(reach.due(ms(8)), none());
     // It asks once at its start: it may have started in a cut.
-    reach.see(view(8, 0, 0));
+    reach.see(view(8, 0, 0), ms(0));
     expect_that!(reach.due(ms(10)), some(anything()));
     reach.ask(ms(10));
     reach.answer(&[Some(false), Some(true)]);
@@ -60,13 +61,13 @@
 #[gtest]
 fn one_owned_group_without_a_majority_takes_no_box_out_of_service() {
     let mut reach = Reach::default();
-    reach.see(view(8, 1, 1));
+    reach.see(view(8, 1, 1), ms(0));
     expect_that!(reach.is_cut_off(), eq(false));
     expect_that!(reach.due(ms(10)), some(anything()));
     reach.ask(ms(10));
     reach.answer(&[Some(false), Some(true)]);
     expect_that!(reach.is_cut_off(), eq(false));
-    reach.see(view(8, 1, 0));
+    reach.see(view(8, 1, 0), ms(0));
     expect_that!(reach.due(ms(20)), none());
 }
 
@@ -75,7 +76,7 @@
 #[gtest]
 fn owners_that_cannot_tell_yet_change_nothing() {
     let mut reach = Reach::default();
-    reach.see(view(8, 0, 0));
+    reach.see(view(8, 0, 0), ms(0));
     reach.ask(ms(10));
     reach.answer(&[None, None]);
     expect_that!(reach.is_cut_off(), eq(false));
@@ -84,10 +85,11 @@
     reach.answer(&[None, None]);
     expect_that!(reach.is_cut_off(), eq(true));
     // What it has not found out itself is no word either.
-    reach.see(View {
+    let unknown = View {
         groups: 8,
         owned: 1,
         ..View::default()
-    });
+    };
+    reach.see(unknown, ms(20));
     expect_that!(reach.is_cut_off(), eq(true));
 }
