fix(limit): a line under a limit makes room for those with less time; a refused fence is logged

Change: the earliest end goes first, and who then can't be served in time gives way. Event 315 names why a member took no fence.

--- a/src/decisions/limit/lender.rs
+++ b/src/decisions/limit/lender.rs
@@ -8,6 +8,10 @@
 use crate::borders::roster::Listing;
 use crate::decisions::returns::Returns;
 
+/// Time after which one that waits looks whether it still does: it is told to come back soon
+/// after it has lost its place.
+const LOOK: Duration = Duration::from_millis(25);
+
 /// An operation that waits for its turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -97,9 +101,7 @@
         if account.line.join(id, end, turns) {
             return account.waits(Waiting { id, end }, part, now);
         }
-        let queue = turns.of(account.line.len()) - now;
-        let wait = account.returns.promise(queue, turns.gap, now);
-        Place::Spent(wait.clamp(LEAST_RETRY, MOST_RETRY))
+        account.spent(part, now)
     }
 
     /// Whether the turn of one that waits has come.
@@ -111,18 +113,19 @@
         now: Duration,
     ) -> Place {
         let account = self.account(workspace, part, now);
-        let first = account.line.place(waiting.id, waiting.end) == Some(0);
-        if first && account.bucket.take(part, 1, now) == Loan::Granted(1) {
+        let Some(place) = account.line.place(waiting.id, waiting.end) else {
+            return account.spent(part, now);
+        };
+        if place == 0 && account.bucket.take(part, 1, now) == Loan::Granted(1) {
             account.line.leave(waiting.id, waiting.end);
             return Place::Granted;
         }
         if now < waiting.end {
             return account.waits(waiting, part, now);
         }
-        // The limit was lowered, or another box lends in this one's place.
+        // The limit was lowered meanwhile.
         account.line.leave(waiting.id, waiting.end);
-        let turns = account.bucket.turns(part, now);
-        Place::Spent((turns.first - now).clamp(LEAST_RETRY, MOST_RETRY))
+        account.spent(part, now)
     }
 
     /// An operation does not wait any more.
@@ -138,8 +141,15 @@
         let turns = self.bucket.turns(part, now);
         let place = self.line.place(waiting.id, waiting.end);
         let turn = turns.of(place.unwrap_or_default());
-        // A turn that is due but was not taken waits for the one before it to leave.
-        let next = turn.max(now + LEAST_RETRY).min(waiting.end.max(now + LEAST_RETRY));
-        Place::Waits(waiting, next)
+        Place::Waits(waiting, turn.clamp(now + LEAST_RETRY, now + LOOK))
+    }
+
+    /// Tells one that does not wait when to come back: after those that do, and after those
+    /// that were told before.
+    fn spent(&mut self, part: Limit, now: Duration) -> Place {
+        let turns = self.bucket.turns(part, now);
+        let queue = turns.of(self.line.len()) - now;
+        let wait = self.returns.promise(queue, turns.gap, now);
+        Place::Spent(wait.clamp(LEAST_RETRY, MOST_RETRY))
     }
 }
--- a/src/decisions/limit/line.rs
+++ b/src/decisions/limit/line.rs
@@ -3,8 +3,10 @@
 //! The load it answers: a workspace that asks for somewhat more than its limit for a moment.
 //! Refused at once, its callers come back within milliseconds and use up their tries;
 //! waiting, they are served in time. An operation waits only if its turn comes in the time
-//! that its caller has for it, and if nobody who waits already loses a turn by it: under a
-//! load that stays too high the line stays short, and those that are served are on time.
+//! that its caller has for it: under a load that stays too high the line stays short, and
+//! those that are served are on time. One that has little time goes before those that have
+//! more; who then can't be served in time any more is told to come back, the one with the
+//! most time first: it can best afford to.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -42,21 +44,28 @@
         self.waiting.is_empty()
     }
 
-    /// Lets an operation wait for a turn until `end`. False where its turn would come later,
-    /// or that of another would.
+    /// Lets an operation wait for a turn until `end`. False where its turn would come later.
     pub fn join(&mut self, id: u64, end: Duration, turns: Turns) -> bool {
-        if self.waiting.len() >= LONGEST {
+        let entry = (end, id);
+        let place = self.waiting.range(..entry).count();
+        if place >= LONGEST || turns.of(place) > end {
             return false;
         }
-        let entry = (end, id);
         self.waiting.insert(entry);
-        let from = self.waiting.range(..entry).count();
-        let mut behind = self.waiting.range(entry..).enumerate();
-        let fits = behind.all(|(i, (end, _))| turns.of(from + i) <= *end);
-        if !fits {
-            self.waiting.remove(&entry);
+        self.make_room(place, turns);
+        true
+    }
+
+    /// Takes the last ones out until those behind a new one get their turns in time.
+    fn make_room(&mut self, place: usize, turns: Turns) {
+        loop {
+            let mut behind = self.waiting.iter().enumerate().skip(place);
+            let late = behind.any(|(i, (end, _))| turns.of(i) > *end);
+            if !late && self.waiting.len() <= LONGEST {
+                return;
+            }
+            self.waiting.pop_last();
         }
-        fits
     }
 
     /// Place of an operation in the line; none where it does not wait.
--- a/src/events.rs
+++ b/src/events.rs
@@ -59,6 +59,7 @@
     LEAVE_COUNTED = 312, Info, "a leaving primary's time is counted";
     LEAVE_OVER = 313, Warning, "a leaving primary gets nothing new";
     RESTARTED = 314, Info, "a member started again under its name; nothing known of it holds";
+    FENCE_REFUSED = 315, Info, "a member took no fence";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller broke the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "a write's outcome is unknown";
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -71,8 +71,19 @@
             Action::Fence { member, term } => {
                 let bid = owned.group.bid(term);
                 let border = owned.members[member].clone();
+                let (context, group) = (self.context.clone(), id.clone());
+                let name = owned.group.plan.members[member].name.clone();
                 self.spawn(id, async move {
                     let answer = border.fence(&bid).await;
+                    if let Err(error) = &answer {
+                        let fields: [(_, &dyn std::fmt::Display); 4] = [
+                            ("group", &group),
+                            ("member", &name),
+                            ("term", &term),
+                            ("error", error),
+                        ];
+                        events::emit(&context.log, &events::FENCE_REFUSED, &fields);
+                    }
                     Event::Fenced {
                         member,
                         term,
