--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -7,8 +7,9 @@
 //! is refused at once, with the time to come back.
 //!
 //! Where late answers are worth something, a request that can't be answered within its aim
-//! waits behind all that can, while it can be answered within its limit: it never takes a
-//! place from one that would be on time. Refused callers come back one after the other.
+//! waits behind all that can, while it can be answered within its limit, for a part of the
+//! places: always busy with late ones, a resource would make all others late too. Refused
+//! callers come back one after the other.
 //!
 //! An open transaction that rests between its statements keeps its connection and no place:
 //! it works for nobody. Its next statement runs at once.
@@ -28,6 +29,9 @@
 const SMOOTHING: u32 = 16;
 const SERVICES_KEPT: u32 = 2;
 const WAIT_SHARE_KEPT: u32 = 4;
+/// Part of the places that late requests may have, as a divisor: a place must be free at once
+/// for one that can be on time, and late ones must not keep the resource busy by themselves.
+const LATE_PART: usize = 2;
 /// Partners that are remembered; beyond it, those of whom nothing waits are forgotten.
 const MOST_LINES: usize = 1_024;
 
@@ -171,6 +175,11 @@
         self.capacity.min(free).max(1)
     }
 
+    /// Places that late requests may have.
+    fn late_places(&self) -> usize {
+        (self.places() / LATE_PART).max(1)
+    }
+
     /// Requests that wait and can be answered within their aim.
     pub fn on_time(&self) -> usize {
         self.waiting.len() - self.late
@@ -181,7 +190,7 @@
     }
 
     pub fn has_room(&self) -> bool {
-        self.has_place() && self.waiting.is_empty()
+        self.has_place() && self.on_time() == 0
     }
 
     fn has_place(&self) -> bool {
@@ -222,7 +231,7 @@
     /// Whether a request that can't be on time can be answered before its limit. A line of
     /// late ones that has not moved for some time will not move within a shorter one.
     fn may_wait_late(&self, due: Due, now: Duration) -> bool {
-        let queue = self.service * (self.waiting.len() as u32 + 1) / self.places() as u32;
+        let queue = self.service * (self.waiting.len() as u32 + 1) / self.late_places() as u32;
         let stall = self.stalled.map_or(Duration::ZERO, |since| now.saturating_sub(since));
         let wait = queue.max(stall);
         self.serves_late && now + wait + self.allowance(wait) <= due.limit
@@ -337,6 +346,10 @@
         if !self.has_place() {
             return None;
         }
+        let ((class, ..), _) = self.waiting.first_key_value()?;
+        if *class == Class::Late && self.running >= self.late_places() {
+            return None;
+        }
         let (turn, waiter) = self.waiting.pop_first()?;
         if turn.0 == Class::OnTime {
             self.virtual_time = self.virtual_time.max(turn.1);
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -28,7 +28,7 @@
 const TURN_TRIES: usize = 2;
 /// Part of the time in which an answer is worth most that an operation may wait for its
 /// turn, as a divisor: the rest is for its statements.
-const TURN_PART: u32 = 2;
+const TURN_PART: u32 = 4;
 /// Purses that are kept; above it, those that say nothing any more are forgotten.
 const MANY_PURSES: usize = 4_096;
 /// Time between two lines of log about one workspace: each refusal would be one otherwise.
