fix(limit): a full line is not asked again at once; fix(driver): a ballot is ended by whoever began it

Cause: a workspace at five times its limit asked its three lenders, boxes of 0.12 of a core, for a turn with each operation. Change: after a refusal a box asks no lender of the workspace for 100 ms and refuses by itself; a group with a ballot under way is kept until its end.

--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -23,6 +23,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::returns::Returns;
 use crate::borders::roster::Listing;
 pub use lender::{Lender, Place, Waiting};
 pub use line::{Line, Turns};
@@ -43,6 +44,12 @@
 /// Time for which a lender that did not answer is not asked: operations that come meanwhile
 /// need not wait for it too.
 pub const SILENT: Duration = Duration::from_millis(500);
+/// Time for which a lender whose line was full is not asked for a turn: a workspace far beyond
+/// its limit would otherwise cost its lenders a question for each operation.
+const FULL: Duration = Duration::from_millis(100);
+/// Callers that one box refuses in that time are told moments this part of the first wait
+/// apart, as a divisor.
+const SPREAD: u32 = 16;
 /// The shortest that a caller is told to wait: a way there and back.
 const LEAST_RETRY: Duration = Duration::from_millis(2);
 /// The longest that a caller is told to wait.
@@ -170,6 +177,11 @@
     until: Duration,
     /// Until when there is no use in asking.
     spent_until: Duration,
+    /// Until when there is no use in asking for a turn.
+    full_until: Duration,
+    /// What callers are told meanwhile.
+    told: Duration,
+    returns: Returns,
     /// Operations seen since `since`.
     seen: u32,
     since: Duration,
@@ -223,6 +235,19 @@
         }
     }
 
+    /// A lender had no turn in time, and told this wait.
+    pub fn note_full(&mut self, wait: Duration, now: Duration) {
+        self.full_until = now + FULL;
+        self.told = wait;
+    }
+
+    /// What a caller is told while there is no use in asking for a turn.
+    pub fn refuse(&mut self, now: Duration) -> Option<Duration> {
+        let gap = self.told / SPREAD;
+        let full = now < self.full_until;
+        full.then(|| self.returns.promise(self.told, gap, now))
+    }
+
     /// Whether it says nothing that a new one would not.
     pub fn is_forgettable(&self, now: Duration) -> bool {
         now >= self.until && now >= self.spent_until && now >= self.since + 2 * SEEN
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -53,6 +53,8 @@
     /// The duty as this box has taken it last.
     claim: Option<Claim>,
     wake: Duration,
+    /// This box does not own the group any more, and ends the ballot that it has begun.
+    departing: bool,
 }
 
 impl Drop for Owned {
@@ -119,6 +121,7 @@
                 () = tokio::time::sleep(sleep.clamp(LEAST_SLEEP, MOST_SLEEP)) => {}
             }
             self.tick();
+            self.drop_departed();
             self.note_cut_off();
         }
     }
@@ -209,7 +212,8 @@
     }
 
     fn ask(&mut self, ask: Ask) {
-        let Some(owned) = self.groups.get(&ask.group) else {
+        let owned = self.groups.get(&ask.group);
+        let Some(owned) = owned.filter(|owned| !owned.departing) else {
             let _ = ask.reply.send(Err(Denial::NotOwner));
             return;
         };
--- a/src/node/driver/owning.rs
+++ b/src/node/driver/owning.rs
@@ -24,7 +24,12 @@
                 mine.insert(id.clone(), (plan.clone(), rank as u32, owners));
             }
         }
-        self.groups.retain(|id, _| mine.contains_key(id));
+        self.groups.retain(|id, owned| {
+            // A ballot that nobody ends leaves fences behind, and its group without a primary
+            // until others find that out.
+            owned.departing = !mine.contains_key(id);
+            !owned.departing || owned.group.is_deposing()
+        });
         let crowd = (mine.len() as u32).div_ceil(GROUPS_AT_FULL_RATE).max(1);
         for (id, (plan, rank, owners)) in mine {
             match self.groups.get_mut(&id) {
@@ -45,6 +50,15 @@
         self.dismiss();
     }
 
+    /// Gives up groups that were kept only for a ballot, once it has ended.
+    pub(super) fn drop_departed(&mut self) {
+        let done = |owned: &Owned| owned.departing && !owned.group.is_deposing();
+        if self.groups.values().any(done) {
+            self.groups.retain(|_, owned| !done(owned));
+            self.dismiss();
+        }
+    }
+
     /// Answers those who waited for a group that is not owned any more.
     pub(super) fn dismiss(&mut self) {
         let live: HashSet<Incarnation> = self.groups.values().map(|o| o.incarnation).collect();
@@ -87,6 +101,7 @@
             health: watch::channel(Health::default()).0,
             claim: None,
             wake: now,
+            departing: false,
         };
         self.groups.insert(id.clone(), owned);
         self.join_new(&id);
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -145,6 +145,10 @@
         limit: Limit,
         wait: Duration,
     ) -> Result<Admitted, Refusal> {
+        let told = self.limits.purse(id, self.now(), Purse::refuse);
+        if let Some(told) = told {
+            return Err(Refusal::new(Reason::Limit, told));
+        }
         let until = self.now() + wait;
         let boxes = self.boxes.borrow().clone();
         let mut lenders = self.lenders(id, limit, &boxes);
@@ -158,7 +162,11 @@
             };
             match self.ask(lender, question).await {
                 Some(Loan::Granted(_)) => return Ok(Admitted::InTurn),
-                Some(Loan::Spent(wait)) => return Err(Refusal::new(Reason::Limit, wait)),
+                Some(Loan::Spent(wait)) => {
+                    self.limits
+                        .purse(id, self.now(), |purse, now| purse.note_full(wait, now));
+                    return Err(Refusal::new(Reason::Limit, wait));
+                }
                 None => self.limits.note_lender(id, &lender.name, self.now() + SILENT),
             }
         }
