fix(fair): late ones wait only for what those on time leave; tests of the parts

Change: nobody waits late where more than three quarters of the places that become free go to requests on time.

--- a/src/decisions/fair.rs
+++ b/src/decisions/fair.rs
@@ -32,6 +32,8 @@
 /// Part of the places that late requests may have, as a divisor: a place must be free at once
 /// for one that can be on time, and late ones must not keep the resource busy by themselves.
 const LATE_PART: usize = 2;
+/// Share of the places that those on time have to leave before late ones wait at all.
+const LEAST_LEFT: f64 = 0.25;
 /// Partners that are remembered; beyond it, those of whom nothing waits are forgotten.
 const MOST_LINES: usize = 1_024;
 
@@ -105,6 +107,9 @@
     late: usize,
     /// Since when late ones have waited without one of them getting a place.
     stalled: Option<Duration>,
+    /// Share of the places that became free of late and went to one on time: what is left is
+    /// for late ones.
+    taken: f64,
     returns: Returns,
     /// Time of the last event that told it.
     clock: Duration,
@@ -132,6 +137,7 @@
             serves_late: false,
             late: 0,
             stalled: None,
+            taken: 0.0,
             returns: Returns::default(),
             clock: Duration::ZERO,
             waiting: BTreeMap::new(),
@@ -229,10 +235,18 @@
     }
 
     /// Whether a request that can't be on time can be answered before its limit. A line of
-    /// late ones that has not moved for some time will not move within a shorter one.
+    /// late ones that has not moved for some time will not move within a shorter one, and it
+    /// moves by what those on time leave.
     fn may_wait_late(&self, due: Due, now: Duration) -> bool {
         let queue = self.service * (self.waiting.len() as u32 + 1) / self.late_places() as u32;
-        let stall = self.stalled.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let left = 1.0 - self.taken;
+        if left < LEAST_LEFT {
+            return false;
+        }
+        let queue = queue.div_f64(left);
+        let stall = self
+            .stalled
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since));
         let wait = queue.max(stall);
         self.serves_late && now + wait + self.allowance(wait) <= due.limit
     }
@@ -341,13 +355,21 @@
         self.service = (self.service * (SMOOTHING - 1) + took) / SMOOTHING;
     }
 
+    /// Notes whether a place that became free went to one on time.
+    fn note_taken(&mut self, on_time: bool) {
+        let share = if on_time { 1.0 } else { 0.0 };
+        self.taken += (share - self.taken) / f64::from(SMOOTHING / 2);
+    }
+
     /// Fills a place that is free without a release, as after a change of capacity.
     pub fn admit_next(&mut self) -> Option<u64> {
         if !self.has_place() {
             return None;
         }
-        let ((class, ..), _) = self.waiting.first_key_value()?;
-        if *class == Class::Late && self.running >= self.late_places() {
+        let first = self.waiting.first_key_value();
+        let on_time = first.is_some_and(|((class, ..), _)| *class == Class::OnTime);
+        self.note_taken(on_time);
+        if !on_time && self.running >= self.late_places() {
             return None;
         }
         let (turn, waiter) = self.waiting.pop_first()?;
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -123,7 +123,9 @@
     pub fn turns_in(&self) -> Option<Duration> {
         let since = (*self.away.borrow())?;
         let turned = since + self.settings.balancer_notice;
-        turned.checked_sub(self.now()).filter(|left| !left.is_zero())
+        turned
+            .checked_sub(self.now())
+            .filter(|left| !left.is_zero())
     }
 
     /// Returns when callers have been better served elsewhere for so long.
--- a/src/node/driver/reaching.rs
+++ b/src/node/driver/reaching.rs
@@ -37,7 +37,9 @@
         }
         if view.owned == view.groups && view.owned > 0 {
             // Its own groups tell.
-            self.context.settled.send_if_modified(|settled| !std::mem::replace(settled, true));
+            self.context
+                .settled
+                .send_if_modified(|settled| !std::mem::replace(settled, true));
         }
         self.reach.see(view, now);
         if self.reach.due(now).is_some_and(|due| due <= now) {
@@ -75,12 +77,7 @@
             return;
         }
         let boxes = self.context.boxes.borrow().clone();
-        let warned = neighbours(
-            &boxes,
-            &settings.name,
-            &settings.domain,
-            &mut rand::rng(),
-        );
+        let warned = neighbours(&boxes, &settings.name, &settings.domain, &mut rand::rng());
         for neighbour in warned {
             self.context.metrics.cut_warnings.add(1, &[]);
             let warning = peers::warn(self.context.clone(), neighbour.address.clone());
@@ -117,9 +114,9 @@
                 answer: Ok(_),
                 ..
             } => (*member, true),
-            Event::Late { member, .. }
-            | Event::Unreached { member }
-            | Event::Broken { member } => (*member, false),
+            Event::Late { member, .. } | Event::Unreached { member } | Event::Broken { member } => {
+                (*member, false)
+            }
             _ => return,
         };
         let Some(owned) = self.groups.get(group) else {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -167,7 +167,9 @@
                         .purse(id, self.now(), |purse, now| purse.note_full(wait, now));
                     return Err(Refusal::new(Reason::Limit, wait));
                 }
-                None => self.limits.note_lender(id, &lender.name, self.now() + SILENT),
+                None => self
+                    .limits
+                    .note_lender(id, &lender.name, self.now() + SILENT),
             }
         }
         Err(Refusal::new(Reason::Limit, SILENT))
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -251,8 +251,15 @@
 
 /// A group at its first owner that knows nothing yet.
 pub fn fresh_group() -> Group {
+    fresh_group_with(|_| {})
+}
+
+/// The same with other settings.
+pub fn fresh_group_with(set: impl Fn(&mut Settings)) -> Group {
     let plan = plan(Durability::Majority);
-    Group::new(plan, "d0".into(), 0, Settings::default(), 1, ms(0))
+    let mut settings = Settings::default();
+    set(&mut settings);
+    Group::new(plan, "d0".into(), 0, settings, 1, ms(0))
 }
 
 impl World {
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -5,7 +5,7 @@
 use larkfall::decisions::group::{Action, Event, Group, Note};
 use larkfall::decisions::position::Position;
 
-use super::fake::{fresh_group, ms};
+use super::fake::{fresh_group, fresh_group_with, ms};
 
 fn status(promised: u64, log: Position, applied: Position) -> Status {
     Status {
@@ -86,3 +86,33 @@
     // Three tries of 200 ms, not the four seconds between two looks.
     expect_that!(now, le(ms(1_000)));
 }
+
+/// The load: a cut failure domain. Its boxes know of the cut once a majority is lost, so a
+/// silent member of one other domain has those of all others looked at.
+#[gtest]
+fn a_silent_member_of_another_domain_has_all_far_ones_looked_at() {
+    let mut group = fresh_group_with(|settings| settings.domain_loss = true);
+    let at = Position::new;
+    for member in 0..3 {
+        let answer = Ok(status(1, at(1, 5), at(1, 5)));
+        let event = Event::Status {
+            member,
+            began: ms(1),
+            answer,
+        };
+        group.handle(event, ms(2));
+    }
+    let late = Event::Late {
+        member: 1,
+        after: ms(100),
+    };
+    let actions = group.handle(late, ms(500));
+    let looked: Vec<usize> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Probe { member } => Some(*member),
+            _ => None,
+        })
+        .collect();
+    expect_that!(looked, unordered_elements_are![eq(&1), eq(&2)]);
+}
--- a/tests/unit/limits.rs
+++ b/tests/unit/limits.rs
@@ -8,7 +8,9 @@
 
 use googletest::prelude::*;
 use larkfall::borders::roster::Listing;
-use larkfall::decisions::limit::{Bucket, Lender, Limit, Loan, Purse, SILENT, Spending, lenders};
+use larkfall::decisions::limit::{
+    Bucket, Lender, Limit, Loan, Place, Purse, SILENT, Spending, Waiting, lenders,
+};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -442,3 +444,193 @@
     let refused = outcome.refused as f64 / outcome.asked as f64;
     expect_that!(refused, le(0.02));
 }
+
+/// A lender and those that wait there, each with its latest moment.
+struct Desk {
+    lender: Lender,
+    limit: Limit,
+    waiting: Vec<(u64, Waiting, Duration)>,
+    next: u64,
+    /// Who got a turn, and when.
+    granted: Vec<(u64, Duration)>,
+    refused: Vec<(u64, Duration)>,
+}
+
+impl Desk {
+    fn new(limit: Limit) -> Self {
+        Self {
+            lender: Lender::default(),
+            limit,
+            waiting: Vec::new(),
+            next: 0,
+            granted: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, id: u64, place: Place, now: Duration) {
+        match place {
+            Place::Granted => self.granted.push((id, now)),
+            Place::Spent(wait) => self.refused.push((id, wait)),
+            Place::Waits(waiting, look) => self.waiting.push((id, waiting, look)),
+        }
+    }
+
+    /// One operation whose caller can wait so long.
+    fn arrive(&mut self, wait: Duration, now: Duration) -> u64 {
+        self.next += 1;
+        let place = self.lender.queue(&WORKSPACE.into(), self.limit, wait, now);
+        self.take(self.next, place, now);
+        self.next
+    }
+
+    /// Looks for those whose next look is due.
+    fn pass(&mut self, now: Duration) {
+        for (id, waiting, look) in std::mem::take(&mut self.waiting) {
+            if look > now {
+                self.waiting.push((id, waiting, look));
+                continue;
+            }
+            let place = self
+                .lender
+                .turn(&WORKSPACE.into(), self.limit, waiting, now);
+            self.take(id, place, now);
+        }
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_secs(100) + Duration::from_millis(ms)
+}
+
+/// The load: a workspace that asks for more than its limit for a moment.
+#[gtest]
+fn a_short_burst_is_served_in_turn() {
+    let mut desk = Desk::new(Limit::new(100, 1, 0));
+    let wait = Duration::from_millis(150);
+    let ids: Vec<u64> = (0..10).map(|_| desk.arrive(wait, at(0))).collect();
+    for ms in 1..150 {
+        desk.pass(at(ms));
+    }
+    let served: Vec<u64> = desk.granted.iter().map(|(id, _)| *id).collect();
+    expect_that!(served, eq(&ids));
+    expect_that!(desk.refused, is_empty());
+    expect_that!(desk.granted[9].1, le(at(110)));
+}
+
+#[gtest]
+fn who_has_less_time_goes_first_and_the_one_with_most_makes_room() {
+    let mut desk = Desk::new(Limit::new(100, 1, 0));
+    desk.arrive(Duration::ZERO, at(0));
+    let patient = Duration::from_millis(45);
+    let reports: Vec<u64> = (0..4).map(|_| desk.arrive(patient, at(0))).collect();
+    let order = desk.arrive(Duration::from_millis(12), at(1));
+    for ms in 2..60 {
+        desk.pass(at(ms));
+    }
+    expect_that!(desk.granted[1].0, eq(order));
+    // One of the patient ones is told to come back, soon after it has lost its place.
+    let refused: Vec<u64> = desk.refused.iter().map(|(id, _)| *id).collect();
+    expect_that!(refused, elements_are![eq(&reports[3])]);
+    expect_that!(desk.granted.len(), eq(5));
+}
+
+/// The load: a workspace that sends five times its limit for five seconds. Its limit is used
+/// to the full, those that are served wait no longer than they can, and the others are told at
+/// once, or soon after, to come back at different moments.
+#[gtest]
+fn under_a_lasting_overload_the_line_stays_short() {
+    let mut desk = Desk::new(Limit::new(100, 100, 0));
+    desk.lender.lend(&WORKSPACE.into(), desk.limit, 100, at(0));
+    let wait = Duration::from_millis(60);
+    let mut arrived = BTreeMap::new();
+    for ms in 0..5_000 {
+        if ms % 2 == 0 {
+            let id = desk.arrive(wait, at(ms));
+            arrived.insert(id, at(ms));
+        }
+        desk.pass(at(ms));
+    }
+    expect_that!(desk.granted.len(), all![ge(490), le(501)]);
+    let waits = desk
+        .granted
+        .iter()
+        .map(|(id, granted)| *granted - arrived[id]);
+    expect_that!(waits.max(), some(le(wait + Duration::from_millis(2))));
+    let told: BTreeSet<Duration> = desk.refused.iter().take(100).map(|(_, w)| *w).collect();
+    expect_that!(told.len(), ge(90));
+}
+
+#[gtest]
+fn a_lowered_limit_and_callers_that_go_leave_nobody_waiting_for_ever() {
+    let mut desk = Desk::new(Limit::new(100, 1, 0));
+    let wait = Duration::from_millis(200);
+    for _ in 0..12 {
+        desk.arrive(wait, at(0));
+    }
+    // Half of the callers go away.
+    for (_, waiting, _) in desk.waiting.drain(..6) {
+        desk.lender.leave(WORKSPACE, waiting);
+    }
+    desk.limit = Limit::new(10, 1, 0);
+    for ms in 1..300 {
+        desk.pass(at(ms));
+    }
+    expect_that!(desk.waiting, is_empty());
+    expect_that!(desk.granted.len(), le(4));
+    expect_that!(desk.refused.len(), ge(3));
+}
+
+#[gtest]
+fn a_box_asks_a_full_line_no_second_time_at_once() {
+    let mut purse = Purse::default();
+    expect_that!(purse.refuse(at(0)), none());
+    purse.note_full(Duration::from_millis(160), at(0));
+    let told: Vec<Duration> = (0..3).filter_map(|_| purse.refuse(at(1))).collect();
+    let ms = Duration::from_millis;
+    expect_that!(
+        told,
+        elements_are![eq(&ms(160)), eq(&ms(170)), eq(&ms(180))]
+    );
+    expect_that!(purse.refuse(at(101)), none());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(44),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(96)
+    })]
+
+    /// However many wait, come and go, no window gets more than the limit and its burst.
+    #[test]
+    fn turns_never_pass_the_limit(
+        rate in 1..200_u32,
+        burst in 0..100_u32,
+        load in 0.2..4.0_f64,
+        seed in any::<u64>(),
+    ) {
+        let mut dice = SmallRng::seed_from_u64(seed);
+        let limit = Limit::new(rate, burst, 0);
+        let mut desk = Desk::new(limit);
+        for step in 0..2_500_u64 {
+            let now = at(step * 4);
+            let expected = f64::from(rate) * load * 0.004;
+            let count = expected as u64 + u64::from(dice.random_bool(expected.fract()));
+            for _ in 0..count {
+                desk.arrive(Duration::from_millis(dice.random_range(0..400)), now);
+            }
+            desk.pass(now);
+        }
+        let moments: Vec<Duration> = desk.granted.iter().map(|(_, at)| *at).collect();
+        let most = (0..moments.len()).map(|first| {
+            let end = moments[first] + WINDOW;
+            moments.partition_point(|at| *at < end) - first
+        });
+        let allowed = f64::from(rate) * 5.0 + limit.burst + 1.0;
+        let most = most.max().unwrap_or_default();
+        prop_assert!(most as f64 <= allowed, "{most} of {allowed}");
+        let left = desk.waiting.iter().filter(|(_, _, look)| *look < at(9_900)).count();
+        prop_assert_eq!(left, 0);
+    }
+}
--- a/tests/unit/reach.rs
+++ b/tests/unit/reach.rs
@@ -1,7 +1,13 @@
 //! Whether a box is cut off, from its own groups and from owners of others.
 
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
 use googletest::prelude::*;
-use larkfall::decisions::reach::{Reach, View};
+use larkfall::borders::roster::Listing;
+use larkfall::decisions::reach::{Reach, View, neighbours};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::fake::ms;
 
@@ -93,3 +99,107 @@
     reach.see(unknown, ms(20));
     expect_that!(reach.is_cut_off(), eq(true));
 }
+
+fn boxes(count: usize) -> Vec<Listing> {
+    let listing = |i: usize| Listing {
+        name: format!("box-{i}").into(),
+        address: format!("10.0.0.{i}:1").into(),
+        domain: "a".into(),
+        leaving: false,
+        link_mbps: 0,
+    };
+    (0..count).map(listing).collect()
+}
+
+/// The load: a cut failure domain, whose callers reach none of the others before its last box
+/// says that it is not ready. One box notices; all have to within a few ways.
+#[gtest]
+fn a_warning_reaches_every_box_of_a_domain_in_a_few_hops() {
+    let mut dice = SmallRng::seed_from_u64(3);
+    for count in [2, 5, 43, 100] {
+        let boxes = boxes(count);
+        let mut reaches = vec![Reach::default(); count];
+        let mut told = VecDeque::from([(0, 0)]);
+        let mut heard = BTreeMap::new();
+        let mut messages = 0;
+        while let Some((i, hops)) = told.pop_front() {
+            let first = reaches[i].warn(ms(10));
+            if !first {
+                continue;
+            }
+            heard.insert(i, hops);
+            for neighbour in neighbours(&boxes, &boxes[i].name, "a", &mut dice) {
+                messages += 1;
+                let place = boxes.iter().position(|b| b.name == neighbour.name);
+                told.push_back((place.expect("listed"), hops + 1));
+            }
+        }
+        expect_that!(heard.len(), eq(count), "{count} boxes");
+        expect_that!(heard.values().max(), some(le(&8)), "{count} boxes");
+        expect_that!(messages, le(4 * count), "{count} boxes");
+    }
+}
+
+#[gtest]
+fn neighbours_are_boxes_of_the_same_domain_alone() {
+    let mut dice = SmallRng::seed_from_u64(3);
+    let mut boxes = boxes(6);
+    for other in &mut boxes[3..] {
+        other.domain = "b".into();
+    }
+    let warned = neighbours(&boxes, "box-1", "a", &mut dice);
+    let names: Vec<&str> = warned.iter().map(|listing| &*listing.name).collect();
+    expect_that!(names, unordered_elements_are![eq(&"box-0"), eq(&"box-2")]);
+    expect_that!(neighbours(&boxes[..1], "box-0", "a", &mut dice), is_empty());
+}
+
+/// A member that is slow says nothing of a cut while another one of its domain answers, and
+/// one lost domain of two is not this box's cut.
+#[gtest]
+fn neighbours_are_warned_once_all_other_domains_are_silent() {
+    let (b, c): (Arc<str>, Arc<str>) = ("b".into(), "c".into());
+    let mut reach = Reach::default();
+    reach.hear(&b, ms(10));
+    reach.hear(&c, ms(10));
+    expect_that!(reach.miss(&b, ms(20)), eq(false));
+    reach.hear(&b, ms(25));
+    expect_that!(reach.miss(&c, ms(30)), eq(false));
+    expect_that!(reach.miss(&b, ms(40)), eq(true));
+    // Said once, it is not said again with each statement that is lost.
+    expect_that!(reach.miss(&b, ms(50)), eq(false));
+    expect_that!(reach.warn(ms(60)), eq(false));
+    expect_that!(reach.miss(&b, ms(2_100)), eq(true));
+}
+
+#[gtest]
+fn a_warned_box_asks_at_once_and_soon_again_until_owners_know() {
+    let mut reach = Reach::default();
+    reach.see(view(8, 0, 0), ms(0));
+    reach.ask(ms(10));
+    reach.answer(&[Some(true)]);
+    expect_that!(reach.due(ms(1_000)), none());
+    reach.warn(ms(1_000));
+    expect_that!(reach.due(ms(1_000)), some(le(ms(1_000))));
+    reach.ask(ms(1_000));
+    reach.answer(&[Some(true), Some(false)]);
+    expect_that!(reach.is_cut_off(), eq(false));
+    reach.warn(ms(1_010));
+    expect_that!(reach.due(ms(1_010)), some(le(ms(1_100))));
+    reach.ask(ms(1_100));
+    reach.answer(&[Some(false), Some(false)]);
+    expect_that!(reach.is_cut_off(), eq(true));
+}
+
+/// Alone in calling itself ready in a cut domain, a box that has just started would get all
+/// of the domain's callers.
+#[gtest]
+fn a_box_that_starts_asks_until_an_owner_can_tell() {
+    let mut reach = Reach::default();
+    reach.see(view(8, 0, 0), ms(0));
+    reach.ask(ms(10));
+    reach.answer(&[None, None]);
+    expect_that!(reach.due(ms(20)), some(eq(ms(510))));
+    reach.ask(ms(510));
+    reach.answer(&[Some(true), None]);
+    expect_that!(reach.due(ms(600)), none());
+}
