fix(replace): ballots of boxes that stop, and of boxes that never saw the primary

Change: a stopping box claims nothing; a ballot under way holds up a stop within its time; a box that never saw a primary replaces the term that the replicas follow. Ruled out: members that refuse a second fence (the same order succeeds from a box that knew the term). Test: group::an_owner_that_never_saw_the_primary…, red without the change.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -337,7 +337,7 @@
     pub fn bid(&self, term: u64) -> Bid {
         Bid {
             term,
-            replaced: self.replace.term,
+            replaced: self.replace.replaced(),
             known: self.replace.known(),
         }
     }
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -218,6 +218,8 @@
     rank: u32,
     pub term: u64,
     pub primary: Option<usize>,
+    /// Highest term whose history a member was seen to follow.
+    followed: u64,
     /// Highest term promised anywhere, as far as seen.
     highest: u64,
     /// Term of this box's last ballot, and the highest promise known when it began.
@@ -252,6 +254,7 @@
             rank,
             term: 0,
             primary: None,
+            followed: 0,
             highest: 0,
             ours: 0,
             known: 0,
@@ -308,6 +311,15 @@
         self.acceptors.len() / 2 + 1
     }
 
+    /// The term that a ballot would end. A box that started when the primary was out of sight
+    /// knows it from the replicas alone.
+    pub fn replaced(&self) -> u64 {
+        match self.primary {
+            Some(_) => self.term,
+            None => self.term.max(self.followed),
+        }
+    }
+
     /// Highest term promised anywhere, as far as seen.
     pub fn highest(&self) -> u64 {
         self.highest
@@ -406,6 +418,7 @@
 
     /// Takes a member's report, begun at `began`.
     pub fn observe(&mut self, member: usize, status: &Status, began: Duration, now: Duration) {
+        self.followed = self.followed.max(status.log.term);
         self.note_promised(status.promised, now);
         self.note_deposed(member, status);
         if let Some(stray) = &mut self.stray {
--- a/src/decisions/replace/ballot.rs
+++ b/src/decisions/replace/ballot.rs
@@ -19,7 +19,7 @@
 
     pub(super) fn start_ballot(&mut self, now: Duration, rest: Option<Duration>) -> u64 {
         let term = self.next_term();
-        self.known = self.highest.max(self.term);
+        self.known = self.highest.max(self.replaced());
         self.ours = term;
         self.highest = term;
         self.seen = self.seen.max(term);
@@ -40,7 +40,7 @@
             true => u64::from(self.rank),
             false => 0,
         };
-        self.highest.max(self.term) + 1 + lane
+        self.highest.max(self.replaced()) + 1 + lane
     }
 
     /// What the number of an order follows from: after the present ballot, or after
@@ -57,9 +57,10 @@
             true => self.seen + 1,
             false => term,
         };
+        let replaced = self.replaced();
         Ballot {
-            replaced: self.term,
-            turn: later.saturating_sub(self.term),
+            replaced,
+            turn: later.saturating_sub(replaced),
         }
     }
 
--- a/src/decisions/replace/waiting.rs
+++ b/src/decisions/replace/waiting.rs
@@ -26,7 +26,7 @@
     /// Notes whether a member still keeps to the ballot's term.
     pub(super) fn note_holding(&mut self, member: usize, status: &Status, began: Duration) {
         let primary = self.primary;
-        let replaced = self.term;
+        let replaced = self.replaced();
         let Phase::Waiting { term, holding, .. } = &mut self.phase else {
             return;
         };
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -59,6 +59,8 @@
     pub callers: Cell<usize>,
     /// When the box began to leave, or was cut off: callers are better served elsewhere.
     pub away: watch::Sender<Option<Duration>>,
+    /// A ballot of this box is under way.
+    pub deposing: Cell<bool>,
     /// Whether the box has found out if it is cut off.
     pub settled: watch::Sender<bool>,
     /// How the table is read.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -122,6 +122,10 @@
             }
             self.tick();
             self.drop_departed();
+            let deposing = |owned: &Owned| owned.group.is_deposing();
+            self.context
+                .deposing
+                .set(self.groups.values().any(deposing));
             self.note_cut_off();
         }
     }
--- a/src/node/driver/acting.rs
+++ b/src/node/driver/acting.rs
@@ -52,6 +52,10 @@
             }
             Action::Probe { member } => self.probe(id, owned, member),
             Action::Revoke { term } => self.revoke(id, owned, term),
+            // Its process may end before the ballot, and leave fences behind.
+            Action::Claim if *self.context.leaving.borrow() => {
+                return Some(Event::Claimed { won: false });
+            }
             Action::Claim => {
                 let context = self.context.clone();
                 let group = id.clone();
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -146,6 +146,7 @@
         shunned: RefCell::default(),
         callers: Cell::new(0),
         away: watch::channel(None).0,
+        deposing: Cell::new(false),
         settled: watch::channel(false).0,
         pace: Cell::default(),
         settings,
@@ -233,11 +234,12 @@
     }
 }
 
-/// Waits until the last caller is gone and nothing is held for other boxes, no longer than
-/// until `end`.
+/// Waits until the last caller is gone, nothing is held for other boxes and no ballot of this
+/// one is under way, no longer than until `end`.
 async fn drain(context: &Context, owner: &Owner, end: Duration) {
     let step = Duration::from_millis(20);
-    while context.now() < end && (context.callers.get() > 0 || !owner.is_idle()) {
+    let busy = || context.callers.get() > 0 || !owner.is_idle() || context.deposing.get();
+    while context.now() < end && busy() {
         tokio::time::sleep(step).await;
     }
 }
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -4,6 +4,7 @@
 use larkfall::borders::member::{Role, Status, Stream};
 use larkfall::decisions::group::{Action, Event, Group, Note};
 use larkfall::decisions::position::Position;
+use larkfall::decisions::replace::Corroboration;
 
 use super::fake::{fresh_group, fresh_group_with, ms};
 
@@ -116,3 +117,52 @@
         .collect();
     expect_that!(looked, unordered_elements_are![eq(&1), eq(&2)]);
 }
+
+/// What users saw: a group without a primary for as long as a failure domain was cut. All of
+/// its owners had started again while the primary was out of sight, and took the replicas'
+/// term for one that had gone on without them.
+#[gtest]
+fn an_owner_that_never_saw_the_primary_replaces_it_all_the_same() {
+    let mut group = fresh_group_with(|settings| {
+        settings.replace.fences_end = true;
+        settings.replace.lease = ms(800);
+        settings.replace.corroboration = Corroboration::Majority;
+    });
+    // Another box has fenced the replicas of term 2 and ended before its promotion.
+    let replica = |promised: u64| Status {
+        role: Role::Replica,
+        ..status(promised, Position::new(2, 9), Position::new(2, 9))
+    };
+    let (mut now, mut fence, mut promoted) = (ms(2), None, None);
+    while promoted.is_none() && now < ms(10_000) {
+        let mut actions = Vec::new();
+        for member in [1, 2] {
+            let event = Event::Status {
+                member,
+                began: now,
+                answer: Ok(replica(fence.unwrap_or(5))),
+            };
+            actions.extend(group.handle(event, now));
+        }
+        for action in actions {
+            match action {
+                Action::Fence { member, term } if member > 0 => {
+                    expect_that!(group.bid(term).replaced, eq(2));
+                    expect_that!(group.bid(term).known, ge(5));
+                    fence = Some(term);
+                    let answer = Ok(replica(term));
+                    let event = Event::Fenced {
+                        member,
+                        term,
+                        answer,
+                    };
+                    group.handle(event, now);
+                }
+                Action::Promote { member, .. } => promoted = Some(member),
+                _ => {}
+            }
+        }
+        now += ms(20);
+    }
+    expect_that!(promoted, some(any![eq(1), eq(2)]));
+}
