--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -22,6 +22,9 @@
     pub metrics: SocketAddr,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
+    /// The platform's rules on pressure and on shared connections are in force, and the loss
+    /// of a failure domain is to be borne.
+    pub under_pressure: bool,
 }
 
 /// An IP number that no other box of any test has.
@@ -51,6 +54,7 @@
             metrics: at(9464),
             store,
             seeds: Vec::new(),
+            under_pressure: false,
         }
     }
 
@@ -65,8 +69,12 @@
             true => " []\n".to_owned(),
             false => format!("\n{}", seeds.concat()),
         };
+        let rules = match self.under_pressure {
+            true => "contracts: [base, pool, pressure]\nfault_tolerance:\n  zones: 1\n",
+            false => "",
+        };
         format!(
-            "node_name: \"{}\"\nip: \"{}\"\nzone: \"{}\"\nlisten_addrs:\n  front: \"{}\"\n  ready: \"{}\"\n  control: \"{}\"\ninternal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}limits:\n  max_fds: 1000\n  new_limit: 3\nbounds:\n  grace_s: 4\nplatform:\n  address: \"{}\"\ncloud_api:\n  address: \"{}\"\nnew_field: [1, 2]\n",
+            "{rules}node_name: \"{}\"\nip: \"{}\"\nzone: \"{}\"\nlisten_addrs:\n  front: \"{}\"\n  ready: \"{}\"\n  control: \"{}\"\ninternal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}limits:\n  max_fds: 1000\n  new_limit: 3\nbounds:\n  grace_s: 4\nplatform:\n  address: \"{}\"\ncloud_api:\n  address: \"{}\"\nnew_field: [1, 2]\n",
             self.name,
             self.front.ip(),
             self.zone,
--- a/tests/platform/replacement.rs
+++ b/tests/platform/replacement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use nix::sys::signal::Signal;
 
 use super::store::Fault;
 use super::world::{OWN, STRICT, World};
@@ -164,3 +165,31 @@
         expect_that!(answer.error, none());
     }
 }
+
+/// What users saw: boxes that were being stopped began to replace the primary and ended before
+/// they were done. The fences stayed, and the group had no primary for seconds.
+#[gtest]
+#[tokio::test]
+async fn a_box_that_stops_leaves_a_replacement_to_others() {
+    let world = World::start(3).await;
+    let mut held = Vec::new();
+    for i in [0, 1] {
+        // An open transaction keeps the box from ending before its time.
+        let mut client = world.client(i, OWN, "held").await;
+        client.run("BEGIN READ").await.unwrap();
+        client.run("READ farm").await.unwrap();
+        held.push(client);
+        world.boxes[i].signal(Signal::SIGTERM);
+        while !world.boxes[i].log().contains("\"event\":102") {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let mut client = world.client(2, STRICT, "a").await;
+    world.crash("i-0");
+    world
+        .write_until_done(&mut client, "WRITE farm after")
+        .await;
+    let orders = world.store.orders();
+    let holders: BTreeSet<&str> = orders.iter().map(|order| &*order.holder).collect();
+    expect_that!(holders, elements_are![eq(&"box-2")]);
+}
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -26,7 +26,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_silent_connection_replaces_nobody_and_its_write_is_not_called_unrun() {
-    let (world, proxies) = World::behind_proxies(3).await;
+    let (world, proxies) = World::behind_proxies(3, false).await;
     let mut writer = world.client(0, STRICT, "w").await;
     let mut reader = world.client(0, OWN, "r").await;
     world
@@ -52,7 +52,7 @@
 #[gtest]
 #[tokio::test]
 async fn silence_after_silence_leaves_a_box_in_service() {
-    let (world, proxies) = World::behind_proxies(3).await;
+    let (world, proxies) = World::behind_proxies(3, false).await;
     let mut writer = world.client(1, STRICT, "w").await;
     for round in 0..3 {
         for proxy in &proxies {
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -144,7 +144,9 @@
         if watch.stop.load(Ordering::SeqCst) {
             return Ok(());
         }
-        if dice.random_bool(0.4) {
+        if dice.random_bool(0.1) {
+            rest_in_transaction(client, thing, dice).await?;
+        } else if dice.random_bool(0.4) {
             let number = watch.next.fetch_add(1, Ordering::SeqCst);
             let id = format!("w{number}");
             client
@@ -194,6 +196,22 @@
     Ok(())
 }
 
+/// Reads in a transaction that rests: others' statements run meanwhile.
+async fn rest_in_transaction(
+    client: &mut Client,
+    thing: &str,
+    dice: &mut SmallRng,
+) -> std::result::Result<(), String> {
+    client.run("BEGIN READ").await?;
+    client.run(&format!("READ {thing}")).await?;
+    tokio::time::sleep(Duration::from_millis(dice.random_range(0..60))).await;
+    let ended = client.run("COMMIT").await?;
+    match ended.state.as_str() {
+        "I" => Ok(()),
+        state => Err(format!("state {state} after the end of a transaction")),
+    }
+}
+
 /// One fault and its end.
 async fn fault(world: &mut World, proxies: &[Proxy], dice: &mut SmallRng) -> String {
     let lasts = Duration::from_millis(dice.random_range(100..1_500));
@@ -314,7 +332,7 @@
 
 /// Plays one seed.
 async fn play(seed: u64, length: Duration) -> (Seen, Vec<String>) {
-    let (mut world, proxies) = World::behind_proxies(BOXES).await;
+    let (mut world, proxies) = World::behind_proxies(BOXES, seed % 2 == 1).await;
     let watch = Arc::new(Watch {
         history: Mutex::default(),
         stop: AtomicBool::new(false),
--- a/tests/platform/workspaces.rs
+++ b/tests/platform/workspaces.rs
@@ -223,3 +223,30 @@
     expect_that!(ran, ge(10));
     expect_that!(refused, ge(1));
 }
+
+/// The load: a workspace that asks for more than its limit for a moment. Without waits, all of a
+/// burst but the first operations are refused at once.
+#[gtest]
+#[tokio::test]
+async fn a_burst_above_a_limit_waits_for_its_turns() {
+    let world = World::under_pressure(3).await;
+    let mut document = with_workspaces(5, &[FIRST_KEY]);
+    document["tenants"][0]["rate_per_s"] = json!(100);
+    document["tenants"][0]["burst"] = json!(3);
+    put(&world, &document).await;
+    let mut clients = Vec::new();
+    for i in 0..12 {
+        clients.push(world.client(i % 3, OWN, FIRST_KEY).await);
+    }
+    // What was there is used up.
+    let runs = clients.iter_mut().map(|client| client.run("READ farm"));
+    let first = futures::future::join_all(runs).await;
+    let ran = first
+        .iter()
+        .filter(|run| run.as_ref().unwrap().error.is_none());
+    expect_that!(ran.count(), ge(6));
+    let metrics = world.boxes[0].metrics().await
+        + &world.boxes[1].metrics().await
+        + &world.boxes[2].metrics().await;
+    expect_that!(metrics, contains_substring("outcome=\"waited\""));
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -27,6 +27,8 @@
     pub group: Group,
     pub members: Vec<(String, SocketAddr, Switch)>,
     pub boxes: Vec<Process>,
+    /// Whether boxes that are added work under the rules on pressure.
+    pub under_pressure: bool,
     /// Version of the newest manifest that [`World::change`] put.
     version: u64,
 }
@@ -51,7 +53,18 @@
 impl World {
     /// Starts the stand-ins and `boxes` boxes, and waits until all are ready.
     pub async fn start(boxes: usize) -> Self {
+        Self::without_boxes().await.with_boxes(boxes).await
+    }
+
+    /// The same under the platform's rules on pressure.
+    pub async fn under_pressure(boxes: usize) -> Self {
         let mut world = Self::without_boxes().await;
+        world.under_pressure = true;
+        world.with_boxes(boxes).await
+    }
+
+    async fn with_boxes(self, boxes: usize) -> Self {
+        let mut world = self;
         for i in 0..boxes {
             world.add_box(i);
         }
@@ -63,8 +76,9 @@
     }
 
     /// The same with a proxy before each member.
-    pub async fn behind_proxies(boxes: usize) -> (Self, Vec<Proxy>) {
+    pub async fn behind_proxies(boxes: usize, under_pressure: bool) -> (Self, Vec<Proxy>) {
         let mut world = Self::without_boxes().await;
+        world.under_pressure = under_pressure;
         let mut proxies = Vec::new();
         for (i, (id, address, _)) in world.members.iter().enumerate() {
             let proxy = Proxy::start(*address).await;
@@ -73,14 +87,7 @@
                 .put("servers", id, &entry(i, proxy.address, "ready"));
             proxies.push(proxy);
         }
-        for i in 0..boxes {
-            world.add_box(i);
-        }
-        for started in &world.boxes {
-            started.wait_ready().await;
-        }
-        world.wait_primary().await;
-        (world, proxies)
+        (world.with_boxes(boxes).await, proxies)
     }
 
     pub async fn without_boxes() -> Self {
@@ -110,6 +117,7 @@
             group,
             members,
             boxes: Vec::new(),
+            under_pressure: false,
             version: 3,
         }
     }
@@ -146,7 +154,8 @@
 
     /// Adds a box to a failure domain.
     pub fn add_box_in(&mut self, i: usize, zone: &str, store: SocketAddr) {
-        let place = Place::new(&format!("box-{i}"), zone, store);
+        let mut place = Place::new(&format!("box-{i}"), zone, store);
+        place.under_pressure = self.under_pressure;
         self.boxes.push(Process::start(place));
     }
 
