--- a/tests/platform/replacement.rs
+++ b/tests/platform/replacement.rs
@@ -171,25 +171,30 @@
 #[gtest]
 #[tokio::test]
 async fn a_box_that_stops_leaves_a_replacement_to_others() {
-    let world = World::start(3).await;
-    let mut held = Vec::new();
-    for i in [0, 1] {
-        // An open transaction keeps the box from ending before its time.
-        let mut client = world.client(i, OWN, "held").await;
-        client.run("BEGIN READ").await.unwrap();
-        client.run("READ farm").await.unwrap();
-        held.push(client);
-        world.boxes[i].signal(Signal::SIGTERM);
-        while !world.boxes[i].log().contains("\"event\":102") {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+    for stays in 0..3 {
+        let world = World::start(3).await;
+        let mut callers = Vec::new();
+        for i in (0..3).filter(|i| *i != stays) {
+            let mut client = world.client(i, STRICT, "a").await;
+            client.run("WRITE farm before").await.unwrap();
+            callers.push(client);
+            world.boxes[i].signal(Signal::SIGTERM);
+            while !world.boxes[i].log().contains("\"event\":102") {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        world.crash("i-0");
+        // Their callers are the first to meet the crash.
+        for client in &mut callers {
+            let _ = client.run("WRITE farm lost").await;
         }
+        let mut client = world.client(stays, STRICT, "b").await;
+        world
+            .write_until_done(&mut client, "WRITE farm after")
+            .await;
+        let orders = world.store.orders();
+        let holders: BTreeSet<&str> = orders.iter().map(|order| &*order.holder).collect();
+        let name = format!("box-{stays}");
+        expect_that!(holders, elements_are![eq(&name.as_str())]);
     }
-    let mut client = world.client(2, STRICT, "a").await;
-    world.crash("i-0");
-    world
-        .write_until_done(&mut client, "WRITE farm after")
-        .await;
-    let orders = world.store.orders();
-    let holders: BTreeSet<&str> = orders.iter().map(|order| &*order.holder).collect();
-    expect_that!(holders, elements_are![eq(&"box-2")]);
 }
