feat(group): who can't outwait a replacement is refused at once

Change: while a replacement is expected to last longer than a request's time, it is refused at once, told to come back after it, one after the other.

--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -68,9 +68,7 @@
     /// Holds a request for a primary while one is to be expected in time.
     pub(super) fn park(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
         if let Some(refusal) = self.hopeless(&request, now) {
-            let id = request.id;
-            out.push(Action::Refuse { id, refusal });
-            return;
+            return self.refuse_hopeless(&request, refusal, now, out);
         }
         self.waiting.parked.insert(request.id, request);
     }
@@ -97,13 +95,40 @@
         }
         let remaining = self.replace.remaining(now);
         let needed = match self.settings.patient {
-            true => PATIENT_END,
+            true => self.known_wait(now).max(PATIENT_END),
             false => remaining,
         };
         let late = now + needed > request.deadline;
         late.then(|| Refusal::new(Reason::Replacement, remaining))
     }
 
+    /// Time for which there will be no primary, as far as that is known: once it has taken
+    /// longer than usual, nobody knows.
+    fn known_wait(&self, now: Duration) -> Duration {
+        match self.settings.serve_late {
+            true => self.replace.expected_at().saturating_sub(now),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Refuses a request that no primary can serve in time, at once. Callers come back one
+    /// after the other once there is one.
+    fn refuse_hopeless(
+        &mut self,
+        request: &Request,
+        mut refusal: Refusal,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let wait = self.known_wait(now);
+        if !wait.is_zero() && refusal.reason == Reason::Replacement {
+            let gap = self.settings.service / self.plan.group.slots.max(1);
+            refusal.retry_after = self.returns.promise(wait, gap, now);
+        }
+        let id = request.id;
+        out.push(Action::Refuse { id, refusal });
+    }
+
     /// Whether the primary has left and nobody could lead instead.
     fn is_last_spent(&self) -> bool {
         let spent = |primary: usize| self.members[primary].spent;
@@ -140,9 +165,7 @@
             .writable()
             .map_or_else(|| self.hopeless(&request, now), |_| None)
         {
-            let id = request.id;
-            out.push(Action::Refuse { id, refusal });
-            return;
+            return self.refuse_hopeless(&request, refusal, now, out);
         }
         self.waiting.floorless.insert(request.id, request);
         self.want_all();
