--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -30,7 +30,6 @@
 use super::owners::{LEAST_SHARE, share};
 use super::position::Position;
 use super::replace::{Doubt, Replace, Step};
-use super::returns::Returns;
 use super::route::{Candidate, Demand, History, choose};
 use crate::borders::member::{Bid, MemberError, Role, Status};
 use crate::declarations::resource::{Durability, Member as MemberSpec};
@@ -188,8 +187,6 @@
     held: Position,
     waiting: Waiting,
     dice: SmallRng,
-    /// When callers that were refused for want of a primary may come back.
-    returns: Returns,
     born: Duration,
     /// The leaving primary whose time is counted.
     leaving: Option<usize>,
@@ -261,7 +258,6 @@
             held: Position::ZERO,
             waiting: Waiting::default(),
             dice: SmallRng::seed_from_u64(seed),
-            returns: Returns::default(),
             born: now,
             leaving: None,
             hand_over: None,
--- a/src/decisions/group/placing.rs
+++ b/src/decisions/group/placing.rs
@@ -68,7 +68,9 @@
     /// Holds a request for a primary while one is to be expected in time.
     pub(super) fn park(&mut self, request: Request, now: Duration, out: &mut Vec<Action>) {
         if let Some(refusal) = self.hopeless(&request, now) {
-            return self.refuse_hopeless(&request, refusal, now, out);
+            let id = request.id;
+            out.push(Action::Refuse { id, refusal });
+            return;
         }
         self.waiting.parked.insert(request.id, request);
     }
@@ -95,40 +97,13 @@
         }
         let remaining = self.replace.remaining(now);
         let needed = match self.settings.patient {
-            true => self.known_wait(now).max(PATIENT_END),
+            true => PATIENT_END,
             false => remaining,
         };
         let late = now + needed > request.deadline;
         late.then(|| Refusal::new(Reason::Replacement, remaining))
     }
 
-    /// Time for which there will be no primary, as far as that is known: once it has taken
-    /// longer than usual, nobody knows.
-    fn known_wait(&self, now: Duration) -> Duration {
-        match self.settings.serve_late {
-            true => self.replace.expected_at().saturating_sub(now),
-            false => Duration::ZERO,
-        }
-    }
-
-    /// Refuses a request that no primary can serve in time, at once. Callers come back one
-    /// after the other once there is one.
-    fn refuse_hopeless(
-        &mut self,
-        request: &Request,
-        mut refusal: Refusal,
-        now: Duration,
-        out: &mut Vec<Action>,
-    ) {
-        let wait = self.known_wait(now);
-        if !wait.is_zero() && refusal.reason == Reason::Replacement {
-            let gap = self.settings.service / self.plan.group.slots.max(1);
-            refusal.retry_after = self.returns.promise(wait, gap, now);
-        }
-        let id = request.id;
-        out.push(Action::Refuse { id, refusal });
-    }
-
     /// Whether the primary has left and nobody could lead instead.
     fn is_last_spent(&self) -> bool {
         let spent = |primary: usize| self.members[primary].spent;
@@ -165,7 +140,9 @@
             .writable()
             .map_or_else(|| self.hopeless(&request, now), |_| None)
         {
-            return self.refuse_hopeless(&request, refusal, now, out);
+            let id = request.id;
+            out.push(Action::Refuse { id, refusal });
+            return;
         }
         self.waiting.floorless.insert(request.id, request);
         self.want_all();
--- a/src/decisions/replace.rs
+++ b/src/decisions/replace.rs
@@ -366,13 +366,6 @@
         end.saturating_sub(now).max(self.settings.ballot)
     }
 
-    /// When a replacement that is under way is expected to end; the start of time where none
-    /// is.
-    pub fn expected_at(&self) -> Duration {
-        let since = self.doubted;
-        since.map_or(Duration::ZERO, |since| since + self.settings.expected)
-    }
-
     /// When something happens by itself.
     pub fn wake(&self) -> Option<Duration> {
         let phase = match &self.phase {
--- a/src/platform/file.rs
+++ b/src/platform/file.rs
@@ -276,16 +276,12 @@
     /// Settings of the decisions.
     pub fn decisions(&self) -> Settings {
         let drain = Duration::from_secs_f64(self.bounds.drain_ms.max(0.0) / 1_000.0);
-        let mut settings = Settings {
+        Settings {
             rests: self.holds(POOL),
             serve_late: self.holds(POOL),
             domain_loss: self.bears_domain_loss(),
             ..settings::with_drain(drain)
-        };
-        if settings.serve_late {
-            settings.replace.expected = settings::REPLACED;
         }
-        settings
     }
 
     /// Whether a part of the platform's rules is in force.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,9 +9,6 @@
 /// Time after its word from which nothing may reach a leaving member, where the platform
 /// states no other.
 pub const DRAIN: Duration = Duration::from_secs(7);
-/// Time from the first doubt of a primary to the next one, where callers are told to come back
-/// after it: the wait for leases, a look, and up to a second for the platform's promotion.
-pub const REPLACED: Duration = Duration::from_millis(2_000);
 /// Part of it that is not used: for a word that is noticed late (news rests for 0.4 s), a
 /// connection (0.4 s) and the steps that prepare it, behind a full queue.
 const DRAIN_MARGIN: Duration = Duration::from_millis(2_500);
--- a/tests/unit/group.rs
+++ b/tests/unit/group.rs
@@ -1,10 +1,8 @@
 //! Single events against a group's decisions.
 
-use std::time::Duration;
-
 use googletest::prelude::*;
 use larkfall::borders::member::{Role, Status, Stream};
-use larkfall::decisions::group::{Action, Event, Group, Note, Request, Target};
+use larkfall::decisions::group::{Action, Event, Group, Note};
 use larkfall::decisions::position::Position;
 use larkfall::decisions::replace::Corroboration;
 
@@ -168,48 +166,3 @@
     }
     expect_that!(promoted, some(any![eq(1), eq(2)]));
 }
-
-fn write(id: u64, arrived: Duration, patience: Duration) -> Event {
-    Event::Arrive(Request {
-        id,
-        partner: "orders".into(),
-        weight: 1,
-        target: Target::Primary,
-        floor: None,
-        believed: true,
-        arrived,
-        deadline: arrived + patience,
-        aim: Some(ms(150)),
-    })
-}
-
-fn told_to_wait(actions: &[Action]) -> Option<Duration> {
-    actions.iter().find_map(|action| match action {
-        Action::Refuse { refusal, .. } => Some(refusal.retry_after),
-        _ => None,
-    })
-}
-
-/// The load: callers with little time while a primary is replaced. Held until their time was
-/// up they had none left to come back; those for whom there may be a primary in time still wait.
-#[gtest]
-fn who_cannot_outwait_a_replacement_is_refused_at_once_with_a_time_of_its_own() {
-    let mut group = fresh_group_with(|settings| {
-        settings.patient = true;
-        settings.serve_late = true;
-        settings.replace.expected = ms(2_000);
-    });
-    let at = Position::new;
-    group.handle(told(status(1, at(1, 5), at(1, 5))), ms(2));
-    group.handle(Event::Broken { member: 0 }, ms(1_200));
-    let first = group.handle(write(1, ms(1_300), ms(760)), ms(1_300));
-    let second = group.handle(write(2, ms(1_300), ms(760)), ms(1_300));
-    let (first, second) = (told_to_wait(&first), told_to_wait(&second));
-    expect_that!(first, some(eq(ms(1_900))));
-    expect_that!(second, some(gt(ms(1_900))));
-    // There will be one before this caller's time is up.
-    let waits = group.handle(write(3, ms(1_300), ms(2_500)), ms(1_300));
-    expect_that!(told_to_wait(&waits), none());
-    let later = group.handle(write(4, ms(2_700), ms(760)), ms(2_700));
-    expect_that!(told_to_wait(&later), none());
-}
