perf(decisions): plans and owners are derived for what changed only

Cause: each applied scan cloned all resources and built every group's plan again, and each change of a row or of the list of boxes sorted all boxes for every group (1,000 groups x 985 boxes), in the loop in which requests wait. The route cache was dropped at the same moments. A selection keeps the heaviest instead of sorting all. A row that describes another resource than its key is invalid. Ruled out: a cache in front of the sort; it is emptied by the same changes. Tests: work is counted, and what is kept is compared with what is built anew.

--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -4,6 +4,8 @@
 //! different owners for a while, which costs an extra hop or connection but never correctness:
 //! ownership is only an optimization.
 
+mod assignment;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -12,58 +14,102 @@
 use crate::borders::roster::Listing;
 use crate::declarations::snapshot::Plan;
 
-/// The boxes that may own groups, each with the hash of its name.
+pub use assignment::{Assignment, Ownership};
+
+/// The boxes that may own groups, by failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct Ranking {
-    boxes: Vec<(u64, Listing)>,
+    domains: BTreeMap<Arc<str>, Vec<Candidate>>,
+    count: usize,
+}
+
+/// A box that may own groups.
+#[derive(Clone, Debug)]
+struct Candidate {
+    /// Hash of the box's name.
+    hash: u64,
+    listing: Listing,
+}
+
+/// A box with its weight for a group.
+#[derive(Clone, Copy, Debug)]
+struct Weighted<'a> {
+    weight: u64,
+    candidate: &'a Candidate,
 }
 
 impl Ranking {
     /// Number of boxes that may own groups.
     pub fn len(&self) -> usize {
-        self.boxes.len()
+        self.count
     }
 
     pub fn is_empty(&self) -> bool {
-        self.boxes.is_empty()
+        self.count == 0
     }
 
     /// Whether a group with this number of owners is owned by every box. Only then do boxes
     /// with different lists agree on the owners.
     pub fn covers_all_boxes(&self, owners: usize) -> bool {
-        owners == self.boxes.len()
+        owners == self.count
     }
 
     /// Ranks the listed boxes, without those that are leaving.
     pub fn new(boxes: &[Listing]) -> Self {
-        let present = boxes.iter().filter(|listing| !listing.leaving);
-        let hashed = |listing: &Listing| (xxh3_64(listing.name.as_bytes()), listing.clone());
-        Self {
-            boxes: present.map(hashed).collect(),
+        let mut ranking = Self::default();
+        for listing in boxes.iter().filter(|listing| !listing.leaving) {
+            let candidate = Candidate {
+                hash: xxh3_64(listing.name.as_bytes()),
+                listing: listing.clone(),
+            };
+            let domain = ranking.domains.entry(listing.domain.clone());
+            domain.or_default().push(candidate);
+            ranking.count += 1;
         }
+        ranking
+    }
+
+    fn candidates(&self) -> impl Iterator<Item = &Candidate> {
+        self.domains.values().flatten()
     }
 
     /// Returns `count` owners of `group`, best first: the best box of each failure domain in
     /// `domains`, then the best box of each other domain, then the remaining boxes.
     pub fn owners(&self, group: &str, count: usize, domains: &BTreeSet<Arc<str>>) -> Vec<&Listing> {
-        let seed = xxh3_64(group.as_bytes());
-        let weight = |hash: &u64| xxh3_64_with_seed(&hash.to_le_bytes(), seed);
-        let mut best: BTreeMap<&str, (u64, &Listing)> = BTreeMap::new();
-        for (hash, listing) in &self.boxes {
-            let weight = weight(hash);
-            let known = best.entry(&listing.domain).or_insert((weight, listing));
-            if weight > known.0 {
-                *known = (weight, listing);
+        let chosen = self.select(group, count, domains).into_iter();
+        chosen.map(|owner| &owner.candidate.listing).collect()
+    }
+
+    fn select(&self, group: &str, count: usize, domains: &BTreeSet<Arc<str>>) -> Vec<Weighted<'_>> {
+        let weigh = Weigher::new(group);
+        let weighted = |candidate| Weighted {
+            weight: weigh.weight(candidate),
+            candidate,
+        };
+        let mut heaviest = Heaviest::new(count);
+        let mut best: Vec<(bool, Weighted)> = Vec::with_capacity(self.domains.len());
+        for (domain, candidates) in &self.domains {
+            let Some(first) = candidates.first() else {
+                continue;
+            };
+            let mut best_here = weighted(first);
+            heaviest.add(best_here);
+            for candidate in &candidates[1..] {
+                let candidate = weighted(candidate);
+                heaviest.add(candidate);
+                if candidate.weight > best_here.weight {
+                    best_here = candidate;
+                }
             }
+            best.push((domains.contains(domain), best_here));
         }
-        let mut chosen: Vec<(bool, u64, &Listing)> = best
-            .into_values()
-            .map(|(weight, listing)| (domains.contains(&listing.domain), weight, listing))
-            .collect();
-        chosen.sort_by_key(|(preferred, weight, _)| std::cmp::Reverse((*preferred, *weight)));
-        let mut owners: Vec<&Listing> = chosen.into_iter().map(|(_, _, l)| l).collect();
-        if owners.len() < count {
-            self.fill_by_weight(&mut owners, weight);
+        best.sort_by_key(|(preferred, best)| std::cmp::Reverse((*preferred, best.weight)));
+        let mut owners: Vec<Weighted> = best.into_iter().map(|(_, best)| best).collect();
+        for candidate in heaviest.into_descending() {
+            let hash = candidate.candidate.hash;
+            if !owners.iter().any(|owner| owner.candidate.hash == hash) {
+                owners.push(candidate);
+            }
         }
         owners.truncate(count);
         owners
@@ -71,27 +117,79 @@
 
     /// Returns the owners of a declared group, best first.
     pub fn owners_of(&self, plan: &Plan) -> Vec<&Listing> {
-        let domains: BTreeSet<Arc<str>> = plan.members.iter().map(|m| m.domain.clone()).collect();
+        let (count, domains) = (self.count_for(plan), member_domains(plan));
+        self.owners(&plan.id, count, &domains)
+    }
+
+    /// Returns the number of owners of a declared group.
+    fn count_for(&self, plan: &Plan) -> usize {
         let group = &plan.group;
         let per_slot = match plan.keyed {
             true => KEYED_OWNERS_PER_SLOT,
             false => OWNERS_PER_SLOT,
         };
         let useful = group.slots * per_slot;
-        let count = owner_count(group.owners, group.connections, useful, self.len());
-        self.owners(&plan.id, count, &domains)
+        owner_count(group.owners, group.connections, useful, self.len())
     }
+}
 
-    /// Appends the boxes that aren't owners yet, by weight.
-    fn fill_by_weight<'a>(&'a self, owners: &mut Vec<&'a Listing>, weight: impl Fn(&u64) -> u64) {
-        let mut rest: Vec<&(u64, Listing)> = self.boxes.iter().collect();
-        rest.sort_by_key(|(hash, _)| std::cmp::Reverse(weight(hash)));
-        for (_, listing) in rest {
-            if !owners.iter().any(|owner| owner.name == listing.name) {
-                owners.push(listing);
-            }
+/// Returns the failure domains of a group's members.
+fn member_domains(plan: &Plan) -> BTreeSet<Arc<str>> {
+    let members = plan.members.iter();
+    members.map(|member| member.domain.clone()).collect()
+}
+
+/// Computes the weights of boxes for a group.
+#[derive(Clone, Copy, Debug)]
+struct Weigher {
+    seed: u64,
+}
+
+impl Weigher {
+    fn new(group: &str) -> Self {
+        Self {
+            seed: xxh3_64(group.as_bytes()),
         }
     }
+
+    fn weight(self, candidate: &Candidate) -> u64 {
+        xxh3_64_with_seed(&candidate.hash.to_le_bytes(), self.seed)
+    }
+}
+
+/// Keeps the boxes with the greatest weights.
+struct Heaviest<'a> {
+    limit: usize,
+    /// In ascending order of weight.
+    kept: Vec<Weighted<'a>>,
+}
+
+impl<'a> Heaviest<'a> {
+    fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            kept: Vec::with_capacity(limit + 1),
+        }
+    }
+
+    fn add(&mut self, candidate: Weighted<'a>) {
+        let is_full = self.kept.len() >= self.limit;
+        let lightest = self.kept.first().map(|kept| kept.weight);
+        if is_full && lightest.is_none_or(|lightest| candidate.weight <= lightest) {
+            return;
+        }
+        let at = self
+            .kept
+            .partition_point(|kept| kept.weight < candidate.weight);
+        self.kept.insert(at, candidate);
+        if self.kept.len() > self.limit {
+            self.kept.remove(0);
+        }
+    }
+
+    fn into_descending(self) -> impl Iterator<Item = Weighted<'a>> {
+        self.kept.into_iter().rev()
+    }
 }
 
 /// Returns a group's owners in the order in which a workspace's statements try them: those of
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -1,9 +1,16 @@
 //! All declarations at one revision, indexed for use by a box.
+//!
+//! The maps are persistent: a copy of a snapshot shares all entries with the original, so keeping
+//! the previous snapshot while the next one is built costs only what has changed.
+
+mod builder;
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
+use imbl::OrdMap;
+use imbl::ordmap::DiffItem;
 use serde::{Deserialize, Serialize};
 
 use crate::borders::table::Revision;
@@ -12,6 +19,8 @@
 
 use super::resource::{Database, Group, Key, Kind, Member, Once, Partner, Read, Spec, Workspace};
 
+pub use builder::Builder;
+
 /// A resource with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stored {
@@ -60,86 +69,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
     pub revision: Revision,
-    pub resources: BTreeMap<Key, Stored>,
-    pub partners: BTreeMap<Arc<str>, Partner>,
+    pub resources: OrdMap<Key, Stored>,
+    pub partners: OrdMap<Arc<str>, Partner>,
     /// By `PARTNER/GROUP`.
-    pub groups: BTreeMap<Arc<str>, Arc<Plan>>,
+    pub groups: OrdMap<Arc<str>, Arc<Plan>>,
     /// By the name that callers use.
-    pub databases: BTreeMap<Arc<str>, Arc<Database>>,
+    pub databases: OrdMap<Arc<str>, Arc<Database>>,
     /// By `PARTNER/WORKSPACE`.
-    pub workspaces: BTreeMap<Arc<str>, Arc<Workspace>>,
+    pub workspaces: OrdMap<Arc<str>, Arc<Workspace>>,
     /// By the SHA-256 of a key, in lower-case hexadecimal.
-    pub workspaces_by_key: BTreeMap<Arc<str>, Arc<Workspace>>,
+    pub workspaces_by_key: OrdMap<Arc<str>, Arc<Workspace>>,
     /// By `PARTNER/GROUP`.
-    pub primaries: BTreeMap<Arc<str>, Primary>,
+    pub primaries: OrdMap<Arc<str>, Primary>,
     /// By `PARTNER/GROUP`.
-    pub duties: BTreeMap<Arc<str>, Duty>,
+    pub duties: OrdMap<Arc<str>, Duty>,
 }
 
 impl Snapshot {
-    pub fn new(
-        revision: Revision,
-        resources: BTreeMap<Key, Stored>,
-        primaries: BTreeMap<Arc<str>, Primary>,
-        duties: BTreeMap<Arc<str>, Duty>,
-    ) -> Self {
-        let mut partners = BTreeMap::new();
-        let mut databases = BTreeMap::new();
-        let mut workspaces_by_key = BTreeMap::new();
-        let mut workspaces = BTreeMap::new();
-        let mut groups: BTreeMap<Arc<str>, Plan> = BTreeMap::new();
-        for stored in resources.values() {
-            match &stored.spec {
-                Spec::Partner(partner) => {
-                    partners.insert(partner.name.clone(), partner.clone());
-                }
-                Spec::Group(group) => {
-                    let plan = Plan {
-                        id: group_id(&group.partner, &group.name),
-                        group: group.clone(),
-                        members: Vec::new(),
-                        reads: Vec::new(),
-                        onces: Vec::new(),
-                        keyed: false,
-                        departures: BTreeMap::new(),
-                    };
-                    groups.insert(plan.id.clone(), plan);
-                }
-                Spec::Database(database) => {
-                    databases.insert(database.name.clone(), Arc::new(database.clone()));
-                }
-                Spec::Workspace(workspace) => {
-                    let shared = Arc::new(workspace.clone());
-                    for key in &workspace.keys {
-                        // If two workspaces declare the same key, the first one gets it.
-                        // Validation refuses such declarations, but rows may also be written
-                        // without it.
-                        let entry = workspaces_by_key.entry(key.to_ascii_lowercase().into());
-                        entry.or_insert_with(|| shared.clone());
-                    }
-                    let id = group_id(&workspace.partner, &workspace.name);
-                    workspaces.insert(id, shared);
-                }
-                _ => {}
-            }
-        }
-        for stored in resources.values() {
-            add_to_group(&stored.spec, &mut groups);
-        }
-        let shared = |(id, plan): (Arc<str>, Plan)| (id, Arc::new(plan));
-        Self {
-            revision,
-            resources,
-            partners,
-            databases,
-            workspaces_by_key,
-            workspaces,
-            duties,
-            groups: groups.into_iter().map(shared).collect(),
-            primaries,
-        }
-    }
-
     /// Returns the workspace whose key has the hash `key`, or `None` if the database needs no key.
     pub fn workspace_for_key(
         &self,
@@ -187,23 +133,23 @@
         &'a self,
         before: &'a Snapshot,
     ) -> impl Iterator<Item = (Key, DepartureReason)> + 'a {
-        let leaving = self
-            .resources
-            .iter()
-            .filter(|(_, stored)| is_leaving(stored));
-        let was_leaving = |key: &Key, stored: &Stored| {
-            let earlier = before
-                .resources
-                .get(key)
-                .filter(|earlier| is_leaving(earlier));
-            earlier.is_some_and(|earlier| !restarted_as(earlier, stored))
-        };
-        let leaving = leaving.filter(move |(key, stored)| !was_leaving(key, stored));
-        let leaving = leaving.map(|(key, _)| (key.clone(), DepartureReason::Leaving));
-        let earlier_keys = before.resources.keys();
-        let unlisted = earlier_keys
-            .filter(|key| key.kind == Kind::Member && !self.resources.contains_key(key));
-        leaving.chain(unlisted.map(|key| (key.clone(), DepartureReason::Unlisted)))
+        use DepartureReason::{Leaving, Unlisted};
+        let changes = before.resources.diff(&self.resources);
+        changes.filter_map(|change| {
+            let (key, reason) = match change {
+                DiffItem::Add(key, stored) => (key, is_leaving(stored).then_some(Leaving)),
+                DiffItem::Update {
+                    old: (_, earlier),
+                    new: (key, stored),
+                } => {
+                    let was_leaving = is_leaving(earlier) && !restarted_as(earlier, stored);
+                    let starts_to_leave = is_leaving(stored) && !was_leaving;
+                    (key, starts_to_leave.then_some(Leaving))
+                }
+                DiffItem::Remove(key, _) => (key, (key.kind == Kind::Member).then_some(Unlisted)),
+            };
+            Some((key.clone(), reason?))
+        })
     }
 }
 
@@ -241,33 +187,6 @@
     }
 }
 
-/// Adds the resource to the group that it belongs to.
-fn add_to_group(spec: &Spec, groups: &mut BTreeMap<Arc<str>, Plan>) {
-    match spec {
-        Spec::Partner(_) | Spec::Group(_) | Spec::Workspace(_) => {}
-        Spec::Database(database) => {
-            if let Some(plan) = groups.get_mut(&group_id(&database.partner, &database.group)) {
-                plan.keyed |= database.keyed;
-            }
-        }
-        Spec::Member(member) => {
-            if let Some(plan) = groups.get_mut(&group_id(&member.partner, &member.group)) {
-                plan.members.push(member.clone());
-            }
-        }
-        Spec::Read(read) => {
-            if let Some(plan) = groups.get_mut(&group_id(&read.partner, &read.group)) {
-                plan.reads.push(read.clone());
-            }
-        }
-        Spec::Once(once) => {
-            if let Some(plan) = groups.get_mut(&group_id(&once.partner, &once.group)) {
-                plan.onces.push(once.clone());
-            }
-        }
-    }
-}
-
 /// Returns `PARTNER/NAME`, which identifies a group or a workspace across partners.
 pub fn group_id(partner: &str, name: &str) -> Arc<str> {
     format!("{partner}/{name}").into()
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -15,7 +15,7 @@
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
 use crate::declarations::resource::Key;
-use crate::declarations::snapshot::{Primary, Snapshot, Stored};
+use crate::declarations::snapshot::{Builder, Primary, Snapshot, Stored};
 use crate::events;
 use crate::node::duty::DUTY_PREFIX;
 use crate::node::updates::ScanRequest;
@@ -33,10 +33,10 @@
     rows: BTreeMap<Arc<str>, StoredRow>,
     /// Number of applied scans.
     sequence: u64,
+    /// Keys of the rows by the scan that brought them.
+    by_sequence: BTreeSet<(u64, Arc<str>)>,
     /// Parsed rows. Updated row by row, so that the cost of a scan depends on its size only.
-    resources: BTreeMap<Key, Stored>,
-    primaries: BTreeMap<Arc<str>, Primary>,
-    duties: BTreeMap<Arc<str>, Duty>,
+    declarations: Builder,
     /// Sections that are known completely, each with the revision at which it last was.
     complete_sections: BTreeMap<Section, Revision>,
     /// Digest of all existing rows and their values, independent of the order of arrival.
@@ -164,40 +164,44 @@
         }
         let sequence = self.sequence;
         self.digest ^= row_digest(&row);
-        let known = self
-            .rows
-            .insert(row.key.clone(), StoredRow { row, sequence });
-        self.digest ^= known.map_or(0, |known| row_digest(&known.row));
+        let key = row.key.clone();
+        let known = self.rows.insert(key.clone(), StoredRow { row, sequence });
+        if let Some(known) = known {
+            self.digest ^= row_digest(&known.row);
+            self.by_sequence.remove(&(known.sequence, key.clone()));
+        }
+        self.by_sequence.insert((sequence, key));
     }
 
     /// Parses a row and stores its contents.
     fn parse_row(&mut self, row: &Row) -> Result<(), String> {
         let revision = row.revision;
         if let Some(group) = row.key.strip_prefix(PRIMARY_PREFIX) {
-            self.primaries.remove(group);
-            let primary = parse_value::<Primary>(row)?;
-            let primary = primary.map(|read| (group.into(), Primary { revision, ..read }));
-            self.primaries.extend(primary);
-            return Ok(());
+            let primary = parse_value::<Primary>(row);
+            let known = primary.as_ref().ok().cloned().flatten();
+            let known = known.map(|read| Primary { revision, ..read });
+            self.declarations.set_primary(group.into(), known);
+            return primary.map(|_| ());
         }
         if let Some(group) = row.key.strip_prefix(DUTY_PREFIX) {
-            let known = self.duties.remove(group);
+            let known = self.declarations.duty(group).cloned();
             let parsed = parse_value::<Duty>(row);
             // An unreadable record has no holder, and the next box to claim the duty replaces it.
             let duty = parsed.as_ref().map_or(Some(Duty::default()), Option::clone);
             let duty = newest_duty(known, duty, revision);
-            self.duties.extend(duty.map(|duty| (group.into(), duty)));
+            self.declarations.set_duty(group.into(), duty);
             return parsed.map(|_| ());
         }
         let key = row.key.strip_prefix(RESOURCE_PREFIX).and_then(Key::parse);
         let key = key.ok_or("unknown kind of row")?;
-        self.resources.remove(&key);
-        let Some(value) = &row.value else {
-            return Ok(());
-        };
-        let stored = parse_resource(row, &key, value)?;
-        self.resources.insert(key, stored);
-        Ok(())
+        let stored = row
+            .value
+            .as_ref()
+            .map(|value| parse_resource(row, &key, value));
+        let stored = stored.transpose();
+        let readable = stored.as_ref().ok().cloned().flatten();
+        self.declarations.set_resource(key, readable);
+        stored.map(|_| ())
     }
 
     /// Returns the rows that a peer lacks.
@@ -217,16 +221,36 @@
         let Some(after) = after else {
             return self.scan_since(Revision::NONE);
         };
-        let newer = self.rows.values().filter(|known| known.sequence > after);
         Scan {
             head: self.revision,
-            rows: newer.map(|known| known.row.clone()).collect(),
+            rows: self.rows_after(after).cloned().collect(),
+            ..Scan::default()
+        }
+    }
+
+    /// Returns the rows that changed after the given sequence number.
+    pub fn rows_after(&self, sequence: u64) -> impl Iterator<Item = &Row> {
+        let first: (u64, Arc<str>) = (sequence.saturating_add(1), Arc::default());
+        let newer = self.by_sequence.range(first..);
+        newer.filter_map(|(_, key)| self.rows.get(key).map(|known| &known.row))
+    }
+
+    /// Returns all rows.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().map(|known| &known.row)
+    }
+
+    /// Returns the scan of all rows without the rows themselves.
+    pub fn all_but_rows(&self) -> Scan {
+        Scan {
+            head: self.revision,
+            whole: self.complete_sections.clone(),
             ..Scan::default()
         }
     }
 
     /// Returns the answer to a box that has the same rows.
-    fn unchanged(&self) -> Scan {
+    pub fn unchanged(&self) -> Scan {
         Scan {
             head: self.revision,
             whole: self.complete_sections.clone(),
@@ -237,26 +261,23 @@
 
     /// Returns the rows with a later revision than `since`.
     pub fn scan_since(&self, since: Revision) -> Scan {
-        let rows = self.rows.values().map(|known| &known.row);
-        let newer = rows.filter(|row| row.revision > since);
-        Scan {
-            head: self.revision,
-            rows: newer.cloned().collect(),
-            whole: match since {
-                Revision::NONE => self.complete_sections.clone(),
-                _ => BTreeMap::new(),
-            },
-            ..Scan::default()
+        let newer = self.rows().filter(|row| row.revision > since);
+        let mut scan = self.all_but_rows();
+        scan.rows = newer.cloned().collect();
+        if since > Revision::NONE {
+            scan.whole.clear();
         }
+        scan
+    }
+
+    /// Returns all declarations and records in force.
+    pub fn snapshot(&mut self) -> Snapshot {
+        self.declarations.snapshot(self.revision)
     }
 
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot::new(
-            self.revision,
-            self.resources.clone(),
-            self.primaries.clone(),
-            self.duties.clone(),
-        )
+    /// Returns how many groups' plans were derived from their declarations so far.
+    pub fn rebuilt_plans(&self) -> u64 {
+        self.declarations.rebuilt_plans()
     }
 }
 
@@ -298,6 +319,9 @@
 fn parse_resource(row: &Row, key: &Key, value: &Value) -> Result<Stored, String> {
     let entry = Entry::from_json(key.kind.name(), &row.key, value).map_err(|f| f.to_string())?;
     let spec = check::one(&entry).map_err(|findings| findings[0].to_string())?;
+    if spec.key() != *key {
+        return Err(format!("the row of {key} describes {}", spec.key()));
+    }
     let revision = row.revision;
     Ok(Stored { revision, spec })
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -26,7 +26,7 @@
 use crate::decisions::confirmation::Outcome;
 use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
-use crate::decisions::owners::Ranking;
+use crate::decisions::owners::Assignment;
 use crate::decisions::partition::Monitor;
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
@@ -82,7 +82,7 @@
     /// Replies to waiting confirmations, each with the group's incarnation.
     confirm_replies: HashMap<u64, (Incarnation, oneshot::Sender<Outcome>)>,
     snapshot: Arc<Snapshot>,
-    ranking: Ranking,
+    assignment: Assignment,
     /// When every box is expected to have read the list that contains this box.
     listing_settled: Option<Duration>,
     /// Whether the list of boxes has been received since this process started.
@@ -97,6 +97,7 @@
         settings: Settings,
         inbox: mpsc::UnboundedReceiver<Message>,
     ) -> Self {
+        let assignment = Assignment::new(context.settings.name.clone());
         Self {
             context,
             settings,
@@ -105,7 +106,7 @@
             grant_replies: HashMap::new(),
             confirm_replies: HashMap::new(),
             snapshot: Arc::default(),
-            ranking: Ranking::default(),
+            assignment,
             listing_settled: None,
             boxes_received: false,
             partition_monitor: Monitor::default(),
@@ -172,6 +173,7 @@
             }
             Message::Snapshot(snapshot) => {
                 let before = std::mem::replace(&mut self.snapshot, snapshot);
+                self.assignment.set_groups(&self.snapshot.groups);
                 self.update_owned_groups();
                 self.announce_primaries();
                 self.report_taken_duties(&before);
@@ -182,7 +184,7 @@
                 }
             }
             Message::Boxes(boxes) => {
-                self.ranking = Ranking::new(&boxes);
+                self.assignment.set_boxes(&boxes);
                 self.update_listing(&boxes);
                 self.update_owned_groups();
                 self.report_listing();
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -1,7 +1,7 @@
 //! Determines which groups this box owns, and informs them of changes to the list of boxes, the
 //! duties and the primaries.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,22 +10,12 @@
 use super::*;
 use crate::borders::table::Revision;
 use crate::decisions::duty::Duty;
+use crate::decisions::owners::Ownership;
 
 impl Driver {
     /// Starts, updates and drops groups according to the configuration and the list of boxes.
     pub(super) fn update_owned_groups(&mut self) {
-        let name = self.context.settings.name.clone();
-        let mut owned_plans: BTreeMap<Arc<str>, (Arc<Plan>, u32, u32)> = BTreeMap::new();
-        for (id, plan) in &self.snapshot.groups {
-            let chosen = self.ranking.owners_of(plan);
-            let rank = chosen.iter().position(|listing| listing.name == name);
-            if let Some(rank) = rank
-                && !plan.members.is_empty()
-            {
-                let owners = chosen.len() as u32;
-                owned_plans.insert(id.clone(), (plan.clone(), rank as u32, owners));
-            }
-        }
+        let owned_plans = self.assignment.owned().clone();
         self.groups.retain(|id, owned| {
             // An unfinished ballot would leave its fences behind, and the group without a primary
             // until another owner notices.
@@ -35,7 +25,8 @@
         let load_factor = (owned_plans.len() as u32)
             .div_ceil(GROUPS_AT_FULL_PROBE_RATE)
             .max(1);
-        for (id, (plan, rank, owners)) in owned_plans {
+        for (id, ownership) in owned_plans {
+            let Ownership { plan, rank, owners } = ownership;
             match self.groups.get_mut(&id) {
                 Some(owned) => {
                     owned.group.set_rank(rank, load_factor);
@@ -209,13 +200,18 @@
 
     /// Informs groups of their primaries as recorded in the table or announced by peers.
     pub(super) fn announce_primaries(&mut self) {
-        let primaries = self.snapshot.primaries.clone();
-        for (id, record) in primaries.iter() {
+        let owned = self.groups.keys();
+        let recorded = owned.filter_map(|id| Some((id.clone(), self.snapshot.primaries.get(id)?)));
+        let announced = recorded.map(|(id, record)| {
             let event = Event::PrimaryAnnounced {
                 term: record.term,
                 primary: record.member.clone(),
             };
-            self.handle_event(id, event);
+            (id, event)
+        });
+        let announced: Vec<(Arc<str>, Event)> = announced.collect();
+        for (id, event) in announced {
+            self.handle_event(&id, event);
         }
     }
 }
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -12,7 +12,7 @@
 use crate::configs::run::Run;
 use crate::decisions::classify::{Class, classify};
 use crate::decisions::owners::Ranking;
-use crate::declarations::snapshot::Snapshot;
+use crate::declarations::snapshot::{Plan, Snapshot};
 
 /// Maximum number of cached classes. A full cache is cleared.
 const MAX_CLASSES: usize = 10_000;
@@ -50,13 +50,12 @@
     cache: RefCell<Cache>,
 }
 
-/// Owners that are valid for one snapshot and one list of boxes.
+/// Owners that are valid for one list of boxes, each for one plan of the group.
 #[derive(Default)]
 struct Cache {
-    snapshot: Arc<Snapshot>,
     boxes: Arc<[Listing]>,
     ranking: Ranking,
-    owners: HashMap<Arc<str>, Rc<[Listing]>>,
+    owners: HashMap<Arc<str>, (Arc<Plan>, Rc<[Listing]>)>,
 }
 
 impl Routes {
@@ -69,33 +68,31 @@
         settings: &Run,
     ) -> Rc<[Listing]> {
         let mut cache = self.cache.borrow_mut();
-        let current = Arc::ptr_eq(&cache.snapshot, snapshot) && Arc::ptr_eq(&cache.boxes, boxes);
-        if !current {
+        if !Arc::ptr_eq(&cache.boxes, boxes) {
             *cache = Cache {
-                snapshot: snapshot.clone(),
                 boxes: boxes.clone(),
                 ranking: Ranking::new(boxes),
                 owners: HashMap::new(),
             };
         }
-        if let Some(owners) = cache.owners.get(group) {
+        let Some(plan) = snapshot.groups.get(group) else {
+            cache.owners.remove(group);
+            return Rc::from([]);
+        };
+        if let Some((known, owners)) = cache.owners.get(group)
+            && Arc::ptr_eq(known, plan)
+        {
             return owners.clone();
         }
-        let owners = sorted_owners(group, snapshot, &cache.ranking, settings);
-        cache.owners.insert(group.clone(), owners.clone());
+        let owners = sorted_owners(plan, &cache.ranking, settings);
+        cache
+            .owners
+            .insert(group.clone(), (plan.clone(), owners.clone()));
         owners
     }
 }
 
-fn sorted_owners(
-    group: &Arc<str>,
-    snapshot: &Snapshot,
-    ranking: &Ranking,
-    settings: &Run,
-) -> Rc<[Listing]> {
-    let Some(plan) = snapshot.groups.get(group) else {
-        return Rc::from([]);
-    };
+fn sorted_owners(plan: &Plan, ranking: &Ranking, settings: &Run) -> Rc<[Listing]> {
     let mut owners: Vec<Listing> = ranking.owners_of(plan).into_iter().cloned().collect();
     // Boxes that don't own the group start at different owners, to spread their load.
     let hash = xxh3_64(settings.name.as_bytes()) as usize;
--- a/tests/unit/owners.rs
+++ b/tests/unit/owners.rs
@@ -2,8 +2,16 @@
 use std::sync::Arc;
 
 use googletest::prelude::*;
+use imbl::OrdMap;
 use larkfall::borders::roster::Listing;
-use larkfall::decisions::owners::{Ranking, connection_share};
+use larkfall::borders::table::{Revision, Row, Scan};
+use larkfall::decisions::owners::{Assignment, Ranking, connection_share};
+use larkfall::declarations::snapshot::Plan;
+use larkfall::node::configuration::Store;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use slog::Logger;
 
 fn boxes(count: usize) -> Vec<Listing> {
     let listing = |i: usize| Listing {
@@ -86,3 +94,89 @@
     expect_that!(ranking.covers_all_boxes(3), eq(true));
     expect_that!(ranking.covers_all_boxes(2), eq(false));
 }
+
+/// Returns groups with members in one to three failure domains.
+fn plans(count: usize) -> OrdMap<Arc<str>, Arc<Plan>> {
+    let rows = (0..count).flat_map(|g| {
+        let group = format!("g{g}");
+        let members = (0..=g % 3).map(|m| {
+            let domain = format!("d{}", (g + m) % 10);
+            let member = json!({
+                "partner": "p", "group": group, "name": format!("m{m}"), "domain": domain,
+                "sql": "127.0.0.1:1", "control": "127.0.0.1:1",
+            });
+            resource_row(&format!("member/p/{group}.m{m}"), member)
+        });
+        let declared = json!({ "partner": "p", "name": group, "owners": 0, "connections": 400 });
+        let group_row = resource_row(&format!("group/p/{group}"), declared);
+        std::iter::once(group_row)
+            .chain(members)
+            .collect::<Vec<_>>()
+    });
+    let mut store = Store::default();
+    let scan = Scan {
+        head: 1.into(),
+        rows: rows.collect(),
+        ..Scan::default()
+    };
+    let log = Logger::root(slog::Discard, slog::o!());
+    store.apply(Revision::NONE, &scan, &log);
+    store.snapshot().groups
+}
+
+fn resource_row(key: &str, value: serde_json::Value) -> Row {
+    Row {
+        key: format!("resource/{key}").into(),
+        revision: 1.into(),
+        value: Some(value),
+    }
+}
+
+/// Compares the groups that each box knows to own with those chosen from the whole list.
+#[gtest]
+fn owners_that_are_kept_up_to_date_equal_those_selected_anew() {
+    let groups = plans(40);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let name: Arc<str> = "b0".into();
+    let mut kept = Assignment::new(name.clone());
+    kept.set_groups(&groups);
+    let mut listed = boxes(30);
+    for step in 0..300 {
+        let at = random.random_range(1..30);
+        match random.random_range(0..3) {
+            0 => listed[at].leaving = !listed[at].leaving,
+            1 => listed[at].name = format!("new{step}").into(),
+            _ => listed[at].domain = format!("d{}", random.random_range(0..6)).into(),
+        }
+        kept.set_boxes(&listed);
+        let mut anew = Assignment::new(name.clone());
+        anew.set_boxes(&listed);
+        anew.set_groups(&groups);
+        let ranks = |assignment: &Assignment| -> Vec<(Arc<str>, u32, u32)> {
+            let owned = assignment.owned().iter();
+            owned.map(|(id, o)| (id.clone(), o.rank, o.owners)).collect()
+        };
+        assert_eq!(ranks(&kept), ranks(&anew), "step {step}");
+    }
+}
+
+/// A box that joins or leaves moves about as many groups as it owns, however many there are.
+#[gtest]
+fn a_change_of_the_list_selects_owners_of_few_groups() {
+    for count in [100, 300] {
+        let groups = plans(count);
+        let mut listed = boxes(count);
+        let mut assignment = Assignment::new("b0".into());
+        assignment.set_boxes(&listed);
+        assignment.set_groups(&groups);
+        let before = assignment.selections();
+        listed[count / 2].leaving = true;
+        assignment.set_boxes(&listed);
+        listed[count / 2].leaving = false;
+        assignment.set_boxes(&listed);
+        expect_that!(assignment.selections() - before, le(80));
+        let before = assignment.selections();
+        assignment.set_groups(&groups);
+        expect_that!(assignment.selections(), eq(before));
+    }
+}
