perf(node): rows for other boxes are encoded once and sent without a time limit

Cause: a reader cloned and encoded all rows and the whole list of boxes for each follower; hundreds ask at once. A transfer had 1.1 s in all (0.5 s from a peer), whatever the rows and the link, so a large one was given up and begun again. Change: encodings of all rows, of changes and of the list are shared by all answers (bytes::Bytes, the message on the wire is the same); rows that changed are found by sequence number; a transfer is given up once nothing arrives.

--- a/src/commands/operate.rs
+++ b/src/commands/operate.rs
@@ -49,12 +49,10 @@
         headers.extend(version.map(|version| ("if-match", version.to_string())));
         let call = Call {
             method,
-            address: &self.address,
-            path,
             bearer: Some(&self.token),
             headers,
             body: body.map_or(Vec::new(), |body| body.to_string().into_bytes()),
-            timeout: CALL_TIMEOUT,
+            ..Call::get(&self.address, path, CALL_TIMEOUT)
         };
         let bytes = self.client.call(call).await?;
         serde_json::from_slice(&bytes).map_err(|error| HttpError::Failed(error.to_string()))
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,8 +3,9 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client as Legacy;
@@ -77,6 +78,9 @@
     pub headers: Vec<(&'static str, String)>,
     pub body: Vec<u8>,
     pub timeout: Duration,
+    /// If set, `timeout` ends with the first part of the response's body: the transfer then takes as
+    /// long as it needs, but is given up once no data has arrived for this time.
+    pub stall_timeout: Option<Duration>,
 }
 
 impl<'a> Call<'a> {
@@ -90,6 +94,16 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeout,
+            stall_timeout: None,
+        }
+    }
+
+    /// Creates a POST request.
+    pub fn post(address: &'a str, path: &'a str, body: Vec<u8>, timeout: Duration) -> Self {
+        Self {
+            method: Method::POST,
+            body,
+            ..Self::get(address, path, timeout)
         }
     }
 }
@@ -120,16 +134,7 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<Bytes, HttpError> {
-        let call = Call {
-            method: Method::POST,
-            address,
-            path,
-            bearer: None,
-            headers: Vec::new(),
-            body,
-            timeout,
-        };
-        self.call(call).await
+        self.call(Call::post(address, path, body, timeout)).await
     }
 
     pub async fn get(
@@ -160,25 +165,75 @@
         let request = request
             .body(Full::new(Bytes::from(call.body)))
             .map_err(|error| HttpError::Failed(error.to_string()))?;
-        tokio::time::timeout(call.timeout, self.exchange(request))
-            .await
-            .map_err(|_| HttpError::TimedOut)?
+        let stall_timeout = call.stall_timeout;
+        let exchange = self.exchange(request, stall_timeout.is_some());
+        let answer = tokio::time::timeout(call.timeout, exchange).await;
+        let (answer, rest) = answer.map_err(|_| HttpError::TimedOut)??;
+        match stall_timeout {
+            Some(stall_timeout) => receive_rest(answer, rest, stall_timeout).await,
+            None => Ok(answer),
+        }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, HttpError> {
-        let failed = |error: &dyn std::fmt::Display| HttpError::Failed(error.to_string());
+    /// Sends a request, and receives the response or the first part of it. Returns the rest of the
+    /// body separately.
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        first_part: bool,
+    ) -> Result<(Answer, Incoming), HttpError> {
         let response = self.inner.request(request).await;
         let response = response.map_err(|error| match error.is_connect() {
             true => HttpError::Unsent(error.to_string()),
             false => failed(&error),
         })?;
-        let (head, body) = response.into_parts();
-        let body = body.collect().await;
-        let body = body.map_err(|error| failed(&error))?.to_bytes();
-        Ok(Answer {
+        let (head, mut rest) = response.into_parts();
+        let body = match first_part {
+            true => next_part(&mut rest).await?.unwrap_or_default(),
+            false => {
+                let whole = (&mut rest).collect().await;
+                whole.map_err(|error| failed(&error))?.to_bytes()
+            }
+        };
+        let answer = Answer {
             status: head.status,
             headers: head.headers,
             body,
-        })
+        };
+        Ok((answer, rest))
+    }
+}
+
+/// Receives the rest of a body.
+async fn receive_rest(
+    answer: Answer,
+    mut rest: Incoming,
+    stall_timeout: Duration,
+) -> Result<Answer, HttpError> {
+    let mut body = BytesMut::from(answer.body);
+    loop {
+        let part = tokio::time::timeout(stall_timeout, next_part(&mut rest)).await;
+        match part.map_err(|_| HttpError::TimedOut)?? {
+            Some(part) => body.extend_from_slice(&part),
+            None => break,
+        }
     }
+    Ok(Answer {
+        body: body.freeze(),
+        ..answer
+    })
+}
+
+/// Returns the next part of a body; none at its end.
+async fn next_part(body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(part) = frame.map_err(|error| failed(&error))?.into_data() {
+            return Ok(Some(part));
+        }
+    }
+    Ok(None)
+}
+
+fn failed(error: &dyn std::fmt::Display) -> HttpError {
+    HttpError::Failed(error.to_string())
 }
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -161,7 +161,7 @@
     let (snapshot, boxes) = (api.snapshot.clone(), api.boxes.clone());
     let answer = follow::answer_follower(request, &api.configuration, snapshot, boxes).await;
     let answer = answer.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    Ok(pack(&answer))
+    Ok(Response::new(answer.into()))
 }
 
 async fn update(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
@@ -177,9 +177,9 @@
     let (reply, answer) = oneshot::channel();
     let _ = api
         .configuration
-        .send(configuration::Request::Scan { request, reply });
+        .send(configuration::Request::PeerScan { request, reply });
     let scan = answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    Ok(pack(&scan))
+    Ok(Response::new(scan.into()))
 }
 
 async fn boxes(State(api): Shared) -> Response {
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -2,6 +2,7 @@
 //! publishes snapshots and exchanges updates with peers. The revision never decreases.
 
 mod departures;
+mod encoder;
 mod store;
 
 use std::collections::BTreeSet;
@@ -18,7 +19,7 @@
 use super::context::Context;
 use super::message::Message;
 use super::peers;
-use super::updates::{Cursor, FollowAnswer, FollowRequest, ScanRequest, Update};
+use super::updates::{Body, Cursor, FollowAnswer, FollowRequest, ScanRequest, Update};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Revision, Scan, Section};
 use crate::declarations::resource::Key;
@@ -26,6 +27,7 @@
 use crate::events;
 
 pub use departures::Departures;
+pub use encoder::{Encoder, Rows};
 pub use store::Store;
 
 /// Key prefix of rows that record a group's primary.
@@ -64,17 +66,24 @@
 /// A request to the [`Updater`].
 #[derive(Debug)]
 pub enum Request {
-    /// Returns the rows after a revision, for a peer or a watch request.
+    /// Returns the rows after a revision, for a watch request.
     Scan {
         request: ScanRequest,
         reply: oneshot::Sender<Scan>,
     },
+    /// Returns the rows that a peer lacks, encoded.
+    PeerScan {
+        request: ScanRequest,
+        reply: oneshot::Sender<Body>,
+    },
     /// Applies an update that a peer pushed.
     Update(Update),
-    /// Returns the rows and boxes that a follower lacks.
+    /// Returns the rows and boxes that a follower lacks, encoded; none if there are no changes for
+    /// it, unless `required` is set.
     Follow {
         request: FollowRequest,
-        reply: oneshot::Sender<FollowAnswer>,
+        required: bool,
+        reply: oneshot::Sender<Option<Body>>,
     },
     /// Returns the digest of all rows and the revision of the list of boxes.
     Digest {
@@ -103,6 +112,7 @@
     context: Rc<Context>,
     inbox: mpsc::UnboundedReceiver<Request>,
     store: Store,
+    encoder: Encoder,
     departures: Departures,
     /// When the table was last polled successfully.
     last_poll: Option<Duration>,
@@ -136,6 +146,7 @@
             context,
             inbox,
             store: Store::default(),
+            encoder: Encoder::default(),
             departures: Departures::default(),
             last_poll: None,
             snapshot,
@@ -171,29 +182,70 @@
         }
     }
 
-    /// Returns the rows and boxes that a follower lacks.
-    fn answer_follower(&self, request: &FollowRequest) -> FollowAnswer {
-        let cursor = Cursor {
-            epoch: self.epoch,
-            taken: self.store.sequence(),
-        };
+    /// Returns the rows and boxes that a follower lacks; none if there are no changes for it, unless
+    /// `required` is set.
+    fn answer_follower(&mut self, request: &FollowRequest, required: bool) -> Option<Body> {
         let known = request.cursor.filter(|known| known.epoch == self.epoch);
-        let scan = self
-            .store
-            .scan_for_follower(request.digest, known.map(|known| known.taken));
-        let scan = self.with_ages(scan);
-        let newer = self.boxes_revision > request.boxes;
-        let answer_age = self.context.table.answer_age();
-        FollowAnswer {
-            cursor,
-            scan,
+        let heard = self.context.table.answer_age();
+        let boxes = (self.boxes_revision > request.boxes).then(|| self.boxes.borrow().clone());
+        let (rows, scan) = match known {
+            _ if request.digest == self.store.digest() => (Rows::None, self.store.unchanged()),
+            Some(known) => (self.rows_after(known.taken), self.scan_head()),
+            None => (Rows::All, self.store.all_but_rows()),
+        };
+        let changed = known.is_none() || rows != Rows::None || boxes.is_some() || heard.is_none();
+        if !changed && !required {
+            return None;
+        }
+        let answer = FollowAnswer {
+            cursor: Cursor {
+                epoch: self.epoch,
+                taken: self.store.sequence(),
+            },
+            scan: self.with_ages(scan),
             digest: self.store.digest(),
-            boxes: newer.then(|| self.boxes.borrow().to_vec()),
+            boxes: None,
             boxes_revision: self.boxes_revision,
-            heard_ms: answer_age.map(|age| age.as_millis() as u64),
+            heard_ms: heard.map(|age| age.as_millis() as u64),
+        };
+        let store = &self.store;
+        let body = self
+            .encoder
+            .encode_answer(store, &answer, rows, boxes.as_deref());
+        Some(body)
+    }
+
+    /// Selects the rows that changed after a sequence number.
+    fn rows_after(&self, sequence: u64) -> Rows {
+        match self.store.rows_after(sequence).next() {
+            Some(_) => Rows::After(sequence),
+            None => Rows::None,
         }
     }
 
+    /// Returns a scan that tells the newest revision, without rows.
+    fn scan_head(&self) -> Scan {
+        Scan {
+            head: self.store.revision(),
+            ..Scan::default()
+        }
+    }
+
+    /// Returns the rows that a peer lacks.
+    fn answer_peer(&mut self, request: &ScanRequest) -> Body {
+        let (rows, scan) = match request.since {
+            _ if request.digest == self.store.digest() => (Rows::None, self.store.unchanged()),
+            Revision::NONE => (Rows::All, self.store.all_but_rows()),
+            _ => {
+                let mut body = Body::default();
+                body.push(&self.with_ages(self.store.scan_for_peer(request)));
+                return body;
+            }
+        };
+        let scan = self.with_ages(scan);
+        self.encoder.encode_scan(&self.store, &scan, rows)
+    }
+
     fn apply_reader_answer(&mut self, answer: FollowAnswer) {
         self.apply_rows(&Origin::Reader, Revision::NONE, answer.scan);
         if let Some(boxes) = answer.boxes
@@ -225,9 +277,16 @@
             Request::Scan { request, reply } => {
                 let _ = reply.send(self.with_ages(self.store.scan_for_peer(&request)));
             }
+            Request::PeerScan { request, reply } => {
+                let _ = reply.send(self.answer_peer(&request));
+            }
             Request::Update(update) => self.apply_update(update),
-            Request::Follow { request, reply } => {
-                let _ = reply.send(self.answer_follower(&request));
+            Request::Follow {
+                request,
+                required,
+                reply,
+            } => {
+                let _ = reply.send(self.answer_follower(&request, required));
             }
             Request::Digest { reply } => {
                 let _ = reply.send((self.store.digest(), self.boxes_revision));
@@ -318,7 +377,8 @@
         let now = self.context.now();
         if !self.store.apply(since, &scan, &self.context.log) {
             if self.departures.merge_ages(&scan.ages, now) {
-                self.publish(self.store.snapshot());
+                let snapshot = self.store.snapshot();
+                self.publish(snapshot);
             }
             return false;
         }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -12,7 +12,7 @@
 use super::configuration::{Request, Sender};
 use super::context::Context;
 use super::peers;
-use super::updates::{Cursor, FollowAnswer, FollowRequest};
+use super::updates::{Body, Cursor, FollowAnswer, FollowRequest};
 use crate::borders::roster::Listing;
 use crate::borders::table::Polling;
 use crate::decisions::readers::{Schedule, Settings};
@@ -35,15 +35,19 @@
     configuration: &Sender,
     mut snapshot: watch::Receiver<Arc<Snapshot>>,
     mut boxes: watch::Receiver<Arc<[Listing]>>,
-) -> Option<FollowAnswer> {
+) -> Option<Body> {
     let deadline = Instant::now() + MAX_ANSWER_DELAY;
     loop {
         snapshot.mark_unchanged();
         boxes.mark_unchanged();
         let (reply, answered) = oneshot::channel();
-        let _ = configuration.send(Request::Follow { request, reply });
-        let answer = answered.await.ok()?;
-        if answer.has_changes_for(&request) || Instant::now() >= deadline {
+        let required = Instant::now() >= deadline;
+        let _ = configuration.send(Request::Follow {
+            request,
+            required,
+            reply,
+        });
+        if let Some(answer) = answered.await.ok()? {
             return Some(answer);
         }
         tokio::select! {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -17,7 +17,7 @@
 use crate::borders::table::{Commit, Revision, Scan, Verdict, Write};
 use crate::decisions::limit::Loan;
 use crate::declarations::snapshot::Primary;
-use crate::http::HttpError;
+use crate::http::{Call, HttpError};
 
 pub const EXCHANGE: &str = "/peer/exchange";
 pub const ABANDON: &str = "/peer/abandon";
@@ -33,6 +33,9 @@
 
 /// Timeout of calls that don't wait for a member.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without data after which the transfer of a large answer is given up. The time of the whole
+/// transfer depends on the number of declarations, and is not limited.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for asking an owner which members it reaches. Short, as only answers from the same
 /// failure domain matter, and others don't arrive during a partition.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -61,11 +64,34 @@
     request: &Q,
     timeout: Duration,
 ) -> Result<A, HttpError> {
-    let body = rmp_serde::to_vec(request).expect("messages can be serialized");
-    let bytes = context.client.post(address, path, body, timeout).await?;
+    send(context, Call::post(address, path, encode(request), timeout)).await
+}
+
+/// Makes a call whose answer may be large: `timeout` is that of the first part of the answer, and
+/// the transfer of the rest only has to go on.
+async fn transfer<Q: Serialize, A: DeserializeOwned>(
+    context: &Context,
+    address: &str,
+    path: &str,
+    request: &Q,
+    timeout: Duration,
+) -> Result<A, HttpError> {
+    let call = Call {
+        stall_timeout: Some(STALL_TIMEOUT),
+        ..Call::post(address, path, encode(request), timeout)
+    };
+    send(context, call).await
+}
+
+async fn send<A: DeserializeOwned>(context: &Context, call: Call<'_>) -> Result<A, HttpError> {
+    let bytes = context.client.call(call).await?;
     rmp_serde::from_slice(&bytes).map_err(|error| HttpError::Failed(error.to_string()))
 }
 
+fn encode<Q: Serialize>(request: &Q) -> Vec<u8> {
+    rmp_serde::to_vec(request).expect("messages can be serialized")
+}
+
 /// Forwards an exchange to an owner.
 pub async fn forward(
     context: &Context,
@@ -141,7 +167,8 @@
 }
 
 pub async fn fetch_rows(context: &Context, peer: &str, request: &ScanRequest) -> Option<Scan> {
-    call(context, peer, SCAN, request, CALL_TIMEOUT).await.ok()
+    let scan = transfer(context, peer, SCAN, request, CALL_TIMEOUT).await;
+    scan.ok()
 }
 
 /// Asks a reader of the table for changes, and waits until there are some.
@@ -151,11 +178,13 @@
     request: &FollowRequest,
     timeout: Duration,
 ) -> Option<FollowAnswer> {
-    call(context, reader, FOLLOW, request, timeout).await.ok()
+    let answer = transfer(context, reader, FOLLOW, request, timeout).await;
+    answer.ok()
 }
 
 pub async fn fetch_boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
-    call(context, peer, BOXES, &(), CALL_TIMEOUT).await.ok()
+    let boxes = transfer(context, peer, BOXES, &(), CALL_TIMEOUT).await;
+    boxes.ok()
 }
 
 /// Records a group's new primary in the table. Retries until that is done, or the table names a
--- a/src/node/updates.rs
+++ b/src/node/updates.rs
@@ -2,8 +2,10 @@
 //! peer for rows while the table is unavailable, and follows a reader of the table by repeated
 //! requests.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::borders::roster::Listing;
@@ -62,10 +64,41 @@
     pub heard_ms: Option<u64>,
 }
 
-impl FollowAnswer {
-    /// Whether to send the answer at once, instead of waiting for changes.
-    pub fn has_changes_for(&self, request: &FollowRequest) -> bool {
-        let first = request.cursor.is_none_or(|c| c.epoch != self.cursor.epoch);
-        first || !self.scan.rows.is_empty() || self.boxes.is_some() || self.heard_ms.is_none()
+/// An encoded message. Parts that several messages have in common are shared, not copied.
+#[derive(Clone, Debug, Default)]
+pub struct Body {
+    parts: Vec<Bytes>,
+    /// Encoded values after the last part.
+    tail: Vec<u8>,
+}
+
+impl Body {
+    /// Starts an array of `fields` values, which must follow.
+    pub fn push_array(&mut self, fields: u32) {
+        rmp::encode::write_array_len(&mut self.tail, fields).expect("a vector can grow");
+    }
+
+    /// Appends a value.
+    pub fn push<T: Serialize>(&mut self, value: &T) {
+        rmp_serde::encode::write(&mut self.tail, value).expect("messages can be serialized");
+    }
+
+    /// Appends a value that is already encoded.
+    pub fn push_encoded(&mut self, value: Bytes) {
+        self.parts.push(std::mem::take(&mut self.tail).into());
+        self.parts.push(value);
+    }
+
+    /// Returns the parts in order.
+    pub fn into_parts(mut self) -> Vec<Bytes> {
+        self.parts.push(self.tail.into());
+        self.parts
+    }
+}
+
+impl From<Body> for axum::body::Body {
+    fn from(body: Body) -> Self {
+        let parts = body.into_parts().into_iter().map(Ok::<_, Infallible>);
+        axum::body::Body::from_stream(futures::stream::iter(parts))
     }
 }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -8,7 +8,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use hyper::Method;
 use serde_json::json;
 
 use super::protocol::parse_position;
@@ -87,17 +86,17 @@
     async fn order_promotion(&self, order: &Order) -> Result<(), MemberError> {
         let body = json!({ "backend": self.member.group, "id": self.member.name });
         let call = Call {
-            method: Method::POST,
-            address: &self.cloud_api,
-            path: "/promote",
-            bearer: None,
             headers: vec![
                 ("content-type", "application/json".to_owned()),
                 ("x-duty-holder", order.holder.to_string()),
                 ("x-fencing-token", order.generation.to_string()),
             ],
-            body: body.to_string().into_bytes(),
-            timeout: ORDER_TIMEOUT,
+            ..Call::post(
+                &self.cloud_api,
+                "/promote",
+                body.to_string().into_bytes(),
+                ORDER_TIMEOUT,
+            )
         };
         let answered = self.client.call(call).await;
         answered
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,6 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use hyper::Method;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -242,13 +241,8 @@
         };
         let body = serde_json::to_vec(&transaction).expect("a transaction can be serialized");
         let call = Call {
-            method: Method::POST,
-            address: &self.address,
-            path: "/v1/rows-tx",
-            bearer: None,
             headers: vec![("content-type", "application/json".to_owned())],
-            body,
-            timeout: CALL_TIMEOUT,
+            ..Call::post(&self.address, "/v1/rows-tx", body, CALL_TIMEOUT)
         };
         let (body, era) = self.call(call).await?;
         let committed: Committed = decode(&body)?;
--- a/src/standin/platform_client.rs
+++ b/src/standin/platform_client.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use hyper::Method;
 use serde::de::DeserializeOwned;
 
 use super::platform::ERA_HEADER;
@@ -133,10 +132,8 @@
         let body = serde_json::to_vec(&to_wire(commit)).expect("a commit is plain data");
         let json = ("content-type", "application/json".to_owned());
         let call = Call {
-            method: Method::POST,
             headers: vec![json],
-            body,
-            ..Call::get(&self.address, "/commit", TIMEOUT)
+            ..Call::post(&self.address, "/commit", body, TIMEOUT)
         };
         let (verdict, era): (Verdict, u64) = self.request(call).await?;
         // If the era changed during the request, an expected revision number may belong to another
--- a/src/trial/cluster.rs
+++ b/src/trial/cluster.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use anyhow::{Context, anyhow};
-use hyper::Method;
 use serde_json::{Value, json};
 
 use super::client::{Client, ClientError};
@@ -271,13 +270,13 @@
     ) -> anyhow::Result<()> {
         let address = format!("{}:{port}", instance.ip);
         let call = Call {
-            method: Method::POST,
-            address: &address,
-            path,
-            bearer: None,
             headers: vec![("content-type", "application/json".to_owned())],
-            body: body.to_string().into_bytes(),
-            timeout: REQUEST_TIMEOUT,
+            ..Call::post(
+                &address,
+                path,
+                body.to_string().into_bytes(),
+                REQUEST_TIMEOUT,
+            )
         };
         self.http.call(call).await.map_err(|error| anyhow!(error))?;
         Ok(())
@@ -367,13 +366,14 @@
         let address = self.api_address(index);
         let body = json!({ "resources": resources });
         let call = Call {
-            method: Method::POST,
-            address: &address,
-            path: "/v1/resources",
             bearer: Some(token),
             headers: vec![("content-type", "application/json".to_owned())],
-            body: body.to_string().into_bytes(),
-            timeout: Duration::from_secs(10),
+            ..Call::post(
+                &address,
+                "/v1/resources",
+                body.to_string().into_bytes(),
+                Duration::from_secs(10),
+            )
         };
         let bytes = self.http.call(call).await?;
         Ok(serde_json::from_slice(&bytes).unwrap_or_default())
--- a/tests/unit/configuration.rs
+++ b/tests/unit/configuration.rs
@@ -1,13 +1,14 @@
 //! A box's local state of the table, from the table itself and from peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use googletest::prelude::*;
+use larkfall::borders::roster::Listing;
 use larkfall::borders::table::{Revision, Row, Scan, Section};
 use larkfall::decisions::duty::{Claim, Duty};
-use larkfall::node::configuration::Store;
-use larkfall::node::updates::ScanRequest;
+use larkfall::node::configuration::{Encoder, Rows, Store};
+use larkfall::node::updates::{Body, Cursor, FollowAnswer, ScanRequest};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -391,6 +392,202 @@
     }
 }
 
+/// Returns a store of groups with three members and a keyless database each.
+fn declared(groups: usize) -> Store {
+    let mut store = Store::default();
+    let rows: Vec<Row> = (0..groups).flat_map(group_rows).collect();
+    apply_scan(&mut store, &scan(1, &rows));
+    store
+}
+
+fn group_rows(number: usize) -> Vec<Row> {
+    let group = format!("g{number}");
+    let declared = json!({ "partner": "p", "name": group });
+    let database = json!({ "partner": "p", "name": group, "group": group });
+    let mut rows = vec![
+        resource(&format!("group/p/{group}"), 1, Some(declared)),
+        resource(&format!("database/p/{group}"), 1, Some(database)),
+    ];
+    rows.extend((0..3).map(|member| member_row(number, member, 1, false)));
+    rows
+}
+
+fn member_row(group: usize, member: usize, revision: u64, leaving: bool) -> Row {
+    let value = json!({
+        "partner": "p", "group": format!("g{group}"), "name": format!("m{member}"), "domain": "d",
+        "sql": "127.0.0.1:1", "control": "127.0.0.1:1", "leaving": leaving,
+    });
+    resource(
+        &format!("member/p/g{group}.m{member}"),
+        revision,
+        Some(value),
+    )
+}
+
+fn resource(key: &str, revision: u64, value: Option<serde_json::Value>) -> Row {
+    Row {
+        key: format!("resource/{key}").into(),
+        revision: revision.into(),
+        value,
+    }
+}
+
+/// Guards against work on all groups for each change in every box.
+#[gtest]
+fn a_change_rebuilds_only_the_plan_of_its_group() {
+    for groups in [30, 300] {
+        let mut store = declared(groups);
+        let before = store.snapshot();
+        let rebuilt = store.rebuilt_plans();
+        apply_scan(&mut store, &scan(2, &[member_row(7, 1, 2, true)]));
+        let after = store.snapshot();
+        expect_that!(store.rebuilt_plans() - rebuilt, eq(1));
+        expect_that!(after.groups["p/g7"].members[1].leaving, eq(true));
+        let same = |id: &str| Arc::ptr_eq(&before.groups[id], &after.groups[id]);
+        expect_that!(same("p/g8"), eq(true));
+        expect_that!(same("p/g7"), eq(false));
+        expect_that!(after.departed_since(&before).count(), eq(1));
+    }
+}
+
+/// Compares a snapshot that was built change by change with one built from the final rows.
+#[gtest]
+fn a_snapshot_depends_only_on_the_final_rows() {
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    let mut store = Store::default();
+    for revision in 1..400 {
+        let (group, name) = (random.random_range(0..4), random.random_range(0..3));
+        let partner = ["p", "q"][random.random_range(0..2)];
+        let key = match random.random_range(0..5) {
+            0 => format!("group/{partner}/g{group}"),
+            1 => format!("member/{partner}/g{group}.m{name}"),
+            2 => format!("read/{partner}/g{group}.r{name}"),
+            3 => format!("database/{partner}/d{name}"),
+            _ => format!("workspace/{partner}/w{name}"),
+        };
+        let value = json!({
+            "group": json!({ "partner": partner, "name": format!("g{group}") }),
+            "member": json!({
+                "partner": partner, "group": format!("g{group}"), "name": format!("m{name}"),
+                "domain": "d", "sql": "127.0.0.1:1", "control": "127.0.0.1:1",
+            }),
+            "read": json!({
+                "partner": partner, "group": format!("g{group}"), "name": format!("r{name}"),
+                "tables": ["t"],
+            }),
+            "database": json!({
+                "partner": partner, "name": format!("d{name}"), "group": format!("g{group}"),
+                "keyed": random.random_bool(0.5),
+            }),
+            "workspace": json!({
+                "partner": partner, "name": format!("w{name}"), "keys": ["a".repeat(64)],
+            }),
+        });
+        let kind = key.split('/').next().expect("a kind");
+        let value = random.random_bool(0.6).then(|| value[kind].clone());
+        apply_scan(
+            &mut store,
+            &scan(revision, &[resource(&key, revision, value)]),
+        );
+        let mut anew = Store::default();
+        apply_scan(&mut anew, &store.scan_since(Revision::NONE));
+        let (known, expected) = (store.snapshot(), anew.snapshot());
+        expect_that!(known.groups, eq(&expected.groups));
+        expect_that!(known.databases, eq(&expected.databases));
+        expect_that!(known.workspaces, eq(&expected.workspaces));
+        expect_that!(known.workspaces_by_key, eq(&expected.workspaces_by_key));
+    }
+}
+
+/// Returns an answer to a follower without its rows.
+fn follow_answer(store: &Store) -> FollowAnswer {
+    FollowAnswer {
+        cursor: Cursor {
+            epoch: 5,
+            taken: store.sequence(),
+        },
+        scan: store.all_but_rows(),
+        digest: store.digest(),
+        boxes: None,
+        boxes_revision: 9.into(),
+        heard_ms: Some(20),
+    }
+}
+
+fn decode(body: Body) -> FollowAnswer {
+    let bytes = body.into_parts().concat();
+    rmp_serde::from_slice(&bytes).expect("an answer can be decoded")
+}
+
+/// Boxes of earlier versions decode the answer as a whole.
+#[gtest]
+fn an_answer_of_shared_parts_is_encoded_like_the_whole_answer() {
+    let mut store = declared(3);
+    let listing = Listing {
+        name: "b".into(),
+        address: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        leaving: false,
+        link_mbps: 10,
+    };
+    let boxes = [listing];
+    let sequence = store.sequence();
+    apply_scan(&mut store, &scan(2, &[member_row(1, 1, 2, true)]));
+    let mut encoder = Encoder::default();
+    let answer = follow_answer(&store);
+    for (rows, scan) in [
+        (Rows::All, store.scan_since(Revision::NONE)),
+        (
+            Rows::After(sequence),
+            store.scan_for_follower(0, Some(sequence)),
+        ),
+        (Rows::None, store.all_but_rows()),
+    ] {
+        let whole = FollowAnswer {
+            scan: Scan {
+                rows: scan.rows,
+                ..store.all_but_rows()
+            },
+            boxes: Some(boxes.to_vec()),
+            ..follow_answer(&store)
+        };
+        let body = encoder.encode_answer(&store, &answer, rows, Some(&boxes));
+        let encoded = rmp_serde::to_vec(&whole).expect("an answer can be encoded");
+        expect_that!(body.into_parts().concat(), eq(&encoded));
+    }
+    let body = encoder.encode_answer(&store, &answer, Rows::None, None);
+    expect_that!(decode(body).boxes, none());
+}
+
+/// Guards against a copy of all rows for each of the boxes that start at the same time.
+#[gtest]
+fn rows_are_encoded_once_however_many_boxes_ask() {
+    let mut store = declared(100);
+    let mut encoder = Encoder::default();
+    let answer = follow_answer(&store);
+    let bodies: Vec<Body> = (0..200)
+        .map(|_| encoder.encode_answer(&store, &answer, Rows::All, None))
+        .collect();
+    expect_that!(encoder.encoded_rows(), eq(500));
+    let parts = bodies.into_iter().map(Body::into_parts);
+    let rows: BTreeSet<*const u8> = parts.map(|parts| parts[1].as_ptr()).collect();
+    expect_that!(rows.len(), eq(1));
+    // Followers at many positions share a few encodings of the changes.
+    let first = store.sequence();
+    for change in 0..100 {
+        let row = member_row(change, 1, 2 + change as u64, true);
+        apply_scan(&mut store, &scan(2 + change as u64, &[row]));
+    }
+    let before = encoder.encoded_rows();
+    let answer = follow_answer(&store);
+    for change in 0..100 {
+        let after = first + change;
+        let body = encoder.encode_answer(&store, &answer, Rows::After(after), None);
+        expect_that!(decode(body).scan.rows.len(), ge((100 - change) as usize));
+    }
+    expect_that!(encoder.encoded_rows() - before, le(800));
+}
+
 /// Guards against a box falling back to an older version because of outdated or reordered answers
 /// of other boxes.
 #[gtest]
