perf(readers): a follower keeps its reader; fast links serve more boxes

Cause: followers changed the reader with each question. Readers learn of changes at different moments, so a follower that had heard of one from another reader asked for all rows again. Change: a follower asks one reader until that fails or has no recent state.

--- a/src/decisions/readers.rs
+++ b/src/decisions/readers.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::borders::roster::Listing;
 use crate::borders::table::Polling;
@@ -22,8 +22,11 @@
 const MAX_BOXES_WITHOUT_READERS: usize = 4;
 /// Minimum number of readers, so that one may be down.
 const MIN_READERS: usize = 2;
-/// Maximum number of boxes for each reader, which bounds the bytes that a reader passes on.
+/// Number of boxes that any reader can serve, which bounds the bytes that it passes on.
 const BOXES_PER_READER: usize = 16;
+/// Bandwidth of a reader's link for each box, in Mbit/s. A reader with a faster link serves more
+/// than [`BOXES_PER_READER`] boxes.
+const LINK_MBPS_PER_BOX: usize = 5;
 /// Percentage of [`Settings::apply`] after which a reader's state is stale. The rest is left for
 /// polling the table.
 const STALE_PERCENT: u32 = 73;
@@ -78,13 +81,22 @@
     if candidates.len() <= MAX_BOXES_WITHOUT_READERS {
         return Vec::new();
     }
-    let count = candidates.len().div_ceil(BOXES_PER_READER);
     // Boxes with faster links first, as changes may be large.
     candidates.sort_by_key(|l| (std::cmp::Reverse(l.link_mbps), xxh3_64(l.name.as_bytes())));
-    candidates.truncate(count.max(MIN_READERS));
+    candidates.truncate(count_readers(&candidates).max(MIN_READERS));
     candidates
 }
 
+/// Returns how many of the candidates, from the first on, can serve all of them.
+fn count_readers(candidates: &[&Listing]) -> usize {
+    let mut served = 0;
+    let sufficient = candidates.iter().position(|listing| {
+        served += BOXES_PER_READER.max(listing.link_mbps as usize / LINK_MBPS_PER_BOX);
+        served >= candidates.len()
+    });
+    sufficient.map_or(candidates.len(), |last| last + 1)
+}
+
 /// Role of a box in its failure domain.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Role {
@@ -105,9 +117,11 @@
     settings: Settings,
     started: Duration,
     role: Role,
-    /// Addresses of the readers; empty unless this box is a follower.
+    /// Addresses of the readers, in the order in which this box tries them; empty unless this box
+    /// is a follower.
     readers: Vec<Arc<str>>,
-    next_index: usize,
+    /// The reader that was asked last.
+    current: Option<Arc<str>>,
     /// Readers to skip, each until the given time.
     backoffs: HashMap<Arc<str>, Duration>,
     /// Latest time at which the local state is known to match the table.
@@ -132,11 +146,14 @@
             true => Role::Reader,
             false => Role::Follower,
         };
+        let own_hash = xxh3_64(name.as_bytes());
+        let own_order = |address: &Arc<str>| xxh3_64_with_seed(address.as_bytes(), own_hash);
         let addresses = chosen.iter().map(|reader| reader.address.clone());
         self.readers = match self.role {
             Role::Follower => addresses.collect(),
             _ => Vec::new(),
         };
+        self.readers.sort_by_cached_key(own_order);
     }
 
     /// Returns how this box polls the table.
@@ -175,19 +192,27 @@
         now < self.start_end()
     }
 
-    /// Returns the reader to ask next. Readers take turns, so that one without recent state is
-    /// noticed.
+    /// Returns the reader to ask next: the same one until it fails or has no recent state. Readers
+    /// learn of changes at different times, so a box that changes between them would need all rows
+    /// each time, instead of those that changed since the last answer.
     pub fn next_reader(&mut self, now: Duration) -> Option<Arc<str>> {
-        let backoffs = &self.backoffs;
-        let available =
-            |reader: &&Arc<str>| backoffs.get(*reader).is_none_or(|until| now >= *until);
-        let available: Vec<&Arc<str>> = self.readers.iter().filter(available).collect();
-        let count = available.len();
-        let chosen = available
-            .get(self.next_index % count.max(1))
-            .map(|reader| (*reader).clone());
-        self.next_index = self.next_index.wrapping_add(1);
-        chosen
+        let current = self.current.take();
+        let current = current
+            .filter(|current| self.readers.contains(current) && self.is_available(current, now));
+        self.current = current.or_else(|| self.first_available(now));
+        self.current.clone()
+    }
+
+    /// Returns the first available reader in this box's own order, so that the followers are spread
+    /// over all readers.
+    fn first_available(&self, now: Duration) -> Option<Arc<str>> {
+        let available = self.readers.iter();
+        let mut available = available.filter(|reader| self.is_available(reader, now));
+        available.next().cloned()
+    }
+
+    fn is_available(&self, reader: &Arc<str>, now: Duration) -> bool {
+        self.backoffs.get(reader).is_none_or(|until| now >= *until)
     }
 
     /// Records an answer of a reader; `age` is the time since the table answered the reader, if
