--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -115,20 +115,20 @@
         owners
     }
 
-    /// Returns the owners of a declared group, best first.
-    pub fn owners_of(&self, plan: &Plan) -> Vec<&Listing> {
-        let (count, domains) = (self.count_for(plan), member_domains(plan));
+    /// Returns the owners of one of `groups` declared groups, best first.
+    pub fn owners_of(&self, plan: &Plan, groups: usize) -> Vec<&Listing> {
+        let (count, domains) = (self.count_for(plan, groups), member_domains(plan));
         self.owners(&plan.id, count, &domains)
     }
 
-    /// Returns the number of owners of a declared group.
-    fn count_for(&self, plan: &Plan) -> usize {
+    /// Returns the number of owners of one of `groups` declared groups.
+    fn count_for(&self, plan: &Plan, groups: usize) -> usize {
         let group = &plan.group;
         let per_slot = match plan.keyed {
             true => KEYED_OWNERS_PER_SLOT,
             false => OWNERS_PER_SLOT,
         };
-        let useful = group.slots * per_slot;
+        let useful = (group.slots * per_slot).min(affordable_owners(&plan.id, self.len(), groups));
         owner_count(group.owners, group.connections, useful, self.len())
     }
 }
@@ -192,6 +192,18 @@
     }
 }
 
+/// Returns the number of owners that a group can have so that a box owns no more than
+/// [`GROUPS_PER_BOX`] on average. Every owner opens connections to the members and probes them,
+/// which otherwise costs each box more the more groups there are.
+///
+/// Each group rounds at a point of its own. If all rounded at the same one, a single box that joins
+/// or leaves could change the owners of every group.
+fn affordable_owners(group: &str, boxes: usize, groups: usize) -> u32 {
+    let average = (GROUPS_PER_BOX * boxes) as f64 / groups.max(1) as f64;
+    let rounding = xxh3_64(group.as_bytes()) as f64 / u64::MAX as f64;
+    (average + rounding).max(MIN_OWNERS) as u32
+}
+
 /// Returns a group's owners in the order in which a workspace's statements try them: those of
 /// the caller's failure domain first, each part in an order of the workspace's own. A connection
 /// serves a single workspace, so a workspace should keep to few owners.
@@ -222,6 +234,13 @@
 /// of a member's connections, and more workspaces find one of theirs open.
 const KEYED_OWNERS_PER_SLOT: u32 = 2;
 
+/// Average number of groups that a box owns in a large system.
+pub const GROUPS_PER_BOX: usize = 6;
+
+/// Number of owners that a group gets however many groups there are: two remain if a failure domain
+/// is lost.
+const MIN_OWNERS: f64 = 3.0;
+
 /// Connections to a member that an owner needs: one for an open transaction, and one more.
 pub const MIN_CONNECTION_SHARE: usize = 2;
 
--- a/src/decisions/owners/assignment.rs
+++ b/src/decisions/owners/assignment.rs
@@ -29,6 +29,8 @@
     /// Name of this box.
     name: Arc<str>,
     ranking: Ranking,
+    /// Number of declared groups.
+    declared: usize,
     groups: HashMap<Arc<str>, Assigned>,
     owned: BTreeMap<Arc<str>, Ownership>,
     /// Number of times that a group's owners were selected.
@@ -63,18 +65,35 @@
         }
         let weight = self.weigher.weight(candidate);
         let domain = &candidate.listing.domain;
+        if self.owners.iter().any(|owner| owner.domain == *domain) {
+            return self.outweighs_within(domain, weight);
+        }
+        // Owners beyond the best of each domain give way to the best of another domain.
+        let mut domains = HashSet::new();
+        let one_per_domain = self
+            .owners
+            .iter()
+            .all(|owner| domains.insert(&owner.domain));
+        let mut others = self
+            .owners
+            .iter()
+            .filter(|o| !self.has_member_in(&o.domain));
+        !one_per_domain || self.has_member_in(domain) || others.any(|o| weight > o.weight)
+    }
+
+    /// Whether a box outweighs an owner, if its domain has owners. The best box of another domain
+    /// stays an owner whatever its weight is.
+    fn outweighs_within(&self, domain: &Arc<str>, weight: u64) -> bool {
         let mut domains = HashSet::new();
-        let mut represented = false;
-        for owner in &self.owners {
+        self.owners.iter().any(|owner| {
             let is_best = domains.insert(&owner.domain);
-            let same_domain = owner.domain == *domain;
-            represented |= same_domain;
-            // The best box of another domain stays an owner whatever its weight is.
-            if weight > owner.weight && (same_domain || !is_best) {
-                return true;
-            }
-        }
-        !represented
+            weight > owner.weight && (owner.domain == *domain || !is_best)
+        })
+    }
+
+    fn has_member_in(&self, domain: &Arc<str>) -> bool {
+        let members = &self.plan.members;
+        members.iter().any(|member| member.domain == *domain)
     }
 }
 
@@ -108,8 +127,9 @@
         let removed: Vec<u64> = known.difference(&listed).map(|(hash, _)| *hash).collect();
         let added = self.ranking.candidates();
         let added: Vec<&Candidate> = added.filter(|c| !known.contains(&identity(c))).collect();
+        let groups = self.declared;
         let is_affected = |assigned: &Assigned| {
-            assigned.count != self.ranking.count_for(&assigned.plan)
+            assigned.count != self.ranking.count_for(&assigned.plan, groups)
                 || removed.iter().any(|hash| assigned.is_owner(*hash))
                 || added.iter().any(|candidate| assigned.may_gain(candidate))
         };
@@ -124,18 +144,27 @@
     pub fn set_groups(&mut self, groups: &OrdMap<Arc<str>, Arc<Plan>>) {
         self.groups.retain(|id, _| groups.contains_key(id));
         self.owned.retain(|id, _| groups.contains_key(id));
+        self.declared = groups.len();
         for (id, plan) in groups {
+            let count = self.ranking.count_for(plan, self.declared);
             let known = self.groups.get(id);
-            if known.is_none_or(|known| !Arc::ptr_eq(&known.plan, plan)) {
+            let is_current =
+                |known: &Assigned| Arc::ptr_eq(&known.plan, plan) && known.count == count;
+            if !known.is_some_and(is_current) {
                 self.assign(plan.clone());
             }
         }
     }
 
+    /// Returns the owners of a group, best first.
+    pub fn owners_of(&self, plan: &Plan) -> Vec<&Listing> {
+        self.ranking.owners_of(plan, self.declared)
+    }
+
     /// Selects the owners of a group.
     fn assign(&mut self, plan: Arc<Plan>) {
         self.selections += 1;
-        let count = self.ranking.count_for(&plan);
+        let count = self.ranking.count_for(&plan, self.declared);
         let selected = self.ranking.select(&plan.id, count, &member_domains(&plan));
         let own_rank = selected
             .iter()
--- a/src/decisions/readers.rs
+++ b/src/decisions/readers.rs
@@ -126,6 +126,9 @@
     backoffs: HashMap<Arc<str>, Duration>,
     /// Latest time at which the local state is known to match the table.
     current_at: Option<Duration>,
+    /// When a reader last showed that it will pass on its first state: it is starting too, or the
+    /// transfer to this box has made progress.
+    expected_at: Option<Duration>,
 }
 
 impl Schedule {
@@ -174,12 +177,28 @@
         let stale_at = self
             .current_at
             .map(|current_at| current_at + self.max_age());
-        self.start_end().max(stale_at.unwrap_or_default())
+        stale_at.unwrap_or_default().max(self.start_end())
     }
 
-    /// Returns when the start phase ends.
+    /// Returns when the start phase ends. A system that starts as a whole takes longer the larger it
+    /// is, so a box waits while its first state is on its way: the alternative is that each box
+    /// reads all rows from the table.
     fn start_end(&self) -> Duration {
-        self.started + self.settings.roster_wait + self.settings.reader_wait
+        let first = self.started + self.settings.roster_wait;
+        let expected = self.expected_at.filter(|_| self.current_at.is_none());
+        first.max(expected.unwrap_or_default()) + self.settings.reader_wait
+    }
+
+    /// Records that the transfer of a reader's state has made progress.
+    pub fn record_progress(&mut self, now: Duration) {
+        self.expected_at = Some(now);
+    }
+
+    /// Records that a reader answers, but has no recent state itself. It may be cut off from the
+    /// table, so this delays polling only for as long as a state may remain unconfirmed.
+    fn record_starting_reader(&mut self, now: Duration) {
+        let limit = self.started + self.settings.roster_wait + self.max_age();
+        self.expected_at = self.expected_at.max(Some(now.min(limit)));
     }
 
     /// Returns the age from which state passed on by a reader is stale.
@@ -222,7 +241,12 @@
             Some(age) if age < self.max_age() => {
                 self.current_at = self.current_at.max(Some(now.saturating_sub(age)));
             }
-            _ => self.record_failure(reader, now),
+            _ => {
+                if self.is_starting(now) {
+                    self.record_starting_reader(now);
+                }
+                self.record_failure(reader, now);
+            }
         }
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::Client as Legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::watch;
 
 /// Time after which an unused connection in the pool is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -81,6 +82,8 @@
     /// If set, `timeout` ends with the first part of the response's body: the transfer then takes as
     /// long as it needs, but is given up once no data has arrived for this time.
     pub stall_timeout: Option<Duration>,
+    /// Receives the number of bytes of the body that have arrived, if `stall_timeout` is set.
+    pub progress: Option<&'a watch::Sender<usize>>,
 }
 
 impl<'a> Call<'a> {
@@ -95,6 +98,7 @@
             body: Vec::new(),
             timeout,
             stall_timeout: None,
+            progress: None,
         }
     }
 
@@ -170,7 +174,7 @@
         let answer = tokio::time::timeout(call.timeout, exchange).await;
         let (answer, rest) = answer.map_err(|_| HttpError::TimedOut)??;
         match stall_timeout {
-            Some(stall_timeout) => receive_rest(answer, rest, stall_timeout).await,
+            Some(stall_timeout) => receive_rest(answer, rest, stall_timeout, call.progress).await,
             None => Ok(answer),
         }
     }
@@ -209,9 +213,13 @@
     answer: Answer,
     mut rest: Incoming,
     stall_timeout: Duration,
+    progress: Option<&watch::Sender<usize>>,
 ) -> Result<Answer, HttpError> {
     let mut body = BytesMut::from(answer.body);
     loop {
+        if let Some(progress) = progress {
+            progress.send_replace(body.len());
+        }
         let part = tokio::time::timeout(stall_timeout, next_part(&mut rest)).await;
         match part.map_err(|_| HttpError::TimedOut)?? {
             Some(part) => body.extend_from_slice(&part),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -26,7 +26,7 @@
 use crate::decisions::confirmation::Outcome;
 use crate::decisions::duty::Claim;
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
-use crate::decisions::owners::Assignment;
+use crate::decisions::owners::{Assignment, GROUPS_PER_BOX};
 use crate::decisions::partition::Monitor;
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
@@ -35,7 +35,7 @@
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Number of groups up to which a box probes members at the full rate. A box that owns more probes
 /// them less often, which bounds its control traffic but slows down detection.
-const GROUPS_AT_FULL_PROBE_RATE: u32 = 6;
+const GROUPS_AT_FULL_PROBE_RATE: u32 = GROUPS_PER_BOX as u32;
 /// Maximum number of owners asked whether they suspect a primary; enough for opinions from every
 /// failure domain.
 const MAX_ASKED_OWNERS: usize = 10;
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -187,7 +187,7 @@
         let plan = &owned.group.plan;
         let term = owned.group.term();
         let own_name = &self.context.settings.name;
-        let owners = self.assignment.ranking().owners_of(plan).into_iter();
+        let owners = self.assignment.owners_of(plan).into_iter();
         let others = owners.filter(|listing| listing.name != *own_name);
         for listing in others.take(MAX_ASKED_OWNERS) {
             let near = listing.domain == self.context.settings.domain;
@@ -214,9 +214,8 @@
     /// may be outdated, the ballot waits until the leases have expired.
     pub(super) fn revoke_leases(&self, id: &Arc<str>, owned: &Owned, term: u64) {
         let own_name = &self.context.settings.name;
-        let ranking = self.assignment.ranking();
-        let owners = ranking.owners_of(&owned.group.plan);
-        if !ranking.covers_all_boxes(owners.len()) {
+        let owners = self.assignment.owners_of(&owned.group.plan);
+        if !self.assignment.ranking().covers_all_boxes(owners.len()) {
             // A box with an older list may also act as an owner.
             return;
         }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -138,25 +138,29 @@
     }
 
     /// Asks a reader for changes. Resumes polling the table if the known state becomes stale before
-    /// the answer arrives.
+    /// the answer arrives, or a first transfer of all rows stops.
     async fn ask_reader(&mut self, reader: &Arc<str>) {
         let context = self.context.clone();
-        let paused_until = self.readers.paused_until();
         let Some(request) = self.create_request(reader).await else {
             return self.readers.record_failure(reader, context.now());
         };
-        let time_left = paused_until.saturating_sub(context.now());
-        let answer = {
-            let answer =
-                peers::follow(&context, reader, &request, MAX_ANSWER_DELAY + ANSWER_MARGIN);
-            tokio::pin!(answer);
-            match tokio::time::timeout(time_left, &mut answer).await {
-                Ok(answer) => answer,
-                Err(_) => {
-                    self.update_polling();
-                    answer.await
-                }
+        let progress = watch::Sender::new(0);
+        let timeout = MAX_ANSWER_DELAY + ANSWER_MARGIN;
+        let answer = peers::follow(&context, reader, &request, timeout, &progress);
+        tokio::pin!(answer);
+        let answer = loop {
+            let received = *progress.borrow();
+            let paused_until = self.readers.paused_until();
+            let time_left = paused_until.saturating_sub(context.now());
+            let answered = tokio::time::timeout(time_left, &mut answer).await;
+            if let Ok(answer) = answered {
+                break answer;
             }
+            if *progress.borrow() == received {
+                self.update_polling();
+                break answer.await;
+            }
+            self.readers.record_progress(context.now());
         };
         match answer {
             Some(answer) => self.apply_answer(reader, answer),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,6 +7,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::watch;
 
 use super::configuration::PRIMARY_PREFIX;
 use super::context::Context;
@@ -75,9 +76,11 @@
     path: &str,
     request: &Q,
     timeout: Duration,
+    progress: Option<&watch::Sender<usize>>,
 ) -> Result<A, HttpError> {
     let call = Call {
         stall_timeout: Some(STALL_TIMEOUT),
+        progress,
         ..Call::post(address, path, encode(request), timeout)
     };
     send(context, call).await
@@ -167,23 +170,25 @@
 }
 
 pub async fn fetch_rows(context: &Context, peer: &str, request: &ScanRequest) -> Option<Scan> {
-    let scan = transfer(context, peer, SCAN, request, CALL_TIMEOUT).await;
+    let scan = transfer(context, peer, SCAN, request, CALL_TIMEOUT, None).await;
     scan.ok()
 }
 
-/// Asks a reader of the table for changes, and waits until there are some.
+/// Asks a reader of the table for changes, and waits until there are some. `progress` receives the
+/// number of bytes that have arrived.
 pub async fn follow(
     context: &Context,
     reader: &str,
     request: &FollowRequest,
     timeout: Duration,
+    progress: &watch::Sender<usize>,
 ) -> Option<FollowAnswer> {
-    let answer = transfer(context, reader, FOLLOW, request, timeout).await;
+    let answer = transfer(context, reader, FOLLOW, request, timeout, Some(progress)).await;
     answer.ok()
 }
 
 pub async fn fetch_boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
-    let boxes = transfer(context, peer, BOXES, &(), CALL_TIMEOUT).await;
+    let boxes = transfer(context, peer, BOXES, &(), CALL_TIMEOUT, None).await;
     boxes.ok()
 }
 
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -50,12 +50,20 @@
     cache: RefCell<Cache>,
 }
 
-/// Owners that are valid for one list of boxes, each for one plan of the group.
+/// The owners of a group as of one plan.
+struct Route {
+    plan: Arc<Plan>,
+    owners: Rc<[Listing]>,
+}
+
+/// Owners that are valid for one list of boxes and one number of groups, each for one plan of the
+/// group.
 #[derive(Default)]
 struct Cache {
     boxes: Arc<[Listing]>,
+    groups: usize,
     ranking: Ranking,
-    owners: HashMap<Arc<str>, (Arc<Plan>, Rc<[Listing]>)>,
+    owners: HashMap<Arc<str>, Route>,
 }
 
 impl Routes {
@@ -72,6 +80,7 @@
             *cache = Cache {
                 boxes: boxes.clone(),
                 ranking: Ranking::new(boxes),
+                groups: snapshot.groups.len(),
                 owners: HashMap::new(),
             };
         }
@@ -79,21 +88,34 @@
             cache.owners.remove(group);
             return Rc::from([]);
         };
-        if let Some((known, owners)) = cache.owners.get(group)
-            && Arc::ptr_eq(known, plan)
+        if let Some(known) = cache.owners.get(group)
+            && Arc::ptr_eq(&known.plan, plan)
+            && cache.groups == snapshot.groups.len()
         {
-            return owners.clone();
+            return known.owners.clone();
         }
-        let owners = sorted_owners(plan, &cache.ranking, settings);
-        cache
-            .owners
-            .insert(group.clone(), (plan.clone(), owners.clone()));
+        if cache.groups != snapshot.groups.len() {
+            // The number of owners of each group may depend on it.
+            cache.groups = snapshot.groups.len();
+            cache.owners.clear();
+        }
+        let owners = sorted_owners(plan, &cache, settings);
+        let route = Route {
+            plan: plan.clone(),
+            owners: owners.clone(),
+        };
+        cache.owners.insert(group.clone(), route);
         owners
     }
 }
 
-fn sorted_owners(plan: &Plan, ranking: &Ranking, settings: &Run) -> Rc<[Listing]> {
-    let mut owners: Vec<Listing> = ranking.owners_of(plan).into_iter().cloned().collect();
+fn sorted_owners(plan: &Plan, cache: &Cache, settings: &Run) -> Rc<[Listing]> {
+    let mut owners: Vec<Listing> = cache
+        .ranking
+        .owners_of(plan, cache.groups)
+        .into_iter()
+        .cloned()
+        .collect();
     // Boxes that don't own the group start at different owners, to spread their load.
     let hash = xxh3_64(settings.name.as_bytes()) as usize;
     let offset = hash % owners.len().max(1);
--- a/tests/unit/owners.rs
+++ b/tests/unit/owners.rs
@@ -154,7 +154,9 @@
         anew.set_groups(&groups);
         let ranks = |assignment: &Assignment| -> Vec<(Arc<str>, u32, u32)> {
             let owned = assignment.owned().iter();
-            owned.map(|(id, o)| (id.clone(), o.rank, o.owners)).collect()
+            owned
+                .map(|(id, o)| (id.clone(), o.rank, o.owners))
+                .collect()
         };
         assert_eq!(ranks(&kept), ranks(&anew), "step {step}");
     }
@@ -180,3 +182,23 @@
         expect_that!(assignment.selections(), eq(before));
     }
 }
+
+/// Guards against connections and probes of each box that grow with the number of groups.
+#[gtest]
+fn a_box_owns_few_groups_however_many_there_are() {
+    // 12 owners are useful for each group.
+    for (boxes_count, groups) in [(30, 30), (100, 100), (100, 200)] {
+        let ranking = Ranking::new(&boxes(boxes_count));
+        let plans = plans(groups);
+        let owners = plans.values().map(|plan| ranking.owners_of(plan, groups));
+        let pairs: usize = owners.map(|owners| owners.len()).sum();
+        // Rounding differs by group.
+        expect_that!(pairs, le(6 * boxes_count + groups));
+        expect_that!(pairs, ge(3 * groups));
+    }
+    // A small system has as many owners as are useful.
+    let ranking = Ranking::new(&boxes(30));
+    let plans = plans(8);
+    let owners = ranking.owners_of(&plans["p/g0"], 8);
+    expect_that!(owners.len(), eq(12));
+}
--- a/tests/unit/readers.rs
+++ b/tests/unit/readers.rs
@@ -166,6 +166,37 @@
     expect_that!(schedule.polling(ms(1_100)), eq(Polling::Paused));
 }
 
+/// Guards against all boxes of a large system reading all rows from the table, because their readers
+/// need longer than a fixed time to read and pass on the rows.
+#[gtest]
+fn a_starting_box_waits_while_its_first_state_is_on_its_way() {
+    for transfer_time in [500, 5_000, 50_000] {
+        let (mut schedule, reader) = starting_follower(false);
+        // The reader starts at the same time, and then passes on its rows.
+        for at in (0..400).step_by(60) {
+            schedule.record_answer(&reader, None, ms(at));
+        }
+        for at in (400..400 + transfer_time).step_by(200) {
+            expect_that!(schedule.polling(ms(at)), eq(Polling::Paused));
+            schedule.record_progress(ms(at));
+        }
+        // A transfer that stops delays polling only briefly.
+        let stopped = 400 + transfer_time + 500;
+        expect_that!(schedule.polling(ms(stopped)), eq(Polling::Normal));
+    }
+}
+
+#[gtest]
+fn a_starting_box_polls_if_its_readers_are_cut_off_from_the_table() {
+    let (mut schedule, reader) = starting_follower(false);
+    let polls_at = (0..10_000).find(|at| {
+        schedule.record_answer(&reader, None, ms(*at));
+        schedule.polling(ms(*at)) == Polling::Normal
+    });
+    // The time to apply changes is three seconds.
+    expect_that!(polls_at, some(lt(3_000)));
+}
+
 #[gtest]
 fn a_starting_box_polls_at_once_unless_it_is_a_follower_or_knows_no_boxes() {
     let settings = Settings::new(Duration::from_secs(3), false);
