--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -7,14 +7,12 @@
 #[path = "support/processes.rs"]
 mod processes;
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use larkfall::borders::roster::Listing;
 use larkfall::borders::table::{RESOURCE_PREFIX, Revision, Row, Scan};
-use larkfall::decisions::owners::Ranking;
+use larkfall::decisions::owners::Assignment;
 use larkfall::events::{Format, logger};
 use larkfall::node::configuration::Store;
 use larkfall::standin::faults::Faults;
@@ -182,56 +180,87 @@
     rows
 }
 
-/// Measures the memory of a configuration on one box, and the time to load it.
+/// Returns the listings of `count` boxes in 10 failure domains.
+fn listings(count: usize) -> Vec<Listing> {
+    let listing = |i: usize| Listing {
+        name: format!("b{i}").into(),
+        address: format!("10.0.{}.{}:8432", i / 250, i % 250).into(),
+        domain: format!("d{}", i % 10).into(),
+        leaving: false,
+        link_mbps: 0,
+    };
+    (0..count).map(listing).collect()
+}
+
+/// Returns the time that `work` takes, in milliseconds.
+fn milliseconds<T>(work: impl FnOnce() -> T) -> (T, f64) {
+    let start = Instant::now();
+    let result = work();
+    (result, start.elapsed().as_secs_f64() * 1e3)
+}
+
+/// Measures the memory of a configuration on one box, and the cost of loading and changing it, by
+/// the size of the system.
 fn measure_declarations() {
-    println!("configuration on one box: 7 resources per group, 420 boxes in 10 domains");
-    let boxes: Vec<Listing> = (0..420)
-        .map(|i| Listing {
-            name: format!("b{i}").into(),
-            address: format!("10.0.{}.{}:8432", i / 250, i % 250).into(),
-            domain: format!("d{}", i % 10).into(),
-            leaving: false,
-            link_mbps: 0,
-        })
-        .collect();
+    println!("configuration on one box: as many boxes as groups, 7 resources per group");
     let log = logger(Format::None);
-    for count in [105, 210, 420, 840, 1_680] {
+    for count in [300, 1_000, 2_000] {
         let before = resident_bytes();
         let scan = Scan {
             head: 2.into(),
             rows: rows(count),
             ..Scan::default()
         };
-        let size = serde_json::to_vec(&scan).map_or(0, |bytes| bytes.len());
         let mut store = Store::default();
-        let start = Instant::now();
-        store.apply(Revision::NONE, &scan, &log);
-        let load_time = start.elapsed();
+        let (_, load_time) = milliseconds(|| store.apply(Revision::NONE, &scan, &log));
+        let changed = Scan {
+            head: 3.into(),
+            rows: scan.rows[2..3].to_vec(),
+            ..Scan::default()
+        };
         drop(scan);
-        let start = Instant::now();
-        let snapshot = store.snapshot();
-        let snapshot_time = start.elapsed();
-        let start = Instant::now();
-        let ranking = Ranking::new(&boxes);
-        let mut groups_by_box = BTreeMap::new();
-        for (id, plan) in &snapshot.groups {
-            let domains: BTreeSet<Arc<str>> =
-                plan.members.iter().map(|m| m.domain.clone()).collect();
-            for listing in ranking.owners(id, 3, &domains) {
-                *groups_by_box.entry(listing.name.clone()).or_insert(0usize) += 1;
-            }
-        }
-        let owners_time = start.elapsed();
-        let most = groups_by_box.values().max().copied().unwrap_or_default();
+        let (snapshot, first_snapshot) = milliseconds(|| store.snapshot());
+        let mut boxes = listings(count);
+        let mut assignment = Assignment::new("b0".into());
+        assignment.set_boxes(&boxes);
+        let (_, all_owners) = milliseconds(|| assignment.set_groups(&snapshot.groups));
+        let selections = assignment.selections();
+        boxes[count / 2].leaving = true;
+        let (_, box_leaves) = milliseconds(|| assignment.set_boxes(&boxes));
+        let moved = assignment.selections() - selections;
+        let plans = store.rebuilt_plans();
+        let (changed_snapshot, row_changes) = milliseconds(|| {
+            let row = &changed.rows[0];
+            let value = row.value.clone().map(|mut value| {
+                value["leaving"] = true.into();
+                value
+            });
+            let row = Row {
+                revision: 3.into(),
+                value,
+                ..row.clone()
+            };
+            let scan = Scan {
+                rows: vec![row],
+                ..changed.clone()
+            };
+            store.apply(Revision::NONE, &scan, &log);
+            let after = store.snapshot();
+            assignment.set_groups(&after.groups);
+            after
+        });
+        let plans = store.rebuilt_plans() - plans;
+        let resident = resident_bytes().saturating_sub(before);
+        let whole = store.scan_since(Revision::NONE);
+        let (encoded, encoding) = milliseconds(|| rmp_serde::to_vec(&whole.rows));
+        let list = rmp_serde::to_vec(&boxes).map_or(0, |bytes| bytes.len());
         println!(
-            "  {count:5} groups  {:6.2} MB  as JSON {:6.2} MB  load {:6.1} ms  snapshot {:6.1} ms  owners {:6.1} ms  most groups on a box {most}",
-            (resident_bytes().saturating_sub(before)) as f64 / 1e6,
-            size as f64 / 1e6,
-            load_time.as_secs_f64() * 1e3,
-            snapshot_time.as_secs_f64() * 1e3,
-            owners_time.as_secs_f64() * 1e3,
+            "  {count:5}  {:6.2} MB  load {load_time:6.1} ms  first snapshot {first_snapshot:5.1} ms  all owners {all_owners:6.1} ms  a box leaves {box_leaves:5.2} ms ({moved} groups)  a row changes {row_changes:5.2} ms ({plans} plan)  all rows {:6.2} MB in {encoding:5.1} ms  list {:6.3} MB",
+            resident as f64 / 1e6,
+            encoded.map_or(0, |bytes| bytes.len()) as f64 / 1e6,
+            list as f64 / 1e6,
         );
-        drop(snapshot);
+        drop((snapshot, changed_snapshot));
     }
 }
 
--- a/src/borders/roster.rs
+++ b/src/borders/roster.rs
@@ -33,6 +33,18 @@
     pub boxes: Vec<Listing>,
 }
 
+/// How a box gets its first list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Source {
+    /// Not decided yet: other boxes are being asked.
+    #[default]
+    Undecided,
+    /// Other boxes pass on the list, so it need not be read unless polling resumes.
+    Peers,
+    /// The list is read from the platform.
+    Platform,
+}
+
 /// The platform's list of live and leaving boxes.
 #[async_trait(?Send)]
 pub trait Roster {
@@ -50,10 +62,12 @@
     fn contains(&self, _: &Listing) -> bool {
         false
     }
-    /// Adds this box to the list.
-    async fn register(&self, _: &Listing) -> Result<(), TableError> {
+    /// Adds boxes to the list, all or none.
+    async fn register(&self, _: &[Listing]) -> Result<(), TableError> {
         Ok(())
     }
+    /// Sets how this box gets its first list.
+    fn set_source(&self, _: Source) {}
     /// Removes the box of this name from the list.
     async fn deregister(&self, _: &str) -> Result<(), TableError> {
         Ok(())
--- a/src/decisions/readers.rs
+++ b/src/decisions/readers.rs
@@ -87,6 +87,19 @@
     candidates
 }
 
+/// Selects the readers of each failure domain.
+pub fn choose_readers_by_domain(boxes: &[Listing]) -> HashMap<Arc<str>, Vec<Listing>> {
+    let mut domains: HashMap<Arc<str>, Vec<Listing>> = HashMap::new();
+    for listing in boxes {
+        let domain = domains.entry(listing.domain.clone());
+        domain.or_default().push(listing.clone());
+    }
+    for (domain, boxes) in &mut domains {
+        *boxes = choose_readers(boxes, domain).into_iter().cloned().collect();
+    }
+    domains
+}
+
 /// Returns how many of the candidates, from the first on, can serve all of them.
 fn count_readers(candidates: &[&Listing]) -> usize {
     let mut served = 0;
@@ -142,9 +155,14 @@
 
     /// Updates the role and the readers from a list of boxes.
     pub fn set_boxes(&mut self, boxes: &[Listing], name: &str, domain: &str) {
-        let chosen = choose_readers(boxes, domain);
+        if boxes.is_empty() {
+            return;
+        }
+        self.set_readers(&choose_readers(boxes, domain), name);
+    }
+
+    fn set_readers(&mut self, chosen: &[&Listing], name: &str) {
         self.role = match chosen.iter().any(|reader| *reader.name == *name) {
-            _ if boxes.is_empty() => Role::Unknown,
             _ if chosen.is_empty() => Role::Alone,
             true => Role::Reader,
             false => Role::Follower,
@@ -159,6 +177,24 @@
         self.readers.sort_by_cached_key(own_order);
     }
 
+    /// Sets the readers before the list of boxes is known, as another box has chosen them. Ends the
+    /// wait for the list to fill.
+    pub fn set_first_readers(&mut self, readers: &[Listing], name: &str, now: Duration) {
+        if self.role != Role::Unknown || readers.is_empty() {
+            return;
+        }
+        self.set_readers(&readers.iter().collect::<Vec<_>>(), name);
+        let waited = now.saturating_sub(self.started);
+        self.settings.roster_wait = self.settings.roster_wait.min(waited);
+    }
+
+    /// Starts the time that readers get to answer, once they are known.
+    pub fn start_following(&mut self, now: Duration) {
+        if self.role == Role::Follower && self.expected_at.is_none() {
+            self.expected_at = Some(now);
+        }
+    }
+
     /// Returns how this box polls the table.
     pub fn polling(&self, now: Duration) -> Polling {
         let awaits_roster = now < self.started + self.settings.roster_wait;
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 pub mod owner;
 pub mod peers;
 pub mod pool;
+pub mod registrar;
 pub mod request;
 pub mod routes;
 pub mod run;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -3,8 +3,10 @@
 
 mod resources;
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use axum::body::Bytes;
 use axum::extract::State;
@@ -22,11 +24,13 @@
 use super::configuration;
 use super::exchange::{Exchange, Failure, Reply};
 use super::message::{Dump, Message, Sender};
+use super::registrar::{self, Join};
 use super::updates::Update;
 use super::{follow, limits, peers};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Revision, TableError, Verdict};
 use crate::decisions::limit::Loan;
+use crate::decisions::readers::choose_readers_by_domain;
 
 use crate::declarations::snapshot::Snapshot;
 use crate::metrics;
@@ -48,6 +52,9 @@
     pub decisions: Sender,
     pub configuration: configuration::Sender,
     pub work: mpsc::UnboundedSender<Work>,
+    pub readers: Readers,
+    /// Boxes that join the list of boxes through this one.
+    pub joins: registrar::Sender,
     pub snapshot: watch::Receiver<Arc<Snapshot>>,
     pub boxes: watch::Receiver<Arc<[Listing]>>,
     pub shutting_down: watch::Receiver<bool>,
@@ -56,6 +63,34 @@
     pub next_nonce: AtomicU64,
 }
 
+/// Readers by failure domain, chosen once for each list of boxes.
+#[derive(Default)]
+pub struct Readers {
+    chosen: Mutex<Chosen>,
+}
+
+#[derive(Default)]
+struct Chosen {
+    boxes: Arc<[Listing]>,
+    readers: HashMap<Arc<str>, Vec<Listing>>,
+}
+
+impl Readers {
+    fn of(&self, boxes: &Arc<[Listing]>, domain: &str) -> Vec<Listing> {
+        let mut chosen = self.chosen.lock().expect("no holder panics");
+        if !Arc::ptr_eq(&chosen.boxes, boxes) {
+            *chosen = Chosen {
+                boxes: boxes.clone(),
+                readers: choose_readers_by_domain(boxes),
+            };
+        }
+        chosen.readers.get(domain).cloned().unwrap_or_default()
+    }
+}
+
+/// Time that a box which asks for readers waits for the list of boxes to be known.
+const LIST_WAIT: Duration = Duration::from_millis(250);
+
 type Shared = State<Arc<Api>>;
 
 /// Serves the whole API until the listener fails.
@@ -72,6 +107,8 @@
         .route(peers::FOLLOW, post(follow))
         .route(peers::BORROW, post(borrow))
         .route(peers::ALERT, post(alert))
+        .route(peers::JOIN, post(join))
+        .route(peers::READERS, post(readers))
         .route("/v1/resources", get(resources::list).post(resources::apply))
         .route(
             "/v1/resources/{*key}",
@@ -156,6 +193,27 @@
     Ok(pack(&answer.await.ok().flatten()))
 }
 
+async fn join(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let listing = unpack(&body)?;
+    let (reply, welcome) = oneshot::channel();
+    let _ = api.joins.send(Join { listing, reply });
+    let welcome = welcome.await;
+    let welcome = welcome.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    Ok(pack(&welcome))
+}
+
+/// Returns the readers of a failure domain, once this box knows the list of boxes.
+async fn readers(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let domain: Arc<str> = unpack(&body)?;
+    let mut boxes = api.boxes.clone();
+    let listed = boxes.wait_for(|boxes| !boxes.is_empty());
+    let listed = tokio::time::timeout(LIST_WAIT, listed).await;
+    let listed = listed.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    let listed = listed.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    let readers = api.readers.of(&listed, &domain);
+    Ok(pack(&readers))
+}
+
 async fn follow(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let request = unpack(&body)?;
     let (snapshot, boxes) = (api.snapshot.clone(), api.boxes.clone());
--- a/src/node/configuration/encoder.rs
+++ b/src/node/configuration/encoder.rs
@@ -2,11 +2,12 @@
 //! rows, so that answering many boxes at once costs one copy of the rows.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Serialize;
 
-use super::store::Store;
+use super::store::{Store, StoredRow};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Revision, Row, Scan};
 use crate::node::updates::{Body, FollowAnswer};
@@ -114,10 +115,18 @@
         encoded
     }
 
-    fn encode_rows<'a>(&mut self, rows: impl Iterator<Item = &'a Row>) -> Bytes {
-        let rows: Vec<&Row> = rows.collect();
+    fn encode_rows<'a>(
+        &mut self,
+        rows: impl Iterator<Item = (&'a Arc<str>, &'a StoredRow)>,
+    ) -> Bytes {
+        let rows: Vec<_> = rows.collect();
         self.encoded_rows += rows.len() as u64;
-        encode(&rows)
+        let mut encoded = Vec::new();
+        rmp::encode::write_array_len(&mut encoded, rows.len() as u32).expect("a vector can grow");
+        for (key, row) in rows {
+            row.encode(key, &mut encoded);
+        }
+        encoded.into()
     }
 
     fn boxes(&mut self, revision: Revision, boxes: &[Listing]) -> Bytes {
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -20,12 +20,54 @@
 use crate::node::duty::DUTY_PREFIX;
 use crate::node::updates::ScanRequest;
 
-/// A row, and the sequence number of the scan that brought it.
-struct StoredRow {
-    row: Row,
+/// A row as it is kept: values are encoded, which takes a fraction of the memory, and as other boxes
+/// receive them.
+pub struct StoredRow {
+    revision: Revision,
+    /// None if the row was deleted.
+    value: Option<Box<[u8]>>,
+    digest: u64,
+    /// Sequence number of the scan that brought the row.
     sequence: u64,
 }
 
+impl StoredRow {
+    fn new(row: &Row, sequence: u64) -> Self {
+        Self {
+            revision: row.revision,
+            value: encode_value(row.value.as_ref()),
+            digest: row_digest(row),
+            sequence,
+        }
+    }
+
+    /// Appends the row in the encoding of [`Row`].
+    pub fn encode(&self, key: &Arc<str>, buffer: &mut Vec<u8>) {
+        const FIELDS: u32 = 3;
+        rmp::encode::write_array_len(buffer, FIELDS).expect("a vector can grow");
+        rmp_serde::encode::write(buffer, key).expect("a key can be encoded");
+        rmp_serde::encode::write(buffer, &self.revision).expect("a revision can be encoded");
+        match &self.value {
+            Some(value) => buffer.extend_from_slice(value),
+            None => rmp_serde::encode::write(buffer, &()).expect("nothing can be encoded"),
+        }
+    }
+
+    fn to_row(&self, key: &Arc<str>) -> Row {
+        let decode = |value| rmp_serde::from_slice(value).expect("an encoded value can be decoded");
+        Row {
+            key: key.clone(),
+            revision: self.revision,
+            value: self.value.as_deref().map(decode),
+        }
+    }
+}
+
+fn encode_value(value: Option<&Value>) -> Option<Box<[u8]>> {
+    let encode = |value| rmp_serde::to_vec(value).expect("a value can be encoded");
+    value.map(|value| encode(value).into())
+}
+
 /// All known rows and their parsed contents.
 #[derive(Default)]
 pub struct Store {
@@ -120,17 +162,16 @@
             return Vec::new();
         }
         let listed: BTreeSet<&Arc<str>> = scan.rows.iter().map(|row| &row.key).collect();
-        let deletion = |known: &StoredRow| {
-            let row = &known.row;
-            let at = *complete.get(&Section::of(&row.key))?;
-            let missing = row.value.is_some() && row.revision <= at && !listed.contains(&row.key);
+        let deletion = |(key, known): (&Arc<str>, &StoredRow)| {
+            let at = *complete.get(&Section::of(key))?;
+            let missing = known.value.is_some() && known.revision <= at && !listed.contains(key);
             missing.then(|| Row {
-                key: row.key.clone(),
+                key: key.clone(),
                 revision: at,
                 value: None,
             })
         };
-        self.rows.values().filter_map(deletion).collect()
+        self.rows.iter().filter_map(deletion).collect()
     }
 
     /// Returns the row to store; none if it isn't newer than the known one.
@@ -141,7 +182,7 @@
     /// overrules rows older than the section, whatever revisions it gives them.
     fn changed_row(&self, row: &Row, complete: &BTreeMap<Section, Revision>) -> Option<Row> {
         let section = Section::of(&row.key);
-        let known = self.rows.get(&row.key).map(|known| &known.row);
+        let known = self.rows.get(&row.key);
         let newest = known.map_or(Revision::NONE, |known| known.revision);
         let Some(at) = complete.get(&section) else {
             let newer = row.revision > newest.max(self.complete_at(section));
@@ -150,7 +191,8 @@
         if row.revision > newest {
             return Some(row.clone());
         }
-        let overruled = newest < *at && known.is_some_and(|known| known.value != row.value);
+        let differs = |known: &StoredRow| known.value != encode_value(row.value.as_ref());
+        let overruled = newest < *at && known.is_some_and(differs);
         overruled.then(|| Row {
             revision: *at,
             ..row.clone()
@@ -163,11 +205,11 @@
             events::emit(log, &events::INVALID_ROW, &fields);
         }
         let sequence = self.sequence;
-        self.digest ^= row_digest(&row);
-        let key = row.key.clone();
-        let known = self.rows.insert(key.clone(), StoredRow { row, sequence });
-        if let Some(known) = known {
-            self.digest ^= row_digest(&known.row);
+        let stored = StoredRow::new(&row, sequence);
+        self.digest ^= stored.digest;
+        let key = row.key;
+        if let Some(known) = self.rows.insert(key.clone(), stored) {
+            self.digest ^= known.digest;
             self.by_sequence.remove(&(known.sequence, key.clone()));
         }
         self.by_sequence.insert((sequence, key));
@@ -223,21 +265,24 @@
         };
         Scan {
             head: self.revision,
-            rows: self.rows_after(after).cloned().collect(),
+            rows: self
+                .rows_after(after)
+                .map(|(key, row)| row.to_row(key))
+                .collect(),
             ..Scan::default()
         }
     }
 
     /// Returns the rows that changed after the given sequence number.
-    pub fn rows_after(&self, sequence: u64) -> impl Iterator<Item = &Row> {
+    pub fn rows_after(&self, sequence: u64) -> impl Iterator<Item = (&Arc<str>, &StoredRow)> {
         let first: (u64, Arc<str>) = (sequence.saturating_add(1), Arc::default());
         let newer = self.by_sequence.range(first..);
-        newer.filter_map(|(_, key)| self.rows.get(key).map(|known| &known.row))
+        newer.filter_map(|(_, key)| self.rows.get_key_value(key))
     }
 
     /// Returns all rows.
-    pub fn rows(&self) -> impl Iterator<Item = &Row> {
-        self.rows.values().map(|known| &known.row)
+    pub fn rows(&self) -> impl Iterator<Item = (&Arc<str>, &StoredRow)> {
+        self.rows.iter()
     }
 
     /// Returns the scan of all rows without the rows themselves.
@@ -261,9 +306,9 @@
 
     /// Returns the rows with a later revision than `since`.
     pub fn scan_since(&self, since: Revision) -> Scan {
-        let newer = self.rows().filter(|row| row.revision > since);
+        let newer = self.rows().filter(|(_, row)| row.revision > since);
         let mut scan = self.all_but_rows();
-        scan.rows = newer.cloned().collect();
+        scan.rows = newer.map(|(key, row)| row.to_row(key)).collect();
         if since > Revision::NONE {
             scan.whole.clear();
         }
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -54,6 +54,8 @@
     pub connection_shares: watch::Sender<HashMap<Arc<str>, usize>>,
     /// Peers that didn't answer, with the time until which they are tried last.
     pub unresponsive_peers: RefCell<HashMap<Arc<str>, Duration>>,
+    /// Readers of this box's failure domain, as the box through which it joined chose them.
+    pub first_readers: watch::Sender<Vec<Listing>>,
     /// Number of connected callers.
     pub callers: Cell<usize>,
     /// Since when the box is not ready, because it is shutting down or partitioned.
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -61,6 +61,7 @@
 /// Follows the readers of this box's failure domain, and pauses polling the table meanwhile.
 pub async fn run(context: Rc<Context>, configuration: Sender) {
     let mut boxes = context.boxes.clone();
+    let mut first_readers = context.first_readers.subscribe();
     let settings = Settings::new(
         context.settings.apply_deadline,
         context.settings.first_start,
@@ -79,6 +80,12 @@
         follower
             .readers
             .set_boxes(&listed, &settings.name, &settings.domain);
+        let now = context.now();
+        let chosen = first_readers.borrow_and_update().clone();
+        follower
+            .readers
+            .set_first_readers(&chosen, &settings.name, now);
+        follower.readers.start_following(now);
         follower.update_polling();
         match follower.readers.next_reader(context.now()) {
             Some(reader) => follower.ask_reader(&reader).await,
@@ -87,7 +94,11 @@
                     true => RETRY_INTERVAL_AT_START,
                     false => RETRY_INTERVAL,
                 };
-                let _ = tokio::time::timeout(interval, boxes.changed()).await;
+                tokio::select! {
+                    _ = boxes.changed() => {}
+                    _ = first_readers.changed() => {}
+                    () = tokio::time::sleep(interval) => {}
+                }
             }
         }
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -13,6 +13,7 @@
 use super::context::Context;
 use super::exchange::{Effect, Exchange, Failure, Reply};
 use super::limits;
+use super::registrar::Welcome;
 use super::updates::{FollowAnswer, FollowRequest, ScanRequest, Update};
 use crate::borders::roster::Listing;
 use crate::borders::table::{Commit, Revision, Scan, Verdict, Write};
@@ -31,12 +32,16 @@
 pub const FOLLOW: &str = "/peer/follow";
 pub const BORROW: &str = "/peer/borrow";
 pub const ALERT: &str = "/peer/warn";
+pub const JOIN: &str = "/peer/join";
+pub const READERS: &str = "/peer/readers";
 
 /// Timeout of calls that don't wait for a member.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without data after which the transfer of a large answer is given up. The time of the whole
 /// transfer depends on the number of declarations, and is not limited.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for joining through another box, which collects boxes before it writes them to the table.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout for asking an owner which members it reaches. Short, as only answers from the same
 /// failure domain matter, and others don't arrive during a partition.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -165,6 +170,19 @@
     revoked.unwrap_or(false)
 }
 
+/// Asks a box to add this one to the list of boxes; none if it can't.
+pub async fn join(context: &Context, peer: &str, listing: &Listing) -> Option<Welcome> {
+    let welcome: Result<Welcome, _> = call(context, peer, JOIN, listing, JOIN_TIMEOUT).await;
+    welcome.ok()
+}
+
+/// Asks a box for the readers of this box's failure domain. The error tells whether the box was
+/// reached.
+pub async fn fetch_readers(context: &Context, peer: &str) -> Result<Vec<Listing>, HttpError> {
+    let domain = &context.settings.domain;
+    call(context, peer, READERS, domain, CALL_TIMEOUT).await
+}
+
 pub async fn push_update(context: Rc<Context>, peer: Arc<str>, update: Update) {
     let _: Result<(), _> = call(&context, &peer, UPDATE, &update, CALL_TIMEOUT).await;
 }
--- a/src/platform/ports.rs
+++ b/src/platform/ports.rs
@@ -14,7 +14,7 @@
 use crate::decisions::readers;
 use crate::http::Client;
 use crate::metrics::Metrics;
-use crate::node::run::Ports;
+use crate::node::run::{Ports, SEED_WAIT};
 
 /// Builds the ports from the settings file and the run settings derived from it.
 pub fn platform(file: &File, run: &Run, log: &Logger) -> Ports {
@@ -24,7 +24,10 @@
     let settings = table::Settings {
         apply_deadline: run.apply_deadline,
         start_paused: run.share_table_reads,
-        roster_delay: reader_settings.roster_wait,
+        roster_delay: match run.first_start {
+            true => reader_settings.roster_wait,
+            false => SEED_WAIT,
+        },
     };
     let metrics: Rc<Metrics> = Rc::default();
     let mirror = Mirror::start(store, settings, metrics.clone(), log.clone());
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::store::{Change, Rows, Store, StoreError};
-use crate::borders::roster::{Listing, Listings, Roster};
+use crate::borders::roster::{Listing, Listings, Roster, Source};
 use crate::borders::table::{Commit, Polling, Revision, Scan, Table, TableError, Verdict, Write};
 use crate::events;
 use crate::metrics::Metrics;
@@ -56,6 +56,8 @@
     full_reads: Cell<usize>,
     /// Whether the list of boxes was read.
     roster_read: Cell<bool>,
+    /// How the first list of boxes is obtained.
+    roster_source: watch::Sender<Source>,
     polling: watch::Sender<Polling>,
     /// When the operator's feed last answered.
     operator_answered: Cell<Option<Instant>>,
@@ -72,7 +74,7 @@
     pub apply_deadline: Duration,
     /// Whether only the list of boxes is read until [`Table::set_polling`] starts polling.
     pub start_paused: bool,
-    /// Delay before the list of boxes is first read.
+    /// Delay before the list of boxes is first read, unless its source is decided before.
     pub roster_delay: Duration,
 }
 
@@ -101,6 +103,7 @@
             answering: RefCell::default(),
             full_reads: Cell::new(0),
             roster_read: Cell::new(false),
+            roster_source: watch::Sender::default(),
             polling: watch::channel(polling).0,
             operator_answered: Cell::new(None),
             settings,
@@ -203,8 +206,12 @@
     async fn wait_until_due(&self, feed: Feed, first: bool) -> bool {
         if feed == Feed::Boxes && first {
             // Read even while polling is paused: the list tells a box which boxes to follow.
-            tokio::time::sleep(self.settings.roster_delay).await;
-            return false;
+            let mut source = self.roster_source.subscribe();
+            let decided = source.wait_for(|source| *source != Source::Undecided);
+            let _ = tokio::time::timeout(self.settings.roster_delay, decided).await;
+            if *self.roster_source.borrow() != Source::Peers {
+                return false;
+            }
         }
         self.wait_while_paused().await
     }
@@ -479,27 +486,41 @@
         self.cache.borrow().contains_listing(listing)
     }
 
-    async fn register(&self, listing: &Listing) -> Result<(), TableError> {
-        let value = serde_json::to_vec(listing).expect("a listing can be serialized");
-        self.write_listing(&listing.name, Some(value)).await
+    async fn register(&self, listings: &[Listing]) -> Result<(), TableError> {
+        let changes: Vec<Change> = listings
+            .iter()
+            .map(|listing| {
+                let value = serde_json::to_vec(listing).expect("a listing can be serialized");
+                listing_change(&listing.name, Some(value))
+            })
+            .collect();
+        self.write_listings(&changes).await
+    }
+
+    fn set_source(&self, source: Source) {
+        self.roster_source.send_replace(source);
     }
 
     async fn deregister(&self, name: &str) -> Result<(), TableError> {
-        self.write_listing(name, None).await
+        self.write_listings(&[listing_change(name, None)]).await
     }
 }
 
 impl Mirror {
-    /// Writes or removes a box's entry in the list of boxes.
-    async fn write_listing(&self, name: &str, value: Option<Vec<u8>>) -> Result<(), TableError> {
-        let change = Change {
-            key: format!("{LISTING_PREFIX}{name}").into(),
-            expect: None,
-            value,
-        };
+    /// Writes or removes entries in the list of boxes.
+    async fn write_listings(&self, changes: &[Change]) -> Result<(), TableError> {
         self.metrics
             .count_store_call(Feed::Boxes.table(), "listing");
-        let done = self.store.transact(Feed::Boxes.table(), &[change]).await;
+        let done = self.store.transact(Feed::Boxes.table(), changes).await;
         done.map(|_| ()).map_err(table_error)
     }
 }
+
+/// Returns the change that writes or removes a box's entry in the list of boxes.
+fn listing_change(name: &str, value: Option<Vec<u8>>) -> Change {
+    Change {
+        key: format!("{LISTING_PREFIX}{name}").into(),
+        expect: None,
+        value,
+    }
+}
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -22,6 +22,8 @@
     pub metrics: SocketAddr,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
     /// Whether the settings demand the platform's rules on pressure and on shared connections, and
     /// tolerance of the loss of a failure domain.
     pub with_pressure_rules: bool,
@@ -54,6 +56,7 @@
             metrics: at(9464),
             store,
             seeds: Vec::new(),
+            bootstrap: false,
             with_pressure_rules: false,
         }
     }
@@ -74,7 +77,8 @@
             false => "",
         };
         format!(
-            "{rules}node_name: \"{}\"\nip: \"{}\"\nzone: \"{}\"\nlisten_addrs:\n  front: \"{}\"\n  ready: \"{}\"\n  control: \"{}\"\ninternal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}limits:\n  max_fds: 1000\n  new_limit: 3\nbounds:\n  grace_s: 4\nplatform:\n  address: \"{}\"\ncloud_api:\n  address: \"{}\"\nnew_field: [1, 2]\n",
+            "{rules}bootstrap: {}\nnode_name: \"{}\"\nip: \"{}\"\nzone: \"{}\"\nlisten_addrs:\n  front: \"{}\"\n  ready: \"{}\"\n  control: \"{}\"\ninternal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}limits:\n  max_fds: 1000\n  new_limit: 3\nbounds:\n  grace_s: 4\nplatform:\n  address: \"{}\"\ncloud_api:\n  address: \"{}\"\nnew_field: [1, 2]\n",
+            self.bootstrap,
             self.name,
             self.front.ip(),
             self.zone,
