perf(readers): five readers at least in a large failure domain

Cause: a failure domain of 200 boxes had 2 readers, as many as its links need. Change: one reader for 16 boxes up to 5, more only where links need more. Ruled out: spare readers that take over before the others' state is stale; more to build, not begun. Measured: not on the fleet yet; small deployments have the readers of before.

--- a/src/decisions/readers.rs
+++ b/src/decisions/readers.rs
@@ -22,6 +22,10 @@
 const MAX_BOXES_WITHOUT_READERS: usize = 4;
 /// Minimum number of readers, so that one may be down.
 const MIN_READERS: usize = 2;
+/// Number of readers up to which a larger failure domain has more of them, whatever their links
+/// carry. If the table turns away a third of all boxes, these are rarely all among them, and the
+/// followers need not poll the table themselves.
+const READERS_FOR_OUTAGE: usize = 5;
 /// Number of boxes that any reader can serve, which bounds the bytes that it passes on.
 const BOXES_PER_READER: usize = 16;
 /// Bandwidth of a reader's link for each box, in Mbit/s. A reader with a faster link serves more
@@ -83,7 +87,9 @@
     }
     // Boxes with faster links first, as changes may be large.
     candidates.sort_by_key(|l| (std::cmp::Reverse(l.link_mbps), xxh3_64(l.name.as_bytes())));
-    candidates.truncate(count_readers(&candidates).max(MIN_READERS));
+    let spread = (candidates.len().div_ceil(BOXES_PER_READER)).min(READERS_FOR_OUTAGE);
+    let count = sufficient_readers(&candidates).max(spread);
+    candidates.truncate(count.max(MIN_READERS));
     candidates
 }
 
@@ -101,7 +107,7 @@
 }
 
 /// Returns how many of the candidates, from the first on, can serve all of them.
-fn count_readers(candidates: &[&Listing]) -> usize {
+fn sufficient_readers(candidates: &[&Listing]) -> usize {
     let mut served = 0;
     let sufficient = candidates.iter().position(|listing| {
         served += BOXES_PER_READER.max(listing.link_mbps as usize / LINK_MBPS_PER_BOX);
