--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod follow;
+pub mod joining;
 pub mod limits;
 pub mod message;
 pub mod once;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -9,10 +9,9 @@
 
 use anyhow::Context as _;
 use rand::Rng;
-use rand::seq::SliceRandom;
 use slog::Logger;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 use super::api::{self, Api, Work};
 use super::configuration::Updater;
@@ -20,23 +19,23 @@
 use super::driver::Driver;
 use super::entry::Entry;
 use super::follow;
+use super::joining;
 use super::limits::Limits;
 use super::message::Message;
 use super::owner::Owner;
-use super::peers;
 use super::pool::Pool;
-use super::registrar::{self, Join, Welcome};
+use super::registrar;
 use super::routes::{Classes, Routes};
 use crate::borders::clock::{Clock, System};
 use crate::borders::member::Members;
-use crate::borders::roster::{Listing, Roster, Source};
+use crate::borders::roster::{Listing, Roster};
 use crate::borders::table::{Commit, Revision, Table, TableError, Verdict};
 use crate::borders::upstream::Dialer;
 use crate::configs::live::Live;
 use crate::configs::run::Run;
 use crate::decisions::group::Settings;
 use crate::events;
-use crate::http::{Client, HttpError};
+use crate::http::Client;
 use crate::metrics::Metrics;
 
 const COMMIT_ATTEMPTS: u32 = 5;
@@ -54,12 +53,6 @@
 /// Time for which a box that has registered waits for its first list of boxes, before it checks
 /// whether the list contains it.
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that the seeds get to tell a box that starts the readers of its failure domain.
-pub const SEED_WAIT: Duration = Duration::from_millis(300);
-/// Delay before seeds that were not reached are asked again.
-const SEED_RETRY_DELAY: Duration = Duration::from_millis(30);
-/// HTTP status of a box that does not know the list of boxes yet.
-const STARTING: u16 = 503;
 /// Delay between two attempts to register this box.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(800);
 
@@ -299,9 +292,9 @@
     // Only the list as it was before this start shows whether the other boxes know this one. At
     // the first start of the system there is no such list to wait for.
     let joined = match context.settings.first_start {
-        true => join(&context, &listing, &joins).await,
+        true => joining::join(&context, &listing, &joins).await,
         false => {
-            find_readers(&context).await;
+            joining::find_readers(&context).await;
             while !context.roster.is_loaded() && context.boxes.borrow().is_empty() {
                 tokio::time::sleep(ROSTER_POLL_INTERVAL).await;
             }
@@ -326,78 +319,6 @@
     }
 }
 
-/// Joins the list of boxes through the first seed that answers. All boxes prefer the same one, which
-/// can then tell all of them the same readers. Returns whether this box was added to the list.
-async fn join(context: &Context, listing: &Listing, joins: &registrar::Sender) -> bool {
-    let mut seeds = context.live.borrow().peers.clone();
-    seeds.sort();
-    for seed in seeds {
-        let welcome = match seed == listing.address {
-            true => {
-                let (reply, welcome) = oneshot::channel();
-                let listing = listing.clone();
-                let _ = joins.send(Join { listing, reply });
-                welcome.await.ok()
-            }
-            false => peers::join(context, &seed, listing).await,
-        };
-        if let Some(Welcome {
-            registered,
-            readers,
-        }) = welcome
-        {
-            follow_readers(context, readers);
-            return registered;
-        }
-    }
-    false
-}
-
-/// Asks the seeds for the readers of this box's failure domain, which pass on the list of boxes. Reads
-/// the list itself if this box is a seed, or none answers.
-async fn find_readers(context: &Context) {
-    let seeds = context.live.borrow().peers.clone();
-    let own_address = context.own_api_address();
-    let is_seed = seeds.iter().any(|seed| **seed == *own_address);
-    let found = ask_for_readers(context, &seeds);
-    let found = match is_seed {
-        true => None,
-        false => tokio::time::timeout(SEED_WAIT, found).await.ok().flatten(),
-    };
-    follow_readers(context, found.unwrap_or_default());
-    if context.first_readers.borrow().is_empty() {
-        context.roster.set_source(Source::Platform);
-    }
-}
-
-/// Returns the answer of the first seed that gives one; none if no seed may still do so.
-async fn ask_for_readers(context: &Context, seeds: &[Arc<str>]) -> Option<Vec<Listing>> {
-    let mut seeds: Vec<&Arc<str>> = seeds.iter().collect();
-    seeds.shuffle(&mut rand::rng());
-    while !seeds.is_empty() {
-        for seed in seeds.clone() {
-            match peers::fetch_readers(context, seed).await {
-                Ok(readers) => return Some(readers),
-                // The seed may be starting too.
-                Err(HttpError::Unsent(_) | HttpError::Status { code: STARTING, .. }) => {}
-                Err(_) => seeds.retain(|left| *left != seed),
-            }
-        }
-        tokio::time::sleep(SEED_RETRY_DELAY).await;
-    }
-    None
-}
-
-/// Follows readers that another box has chosen; none if each box of the failure domain polls for
-/// itself.
-fn follow_readers(context: &Context, readers: Vec<Listing>) {
-    if readers.is_empty() {
-        return;
-    }
-    context.roster.set_source(Source::Peers);
-    context.first_readers.send_replace(readers);
-}
-
 async fn register(context: &Context, listing: &Listing) {
     while !*context.shutting_down.borrow() {
         let registered = context.roster.register(std::slice::from_ref(listing)).await;
--- a/src/platform/ports.rs
+++ b/src/platform/ports.rs
@@ -14,7 +14,8 @@
 use crate::decisions::readers;
 use crate::http::Client;
 use crate::metrics::Metrics;
-use crate::node::run::{Ports, SEED_WAIT};
+use crate::node::joining::SEED_WAIT;
+use crate::node::run::Ports;
 
 /// Builds the ports from the settings file and the run settings derived from it.
 pub fn platform(file: &File, run: &Run, log: &Logger) -> Ports {
--- a/tests/platform/domain_restart.rs
+++ b/tests/platform/domain_restart.rs
@@ -16,6 +16,18 @@
     process.dump().await.contains("\"resting\":true")
 }
 
+/// Starts the boxes of one failure domain, and waits until they are ready.
+async fn start_domain() -> World {
+    let mut world = World::without_boxes().await;
+    for i in 0..BOXES {
+        world.add_box_in_zone(i, "zone-0", world.store_address);
+    }
+    for process in &world.boxes {
+        process.wait_ready().await;
+    }
+    world
+}
+
 /// Waits until a box rests, and returns its index.
 async fn wait_for_resting(world: &World) -> usize {
     loop {
@@ -49,13 +61,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_box_that_restarts_beside_others_reads_only_the_list_of_boxes() {
-    let mut world = World::without_boxes().await;
-    for i in 0..BOXES {
-        world.add_box_in_zone(i, "zone-0", world.store_address);
-    }
-    for process in &world.boxes {
-        process.wait_ready().await;
-    }
+    let mut world = start_domain().await;
     let resting = wait_for_resting(&world).await;
     let settings = world.boxes[resting].settings.clone();
     world.boxes[resting].kill();
@@ -106,13 +112,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_box_that_restarts_learns_its_readers_from_a_seed() {
-    let mut world = World::without_boxes().await;
-    for i in 0..BOXES {
-        world.add_box_in_zone(i, "zone-0", world.store_address);
-    }
-    for process in &world.boxes {
-        process.wait_ready().await;
-    }
+    let mut world = start_domain().await;
     let resting = wait_for_resting(&world).await;
     let seed = world.boxes[(resting + 1) % BOXES].settings.control;
     let settings = Settings {
