feat(observability): version in force, when it was confirmed, and bytes of incomplete answers

What could not be told apart: whether a box that serves an older version had not heard (a silent store), was still receiving (a large answer over a slow link), or had heard and not applied.

- larkfall_active_declarations and larkfall_active_declarations_confirmed_ms: the version in force on each box, and when it last matched the table, by the box's own polls or by its readers.
- Event 404 names both for the box that took the request.
- A call whose answer is cut off by its time limit says how many bytes had arrived (event 205), instead of 'no answer in time'.
For this the HTTP client receives each answer part by part under one timer; timeouts are as before.

No decision changes.

--- a/src/decisions/readers.rs
+++ b/src/decisions/readers.rs
@@ -276,6 +276,11 @@
         self.backoffs.get(reader).is_none_or(|until| now >= *until)
     }
 
+    /// Returns the latest time at which the local state is known to have matched the table.
+    pub fn current_at(&self) -> Option<Duration> {
+        self.current_at
+    }
+
     /// Records an answer of a reader; `age` is the time since the table answered the reader, if
     /// known.
     pub fn record_answer(&mut self, reader: &Arc<str>, age: Option<Duration>, now: Duration) {
--- a/src/http.rs
+++ b/src/http.rs
@@ -12,6 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Time after which an unused connection in the pool is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -38,6 +39,9 @@
     Failed(String),
     #[error("no answer in time")]
     TimedOut,
+    /// The rest of the body did not arrive in time.
+    #[error("answer incomplete in time: {received} bytes of its body arrived")]
+    Incomplete { received: usize },
     #[error("status {code}: {body}")]
     Status { code: u16, body: String },
 }
@@ -82,7 +86,7 @@
     /// If set, `timeout` ends with the first part of the response's body: the transfer then takes as
     /// long as it needs, but is given up once no data has arrived for this time.
     pub stall_timeout: Option<Duration>,
-    /// Receives the number of bytes of the body that have arrived, if `stall_timeout` is set.
+    /// Receives the number of bytes of the body that have arrived.
     pub progress: Option<&'a watch::Sender<usize>>,
 }
 
@@ -169,67 +173,40 @@
         let request = request
             .body(Full::new(Bytes::from(call.body)))
             .map_err(|error| HttpError::Failed(error.to_string()))?;
-        let stall_timeout = call.stall_timeout;
-        let exchange = self.exchange(request, stall_timeout.is_some());
-        let answer = tokio::time::timeout(call.timeout, exchange).await;
-        let (answer, rest) = answer.map_err(|_| HttpError::TimedOut)??;
-        match stall_timeout {
-            Some(stall_timeout) => receive_rest(answer, rest, stall_timeout, call.progress).await,
-            None => Ok(answer),
-        }
-    }
-
-    /// Sends a request, and receives the response or the first part of it. Returns the rest of the
-    /// body separately.
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-        first_part: bool,
-    ) -> Result<(Answer, Incoming), HttpError> {
-        let response = self.inner.request(request).await;
+        let expired = tokio::time::sleep(call.timeout);
+        tokio::pin!(expired);
+        let response = tokio::select! {
+            biased;
+            response = self.inner.request(request) => response,
+            () = &mut expired => return Err(HttpError::TimedOut),
+        };
         let response = response.map_err(|error| match error.is_connect() {
             true => HttpError::Unsent(error.to_string()),
             false => failed(&error),
         })?;
         let (head, mut rest) = response.into_parts();
-        let body = match first_part {
-            true => next_part(&mut rest).await?.unwrap_or_default(),
-            false => {
-                let whole = (&mut rest).collect().await;
-                whole.map_err(|error| failed(&error))?.to_bytes()
+        let mut body = BytesMut::new();
+        loop {
+            let part = tokio::select! {
+                biased;
+                part = next_part(&mut rest) => part?,
+                () = &mut expired => return Err(HttpError::Incomplete { received: body.len() }),
+            };
+            let Some(part) = part else { break };
+            body.extend_from_slice(&part);
+            if let Some(progress) = call.progress {
+                progress.send_replace(body.len());
             }
-        };
-        let answer = Answer {
+            if let Some(stall_timeout) = call.stall_timeout {
+                expired.as_mut().reset(Instant::now() + stall_timeout);
+            }
+        }
+        Ok(Answer {
             status: head.status,
             headers: head.headers,
-            body,
-        };
-        Ok((answer, rest))
-    }
-}
-
-/// Receives the rest of a body.
-async fn receive_rest(
-    answer: Answer,
-    mut rest: Incoming,
-    stall_timeout: Duration,
-    progress: Option<&watch::Sender<usize>>,
-) -> Result<Answer, HttpError> {
-    let mut body = BytesMut::from(answer.body);
-    loop {
-        if let Some(progress) = progress {
-            progress.send_replace(body.len());
-        }
-        let part = tokio::time::timeout(stall_timeout, next_part(&mut rest)).await;
-        match part.map_err(|_| HttpError::TimedOut)?? {
-            Some(part) => body.extend_from_slice(&part),
-            None => break,
-        }
+            body: body.freeze(),
+        })
     }
-    Ok(Answer {
-        body: body.freeze(),
-        ..answer
-    })
 }
 
 /// Returns the next part of a body; none at its end.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,10 +3,10 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -39,6 +39,10 @@
     /// Calls to the platform's store, by table and cause.
     store_calls: Counter<u64>,
     settings_reads: Counter<u64>,
+    /// Version of the declarations in force.
+    active_declarations: Gauge<u64>,
+    /// Unix time in milliseconds at which the declarations in force last matched the table.
+    declarations_confirmed: Gauge<u64>,
     /// Times that the platform's table was replaced by an older copy.
     pub table_rollbacks: Counter<u64>,
     /// Operations by workspace and by whether its limit admitted them.
@@ -67,6 +71,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("larkfall");
         let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
         Self {
             reads_by_replica: counter("larkfall_reads_by_replica"),
             reads_by_primary: counter("larkfall_reads_by_primary"),
@@ -80,6 +85,8 @@
             partition_alerts: counter("larkfall_cut_warnings"),
             store_calls: counter("larkfall_store_calls"),
             settings_reads: counter("larkfall_settings_reads"),
+            active_declarations: gauge("larkfall_active_declarations"),
+            declarations_confirmed: gauge("larkfall_active_declarations_confirmed_ms"),
             table_rollbacks: counter("larkfall_older_copies"),
             operations: counter("larkfall_operations"),
             unknown_keys: counter("larkfall_strangers"),
@@ -113,6 +120,19 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Records the version of the declarations in force.
+    pub fn record_declarations(&self, version: u64) {
+        self.active_declarations.record(version, &[]);
+    }
+
+    /// Records that the declarations in force matched the table this long ago.
+    pub fn record_confirmation(&self, age: Duration) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let confirmed = since_epoch.unwrap_or_default().saturating_sub(age);
+        let confirmed_ms = confirmed.as_millis() as u64;
+        self.declarations_confirmed.record(confirmed_ms, &[]);
+    }
+
     /// Counts an operation of a workspace, by how its limit treated it.
     pub fn count_operation(&self, workspace: &Arc<str>, outcome: &'static str) {
         let labels = [
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -375,7 +375,9 @@
     /// Puts newer rows in force and pushes them to some peers. Returns whether there were any.
     fn apply_rows(&mut self, origin: &Origin, since: Revision, scan: Scan) -> bool {
         let now = self.context.now();
-        if !self.store.apply(since, &scan, &self.context.log) {
+        let changed = self.store.apply(since, &scan, &self.context.log);
+        self.record_declarations();
+        if !changed {
             if self.departures.merge_ages(&scan.ages, now) {
                 let snapshot = self.store.snapshot();
                 self.publish(snapshot);
@@ -387,10 +389,9 @@
         let before = self.snapshot.borrow().clone();
         let change = (&*before, &snapshot);
         let departed = self.departures.update(change, &scan.ages, max_age, now);
-        let declarations = self.store.complete_sections().get(&Section::Declarations);
         let fields: [(_, &dyn fmt::Display); 4] = [
             ("revision", &snapshot.revision),
-            ("declarations", declarations.unwrap_or(&Revision::NONE)),
+            ("declarations", &self.context.declarations.get()),
             ("rows", &scan.rows.len()),
             ("from", origin),
         ];
@@ -401,6 +402,15 @@
         true
     }
 
+    /// Records the revision as of which all declarations are known.
+    fn record_declarations(&self) {
+        let known = self.store.complete_sections().get(&Section::Declarations);
+        let revision = known.copied().unwrap_or_default();
+        if self.context.declarations.replace(revision) != revision {
+            self.context.metrics.record_declarations(revision.number());
+        }
+    }
+
     /// Puts a snapshot in force on this box.
     fn publish(&self, snapshot: Snapshot) {
         let snapshot = Arc::new(snapshot.with_departures(self.departures.iter()));
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -15,7 +15,7 @@
 use crate::borders::clock::Clock;
 use crate::borders::member::Members;
 use crate::borders::roster::{Listing, Roster};
-use crate::borders::table::{Polling, Table};
+use crate::borders::table::{Polling, Revision, Table};
 use crate::configs::live::Live;
 use crate::configs::run::Run;
 use crate::declarations::resource::{Database, Workspace};
@@ -66,6 +66,10 @@
     pub partition_known: watch::Sender<bool>,
     /// How this box polls the table.
     pub polling: Cell<Polling>,
+    /// Revision as of which all declarations in force are known.
+    pub declarations: Cell<Revision>,
+    /// When the readers of this failure domain last confirmed the declarations in force.
+    pub confirmed_by_readers: Cell<Option<Duration>>,
 }
 
 /// Counts one caller as connected until the guard is dropped.
@@ -103,6 +107,15 @@
         until.is_some_and(|until| self.now() < until)
     }
 
+    /// Returns the time since the declarations in force were last known to match the table; none if
+    /// that is unknown.
+    pub fn declarations_age(&self) -> Option<Duration> {
+        let by_readers = self.confirmed_by_readers.get();
+        let by_readers = by_readers.map(|at| self.now().saturating_sub(at));
+        let ages = [self.table.answer_age(), by_readers];
+        ages.into_iter().flatten().min()
+    }
+
     /// Returns the database with the name that callers use.
     pub fn database(&self, name: &str) -> Option<Arc<Database>> {
         self.snapshot.borrow().databases.get(name).cloned()
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -179,6 +179,16 @@
         }
     }
 
+    /// Records when the readers last confirmed this box's state.
+    fn record_confirmation(&self) {
+        let confirmed = self.readers.current_at();
+        if let Some(at) = confirmed {
+            let age = self.context.now().saturating_sub(at);
+            self.context.metrics.record_confirmation(age);
+        }
+        self.context.confirmed_by_readers.set(confirmed);
+    }
+
     /// Creates the next request to a reader; none if the configuration's updater has stopped.
     async fn create_request(&mut self, reader: &Arc<str>) -> Option<FollowRequest> {
         let (reply, state) = oneshot::channel();
@@ -204,6 +214,7 @@
         };
         self.last_answers.insert(reader.clone(), last);
         self.readers.record_answer(reader, age, self.context.now());
+        self.record_confirmation();
         let _ = self.configuration.send(Request::ReaderAnswer(answer));
     }
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -156,6 +156,8 @@
         deposing: Cell::new(false),
         partition_known: watch::channel(false).0,
         polling: Cell::default(),
+        declarations: Cell::default(),
+        confirmed_by_readers: Cell::default(),
         settings,
         live: live.clone(),
         log,
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -181,13 +181,19 @@
         }
         self.abort_if_in_transaction();
         let retry_after = failure.retry_after().as_millis();
-        let fields: [(_, &dyn std::fmt::Display); 6] = [
+        let declarations = self.context.declarations.get();
+        let confirmed = self.context.declarations_age();
+        let confirmed_ms_ago =
+            confirmed.map_or("unknown".to_owned(), |age| age.as_millis().to_string());
+        let fields: [(_, &dyn std::fmt::Display); 8] = [
             ("request", &exchange.trace),
             ("group", &exchange.group),
             ("target", &exchange.target),
             ("why", &failure.reason()),
             ("waited_ms", &took.as_millis()),
             ("retry_ms", &retry_after),
+            ("declarations", &declarations),
+            ("confirmed_ms_ago", &confirmed_ms_ago),
         ];
         events::emit(&self.context.log, &events::REQUEST_FAILED, &fields);
     }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -220,6 +220,7 @@
     fn record_read(&self, feed: Feed, whole: bool) {
         if feed == Feed::Operator {
             self.operator_answered.set(Some(Instant::now()));
+            self.metrics.record_confirmation(Duration::ZERO);
         }
         if whole {
             self.full_reads.set(self.full_reads.get() + 1);
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -149,7 +149,7 @@
             .post(&self.address.control, "/control", body, timeout);
         let bytes = answer.await.map_err(|error| match error {
             HttpError::Unsent(_) | HttpError::Failed(_) => MemberError::Broken,
-            HttpError::TimedOut => MemberError::TimedOut,
+            HttpError::TimedOut | HttpError::Incomplete { .. } => MemberError::TimedOut,
             HttpError::Status { code, .. } => MemberError::InvalidAnswer(format!("status {code}")),
         })?;
         let reply = rmp_serde::from_slice(&bytes)
