--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod world;
 
 mod domain_readers;
+mod large_manifests;
 mod leaving;
 mod malformed_input;
 mod reload;
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -17,6 +17,8 @@
     None,
     /// Delays each chunk by this many milliseconds.
     Delay(u64),
+    /// Passes on at most this many bytes per second on each connection.
+    Bandwidth(u64),
     /// Holds back all bytes, in both directions, until the impairment ends.
     Silent,
     /// Holds back bytes from the upstream until the impairment ends.
@@ -147,9 +149,14 @@
             continue;
         }
         let current = *impairment.borrow();
-        if let Impairment::Delay(ms) = current {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
-        }
+        let delay = match current {
+            Impairment::Delay(ms) => Duration::from_millis(ms),
+            Impairment::Bandwidth(per_second) => {
+                Duration::from_secs_f64(count as f64 / per_second as f64)
+            }
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(delay).await;
         to.write_all(&bytes[..count]).await?;
     }
 }
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -133,15 +133,23 @@
 
     /// Puts a manifest with an additional database and returns the database's name.
     pub fn add_database(&mut self) -> String {
+        self.add_databases(1)
+    }
+
+    /// Puts a manifest with this many additional databases and returns the last one's name.
+    pub fn add_databases(&mut self, count: usize) -> String {
         self.version += 1;
-        let name = format!("added-{}", self.version);
         let mut next = manifest(self.version, 3_000);
         let routes = next["routes"].as_array_mut().expect("routes");
-        let mut added = routes[0].clone();
-        added["hostname"] = name.as_str().into();
-        routes.push(added);
+        let template = routes[0].clone();
+        for i in 0..count {
+            let mut added = template.clone();
+            added["name"] = format!("route-{i}").into();
+            added["hostname"] = format!("added-{}-{i}", self.version).into();
+            routes.push(added);
+        }
         self.store.put("op", "config", &next);
-        name
+        format!("added-{}-{}", self.version, count - 1)
     }
 
     /// Starts a box without waiting until the box is ready.
