fix(store): a read of the table may take as long as it makes progress

Cause: a read of the table had one time limit for its whole transfer, 1.0 s beyond the poll's own wait. The operator's manifest is one row and comes whole; with 4,200 routes it takes 1.2 s or more on a link of 10 Mbit/s. A poll whose change comes late in its wait fails, and each retry, which does not wait, has 1.0 s and fails for good. A reader of its failure domain asks no other reader; of its peers it heard within half a second's transfer or not at all.

Change: the limit covers the time to the first part of the answer; then only a second without data ends the read. It holds at any size, since it names no size.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,10 +11,13 @@
 use crate::borders::table::Revision;
 use crate::http::{Answer, Call, Client, HttpError};
 
-/// Timeout of a read or a transaction.
+/// Timeout of a transaction, and of the first part of a read's answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time added to a long poll's own wait to get the timeout of the call.
+/// Time added to a long poll's own wait to get the timeout of the first part of its answer.
 const LONG_POLL_MARGIN: Duration = Duration::from_secs(1);
+/// Time without data after which a read is given up. The time of the whole transfer depends on the
+/// size of the manifest and on the link, and is not limited: a read that is given up starts over.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// HTTP status of a transaction whose conditions do not hold.
 const CONDITION_FAILED: u16 = 412;
 /// HTTP status of a read of changes after a version whose history the store no longer keeps.
@@ -250,7 +253,11 @@
     }
 
     async fn fetch_rows(&self, path: &str, timeout: Duration) -> Result<Rows, StoreError> {
-        let (body, era) = self.call(Call::get(&self.address, path, timeout)).await?;
+        let call = Call {
+            stall_timeout: Some(STALL_TIMEOUT),
+            ..Call::get(&self.address, path, timeout)
+        };
+        let (body, era) = self.call(call).await?;
         Rows::parse(&body, era)
     }
 
