fix(store): a poll of the manifest ends well within the apply deadline

What callers could see: a box that polls for itself learns of a change up to 9 s late when the store has lost the answer of its poll and holds the connection open; keepalive finds a dead path, not a lost answer. Readers poll more often and their followers do not poll, so boxes of small failure domains and followers without a reader were exposed.

Cause: such a poll waited 8 s whatever the users' deadline is. It now waits two thirds of the deadline. silent_connections::a_poll_that_is_never_answered_is_repeated_in_time failed before (nothing within 4 s) and passes.

--- a/src/platform/table/feed.rs
+++ b/src/platform/table/feed.rs
@@ -8,6 +8,10 @@
 /// that the followers' configuration is current, which must not expire before the next one.
 const FREQUENT_POLLS_PER_APPLY_DEADLINE: u32 = 3;
 
+/// Share of the apply deadline that a long poll of a box without followers waits. If the store never
+/// answers it, the rest is left for noticing that and for asking again.
+const POLL_SHARE_OF_APPLY_DEADLINE: f64 = 2.0 / 3.0;
+
 /// A table of the store that a box follows, by who writes its rows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Feed {
@@ -49,7 +53,7 @@
             (Feed::Operator, Polling::Frequent) => {
                 apply_deadline / FREQUENT_POLLS_PER_APPLY_DEADLINE
             }
-            (Feed::Operator, _) => Duration::from_secs(8),
+            (Feed::Operator, _) => apply_deadline.mul_f64(POLL_SHARE_OF_APPLY_DEADLINE),
             (Feed::Members, Polling::Frequent) => apply_deadline,
             (Feed::Members, _) => Duration::from_secs(12),
             (Feed::Boxes, _) => Duration::from_secs(25),
--- a/tests/platform/silent_connections.rs
+++ b/tests/platform/silent_connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::http::{self, Client};
+use larkfall::http;
 use larkfall::node::peers;
 use larkfall::node::updates::ScanRequest;
 use larkfall::platform::table;
@@ -11,6 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::boxes::{Process, Settings};
+use super::client::Client;
+use super::proxy::Proxy;
 use super::restarts::read_until_outcome;
 use super::store::Fault;
 use super::world::{OWN_WRITES, STRICT, World};
@@ -75,6 +77,27 @@
     expect_that!(latest, le(CONTACT_DEADLINE));
 }
 
+/// Guards against a change that waits for the end of a poll whose answer was lost: the connection
+/// stays open, so no keepalive fails.
+#[gtest]
+#[tokio::test]
+async fn a_poll_that_is_never_answered_is_repeated_in_time() {
+    let mut world = World::without_boxes().await;
+    let proxy = Proxy::start(world.store_address).await;
+    world.add_box_with_store(0, proxy.address);
+    world.boxes[0].wait_ready().await;
+    proxy.silence_open_connections();
+    let added = world.add_database();
+    let front = world.boxes[0].settings.front;
+    let served = async {
+        while Client::connect(front, &added, "a").await.is_err() {
+            tokio::time::sleep(OPEN_CHECK).await;
+        }
+    };
+    let in_time = tokio::time::timeout(CONTACT_DEADLINE, served).await;
+    expect_that!(in_time, ok(anything()));
+}
+
 /// Guards against a box that answers no other peer while it waits for a silent one.
 #[gtest]
 #[tokio::test]
@@ -86,7 +109,7 @@
     settings.seeds = vec![peer.local_addr().expect("bound")];
     let control = settings.control;
     let _box = Process::start(settings);
-    let client = Client::new([127, 0, 0, 1].into());
+    let client = http::Client::new([127, 0, 0, 1].into());
     let request = rmp_serde::to_vec(&ScanRequest {
         since: 0.into(),
         digest: 1,
