fix(store): rows confirm a state only once they are scanned, and from when their answer began

What callers could see: a follower takes its reader's state for current up to the time that the reader needs to receive, parse and apply a large change; the follower's own polls then resume that much later.

Cause: the age that a reader passes on ran from the end of its last answer, whether its rows were applied or not. It now runs from the arrival of the answer's head, and from the answer before while rows wait to be scanned. The times at which members' rows may have been written start there too. Scanning a table that is not polled reports no rows instead of an error.

--- a/src/borders/table.rs
+++ b/src/borders/table.rs
@@ -152,9 +152,9 @@
     }
     /// Sets how to poll the table, where polling has a cost.
     fn set_polling(&self, _: Polling) {}
-    /// Returns the time since the table last answered; none if polling is paused, the table is
-    /// unavailable, or the time isn't tracked.
-    fn answer_age(&self) -> Option<Duration> {
+    /// Returns the time since the rows that were scanned so far were known to match the table; none
+    /// if polling is paused, the table is unavailable, or the time isn't tracked.
+    fn scan_age(&self) -> Option<Duration> {
         None
     }
     /// Whether rows become visible in the order of their revisions. If not, a revision doesn't
--- a/src/http.rs
+++ b/src/http.rs
@@ -52,13 +52,20 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// When the head of the response arrived. The body of a large one arrives much later.
+    pub arrived: Instant,
 }
 
 impl Answer {
     /// Returns the body if the status is 200, or [`HttpError::Status`].
     pub fn into_success(self) -> Result<Bytes, HttpError> {
+        self.check_status().map(|answer| answer.body)
+    }
+
+    /// Returns the response if its status is 200, or [`HttpError::Status`].
+    pub fn check_status(self) -> Result<Self, HttpError> {
         if self.status == StatusCode::OK {
-            return Ok(self.body);
+            return Ok(self);
         }
         Err(HttpError::Status {
             code: self.status.as_u16(),
@@ -184,6 +191,7 @@
             true => HttpError::Unsent(error.to_string()),
             false => failed(&error),
         })?;
+        let arrived = Instant::now();
         let (head, mut rest) = response.into_parts();
         let mut body = BytesMut::new();
         loop {
@@ -205,6 +213,7 @@
             status: head.status,
             headers: head.headers,
             body: body.freeze(),
+            arrived,
         })
     }
 }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -186,7 +186,7 @@
     /// `required` is set.
     fn answer_follower(&mut self, request: &FollowRequest, required: bool) -> Option<Body> {
         let known = request.cursor.filter(|known| known.epoch == self.epoch);
-        let heard = self.context.table.answer_age();
+        let heard = self.context.table.scan_age();
         let boxes = (self.boxes_revision > request.boxes).then(|| self.boxes.borrow().clone());
         let (rows, scan) = match known {
             _ if request.digest == self.store.digest() => (Rows::None, self.store.unchanged()),
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -112,7 +112,7 @@
     pub fn declarations_age(&self) -> Option<Duration> {
         let by_readers = self.confirmed_by_readers.get();
         let by_readers = by_readers.map(|at| self.now().saturating_sub(at));
-        let ages = [self.table.answer_age(), by_readers];
+        let ages = [self.table.scan_age(), by_readers];
         ages.into_iter().flatten().min()
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::borders::table::Revision;
 use crate::http::{Answer, Call, Client, HttpError};
@@ -72,6 +73,9 @@
     /// The version together with the era.
     #[serde(skip)]
     pub revision: Revision,
+    /// When the answer began to arrive; none if unknown.
+    #[serde(skip)]
+    pub arrived: Option<Instant>,
 }
 
 impl Rows {
@@ -172,8 +176,8 @@
         self.era.subscribe()
     }
 
-    /// Reads all rows of a table. The version is that of the first page, so a later read of
-    /// changes includes those made while further pages were read.
+    /// Reads all rows of a table. The version and the time are those of the first page, so a later
+    /// read of changes includes those made while further pages were read.
     pub async fn read_all(&self, table: &str) -> Result<Rows, StoreError> {
         let mut all = self.read_page(table, None).await?;
         while all.has_more {
@@ -247,8 +251,8 @@
             headers: vec![("content-type", "application/json".to_owned())],
             ..Call::post(&self.address, "/v1/rows-tx", body, CALL_TIMEOUT)
         };
-        let (body, era) = self.call(call).await?;
-        let committed: Committed = decode(&body)?;
+        let (answer, era) = self.call(call).await?;
+        let committed: Committed = decode(&answer.body)?;
         Ok(Revision::new(era, committed.version))
     }
 
@@ -257,22 +261,26 @@
             stall_timeout: Some(STALL_TIMEOUT),
             ..Call::get(&self.address, path, timeout)
         };
-        let (body, era) = self.call(call).await?;
-        Rows::parse(&body, era)
+        let (answer, era) = self.call(call).await?;
+        let rows = Rows::parse(&answer.body, era)?;
+        Ok(Rows {
+            arrived: Some(answer.arrived),
+            ..rows
+        })
     }
 
-    /// Makes a call. Returns the answer's body and era.
-    async fn call(&self, call: Call<'_>) -> Result<(bytes::Bytes, u64), StoreError> {
+    /// Makes a call. Returns a successful answer and its era.
+    async fn call(&self, call: Call<'_>) -> Result<(Answer, u64), StoreError> {
         let answer = self
             .client
             .send(call)
             .await
             .map_err(|error| store_error(error, 0))?;
         let era = self.check_answer_era(&answer)?;
-        let body = answer
-            .into_success()
+        let answer = answer
+            .check_status()
             .map_err(|error| store_error(error, era))?;
-        Ok((body, era))
+        Ok((answer, era))
     }
 
     /// Returns the era of an answer, including error answers, and records it if it is newer.
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -61,6 +61,8 @@
     polling: watch::Sender<Polling>,
     /// When the operator's feed last answered.
     operator_answered: Cell<Option<Instant>>,
+    /// The same as of the last scan.
+    scanned: Cell<Option<Instant>>,
     settings: Settings,
     metrics: Rc<Metrics>,
     /// Counts how often a feed answered again after an error.
@@ -106,6 +108,7 @@
             roster_source: watch::Sender::default(),
             polling: watch::channel(polling).0,
             operator_answered: Cell::new(None),
+            scanned: Cell::new(None),
             settings,
             metrics,
             recoveries: watch::channel(0).0,
@@ -177,10 +180,11 @@
                 Ok(rows) => {
                     errors = 0;
                     self.record_health(feed, None);
-                    self.record_read(feed, after.is_none());
+                    let arrived = rows.arrived.unwrap_or_else(Instant::now);
+                    self.record_read(feed, after.is_none(), arrived);
                     let has_changes = !rows.rows.is_empty() && after.is_some();
                     let revision = rows.revision;
-                    self.apply_rows(feed, rows, after.is_none(), gap.close());
+                    self.apply_rows(feed, rows, after.is_none(), gap.close(arrived));
                     after = Some(revision.max(after.unwrap_or_default()));
                     if has_changes {
                         tokio::time::sleep(feed.batch_delay()).await;
@@ -216,11 +220,12 @@
         self.wait_while_paused().await
     }
 
-    /// Records that a feed has answered; `whole` means a full read.
-    fn record_read(&self, feed: Feed, whole: bool) {
+    /// Records that a feed has answered; `whole` means a full read. The rows are as old as the
+    /// beginning of the answer.
+    fn record_read(&self, feed: Feed, whole: bool, arrived: Instant) {
         if feed == Feed::Operator {
-            self.operator_answered.set(Some(Instant::now()));
-            self.metrics.record_confirmation(Duration::ZERO);
+            self.operator_answered.set(Some(arrived));
+            self.metrics.record_confirmation(arrived.elapsed());
         }
         if whole {
             self.full_reads.set(self.full_reads.get() + 1);
@@ -365,7 +370,16 @@
     async fn scan(&self, _: Revision) -> Result<Scan, TableError> {
         let changes = self.cache.borrow_mut().take_changes();
         // Without the manifest, the members would be taken for the complete configuration.
-        changes.ok_or_else(|| TableError::Unavailable("the manifest was not read yet".to_owned()))
+        let changes = match changes {
+            Some(changes) => changes,
+            None if self.polling() == Polling::Paused => return Ok(Scan::default()),
+            None => {
+                let reason = "the manifest was not read yet".to_owned();
+                return Err(TableError::Unavailable(reason));
+            }
+        };
+        self.scanned.set(self.operator_answered.get());
+        Ok(changes)
     }
 
     async fn commit(&self, commit: &Commit) -> Result<Verdict, TableError> {
@@ -416,10 +430,14 @@
         }
     }
 
-    fn answer_age(&self) -> Option<Duration> {
+    fn scan_age(&self) -> Option<Duration> {
         let reads = self.is_up() && self.polling() != Polling::Paused;
-        let answered = self.operator_answered.get().filter(|_| reads)?;
-        Some(answered.elapsed())
+        let current = match self.cache.borrow().has_changes() {
+            true => &self.scanned,
+            false => &self.operator_answered,
+        };
+        let confirmed = current.get().filter(|_| reads)?;
+        Some(confirmed.elapsed())
     }
 
     fn has_ordered_revisions(&self) -> bool {
--- a/src/platform/table/cache.rs
+++ b/src/platform/table/cache.rs
@@ -77,6 +77,11 @@
         self.known_until.values().copied().max().unwrap_or_default()
     }
 
+    /// Whether [`Cache::take_changes`] would return any.
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty() || !self.whole.is_empty()
+    }
+
     /// Takes the changes since the last call. Returns `None` before the manifest is known.
     pub fn take_changes(&mut self) -> Option<Scan> {
         self.manifest_version?;
--- a/src/platform/table/watch_gap.rs
+++ b/src/platform/table/watch_gap.rs
@@ -58,11 +58,11 @@
         self.rewriting = Some(Rewriting { since, until });
     }
 
-    /// Records an answer. Returns the earliest time at which its changes may have been written.
-    pub fn close(&mut self) -> Written {
-        let now = Instant::now();
-        self.rewriting = self.rewriting.filter(|rewriting| now < rewriting.until);
-        let missed_since = self.since.take().unwrap_or(now);
+    /// Records an answer that began to arrive at `arrived`. Returns the earliest time at which its
+    /// changes may have been written.
+    pub fn close(&mut self, arrived: Instant) -> Written {
+        self.rewriting = self.rewriting.filter(|rewriting| arrived < rewriting.until);
+        let missed_since = self.since.take().unwrap_or(arrived);
         let since = self
             .rewriting
             .map_or(missed_since, |rewriting| rewriting.since.min(missed_since));
--- a/tests/platform/store_reads.rs
+++ b/tests/platform/store_reads.rs
@@ -192,3 +192,28 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Guards against passing on older rows as current while newer ones wait to be applied.
+#[gtest]
+#[tokio::test]
+async fn rows_that_were_not_scanned_yet_are_not_confirmed() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let store = Store::default();
+            store.put("op", "config", &manifest(3, 3_000));
+            let mirror = start_mirror(&store).await;
+            collect_rows_until(&mirror, "resource/group/platform/db1").await;
+            let scanned = tokio::time::Instant::now();
+            tokio::time::sleep(4 * POLL_INTERVAL).await;
+            let before = mirror.head().await.unwrap();
+            store.put("op", "config", &manifest(4, 2_000));
+            while mirror.head().await.unwrap() == before {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+            expect_that!(mirror.scan_age(), some(ge(scanned.elapsed())));
+            mirror.scan(Revision::NONE).await.unwrap();
+            expect_that!(mirror.scan_age(), some(lt(scanned.elapsed())));
+        })
+        .await;
+}
