fix(readers): a reader confirms a follower's state only if both have the same rows

What callers could see: a follower that lacks rows, and whose reader does not pass them on, serves an older version for good: each answer of the reader kept it from polling the store.

Cause, two places: the reader's time counted when its answer was heard, whether or not the follower then had its rows; and all rows were requested once when digests differ, counted at the request, so that after a failed transfer the follower went on from its cursor with the difference. Now the updater applies the answer first and says its digest; only an equal one confirms the state, dated from the arrival of the answer's head. All rows are requested until they were applied once. If the rows still differ then, the next reader is asked, and the follower polls the store once its state is stale.

follower::a_reader_with_other_rows_does_not_keep_a_follower_from_the_store and follower::all_rows_are_requested_again_after_their_transfer_failed failed before and pass. No message changes.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -89,8 +89,11 @@
     Digest {
         reply: oneshot::Sender<(u64, Revision)>,
     },
-    /// Applies the answer of a reader that this box follows.
-    ReaderAnswer(FollowAnswer),
+    /// Applies the answer of a reader that this box follows, and returns the digest of all rows.
+    ReaderAnswer {
+        answer: FollowAnswer,
+        reply: oneshot::Sender<u64>,
+    },
     /// Polls the table now.
     Poll,
 }
@@ -291,7 +294,10 @@
             Request::Digest { reply } => {
                 let _ = reply.send((self.store.digest(), self.boxes_revision));
             }
-            Request::ReaderAnswer(answer) => self.apply_reader_answer(answer),
+            Request::ReaderAnswer { answer, reply } => {
+                self.apply_reader_answer(answer);
+                let _ = reply.send(self.store.digest());
+            }
             Request::Poll => self.poll().await,
         }
     }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -11,7 +11,7 @@
 
 use super::configuration::{Request, Sender};
 use super::context::Context;
-use super::peers;
+use super::peers::{self, Received};
 use super::updates::{Body, Cursor, FollowAnswer, FollowRequest};
 use crate::borders::roster::Listing;
 use crate::borders::table::Polling;
@@ -116,20 +116,17 @@
 struct LastAnswer {
     cursor: Cursor,
     digest: u64,
-    /// Digest of this box's rows when it last requested all of the reader's rows.
+    /// Digest of this box's rows after it applied all of the reader's rows, if it still differed.
     resynced: Option<u64>,
 }
 
 impl LastAnswer {
-    /// Returns the cursor to continue from; none to request all rows. All rows are requested once
-    /// if the digests differ, as this box may hold a row that the reader never had, which no
-    /// change of the reader would correct.
-    fn next_cursor(&mut self, digest: u64) -> Option<Cursor> {
-        if self.digest == digest || self.resynced == Some(digest) {
-            return Some(self.cursor);
-        }
-        self.resynced = Some(digest);
-        None
+    /// Returns the cursor to continue from; none to request all rows. All rows are requested until
+    /// they were applied once if the digests differ, as this box may hold a row that the reader
+    /// never had, which no change of the reader would correct.
+    fn next_cursor(&self, digest: u64) -> Option<Cursor> {
+        let continues = self.digest == digest || self.resynced == Some(digest);
+        continues.then_some(self.cursor)
     }
 }
 
@@ -174,7 +171,7 @@
             self.readers.record_progress(context.now());
         };
         match answer {
-            Some(answer) => self.apply_answer(reader, answer),
+            Some(answer) => self.apply_answer(reader, &request, answer).await,
             None => self.readers.record_failure(reader, context.now()),
         }
     }
@@ -197,24 +194,49 @@
         Some(FollowRequest {
             cursor: self
                 .last_answers
-                .get_mut(reader)
+                .get(reader)
                 .and_then(|last| last.next_cursor(digest)),
             digest,
             boxes,
         })
     }
 
-    fn apply_answer(&mut self, reader: &Arc<str>, answer: FollowAnswer) {
-        let age = answer.heard_ms.map(Duration::from_millis);
+    /// Applies an answer. It confirms this box's state only if both boxes then have the same rows.
+    async fn apply_answer(
+        &mut self,
+        reader: &Arc<str>,
+        request: &FollowRequest,
+        received: Received<FollowAnswer>,
+    ) {
+        let Received { answer, arrived } = received;
+        let (cursor, digest, heard_ms) = (answer.cursor, answer.digest, answer.heard_ms);
+        let (reply, applied) = oneshot::channel();
+        let _ = self
+            .configuration
+            .send(Request::ReaderAnswer { answer, reply });
+        let Ok(own_digest) = applied.await else {
+            return self.readers.record_failure(reader, self.context.now());
+        };
         let before = self.last_answers.remove(reader);
+        let resynced = match request.cursor {
+            _ if own_digest == digest => None,
+            None => Some(own_digest),
+            Some(_) => before.and_then(|last| last.resynced),
+        };
         let last = LastAnswer {
-            cursor: answer.cursor,
-            digest: answer.digest,
-            resynced: before.and_then(|last| last.resynced),
+            cursor,
+            digest,
+            resynced,
         };
         self.last_answers.insert(reader.clone(), last);
+        let heard = heard_ms.map(Duration::from_millis);
+        if heard.is_some() && own_digest != digest && request.cursor.is_some() {
+            // The next request is for all rows of this reader.
+            return;
+        }
+        let confirmed = heard.filter(|_| own_digest == digest);
+        let age = confirmed.map(|heard| heard + arrived.elapsed());
         self.readers.record_answer(reader, age, self.context.now());
         self.record_confirmation();
-        let _ = self.configuration.send(Request::ReaderAnswer(answer));
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::configuration::PRIMARY_PREFIX;
 use super::context::Context;
@@ -70,7 +71,17 @@
     request: &Q,
     timeout: Duration,
 ) -> Result<A, HttpError> {
-    send(context, Call::post(address, path, encode(request), timeout)).await
+    let call = Call::post(address, path, encode(request), timeout);
+    let received = send(context, call).await?;
+    Ok(received.answer)
+}
+
+/// A decoded answer.
+#[derive(Debug)]
+pub struct Received<A> {
+    pub answer: A,
+    /// When it began to arrive.
+    pub arrived: Instant,
 }
 
 /// Makes a call whose answer may be large: `timeout` is that of the first part of the answer, and
@@ -82,7 +93,7 @@
     request: &Q,
     timeout: Duration,
     progress: Option<&watch::Sender<usize>>,
-) -> Result<A, HttpError> {
+) -> Result<Received<A>, HttpError> {
     let call = Call {
         stall_timeout: Some(STALL_TIMEOUT),
         progress,
@@ -91,9 +102,16 @@
     send(context, call).await
 }
 
-async fn send<A: DeserializeOwned>(context: &Context, call: Call<'_>) -> Result<A, HttpError> {
-    let bytes = context.client.call(call).await?;
-    rmp_serde::from_slice(&bytes).map_err(|error| HttpError::Failed(error.to_string()))
+async fn send<A: DeserializeOwned>(
+    context: &Context,
+    call: Call<'_>,
+) -> Result<Received<A>, HttpError> {
+    let response = context.client.send(call).await?.check_status()?;
+    let answer = rmp_serde::from_slice(&response.body);
+    Ok(Received {
+        answer: answer.map_err(|error| HttpError::Failed(error.to_string()))?,
+        arrived: response.arrived,
+    })
 }
 
 fn encode<Q: Serialize>(request: &Q) -> Vec<u8> {
@@ -189,7 +207,7 @@
 
 pub async fn fetch_rows(context: &Context, peer: &str, request: &ScanRequest) -> Option<Scan> {
     let scan = transfer(context, peer, SCAN, request, CALL_TIMEOUT, None).await;
-    scan.ok()
+    scan.ok().map(|received| received.answer)
 }
 
 /// Asks a reader of the table for changes, and waits until there are some. `progress` receives the
@@ -200,14 +218,14 @@
     request: &FollowRequest,
     timeout: Duration,
     progress: &watch::Sender<usize>,
-) -> Option<FollowAnswer> {
+) -> Option<Received<FollowAnswer>> {
     let answer = transfer(context, reader, FOLLOW, request, timeout, Some(progress)).await;
     answer.ok()
 }
 
 pub async fn fetch_boxes(context: &Context, peer: &str) -> Option<Vec<Listing>> {
     let boxes = transfer(context, peer, BOXES, &(), CALL_TIMEOUT, None).await;
-    boxes.ok()
+    boxes.ok().map(|received| received.answer)
 }
 
 /// Records a group's new primary in the table. Retries until that is done, or the table names a
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod world;
 
 mod domain_readers;
+mod follower;
 mod large_manifests;
 mod leaving;
 mod malformed_input;
