fix(configuration): a table that can't be scanned counts as unavailable, and the log says why

Errors of the scan and of the list of boxes were dropped and the poll counted as done: no line in the log, and no peer was asked for the rows. Both now count as an unavailable table, and event 201 has the error. Found by reading; a store that answers without a manifest, or with one that can't be read, is the case.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -21,7 +21,7 @@
 use super::peers;
 use super::updates::{Body, Cursor, FollowAnswer, FollowRequest, ScanRequest, Update};
 use crate::borders::roster::Listing;
-use crate::borders::table::{Revision, Scan, Section};
+use crate::borders::table::{Revision, Scan, Section, TableError};
 use crate::declarations::resource::Key;
 use crate::declarations::snapshot::{DepartureReason, Snapshot};
 use crate::events;
@@ -303,62 +303,66 @@
     }
 
     async fn poll(&mut self) {
+        let read = self.read_table().await;
+        self.record_table_state(read.as_ref().err());
+        if read.is_ok() {
+            self.last_poll = Some(self.context.now());
+            self.compare_with_peers();
+            self.request_ages();
+        } else if self.context.now() >= self.unavailable_since + PEER_DELAY {
+            self.ask_peers();
+        }
+    }
+
+    /// Reads new rows and the list of boxes from the table.
+    async fn read_table(&mut self) -> Result<(), TableError> {
         if !self.context.table.has_ordered_revisions() {
             // Without an order, a row may be new although the head is not. The rows that could
             // be read count even if the head can't be read.
-            self.fetch_rows().await;
-        }
-        match self.context.table.head().await {
-            Ok(head) => {
-                self.set_table_available(true);
-                if head > self.store.revision() {
-                    self.fetch_rows().await;
-                }
-                self.last_poll = Some(self.context.now());
-                self.fetch_boxes().await;
-                self.compare_with_peers();
-                self.request_ages();
-            }
-            Err(_) => {
-                self.set_table_available(false);
-                if self.context.now() >= self.unavailable_since + PEER_DELAY {
-                    self.ask_peers();
-                }
-            }
+            let fetched = self.fetch_rows().await;
+            self.context.table.head().await?;
+            fetched?;
+        } else if self.context.table.head().await? > self.store.revision() {
+            self.fetch_rows().await?;
         }
+        self.fetch_boxes().await
     }
 
-    fn set_table_available(&mut self, available: bool) {
-        if self.table_available && !available {
-            self.unavailable_since = self.context.now();
-        }
-        if self.table_available != available {
-            let kind = match available {
-                true => &events::TABLE_RECOVERED,
-                false => &events::TABLE_DOWN,
-            };
-            events::emit(&self.context.log, kind, &[]);
+    /// Records whether the table could be read, and logs when that changes.
+    fn record_table_state(&mut self, error: Option<&TableError>) {
+        let available = error.is_none();
+        if self.table_available == available {
+            return;
         }
         self.table_available = available;
+        match error {
+            None => events::emit(&self.context.log, &events::TABLE_RECOVERED, &[]),
+            Some(error) => {
+                self.unavailable_since = self.context.now();
+                events::emit(&self.context.log, &events::TABLE_DOWN, &[("error", error)]);
+            }
+        }
     }
 
-    async fn fetch_rows(&mut self) {
+    async fn fetch_rows(&mut self) -> Result<(), TableError> {
         let since = self.store.revision();
-        if let Ok(scan) = self.context.table.scan(since).await {
-            self.apply_rows(&Origin::Table, since, scan);
-        }
+        let scan = self.context.table.scan(since).await?;
+        self.apply_rows(&Origin::Table, since, scan);
+        Ok(())
     }
 
-    async fn fetch_boxes(&mut self) {
-        if let Ok(Some(listed)) = self.context.roster.boxes(&self.roster_tag).await {
-            self.roster_tag = listed.tag;
-            if listed.revision > Revision::NONE && listed.revision <= self.boxes_revision {
-                // A reader has already passed on this list or a newer one.
-                return;
-            }
+    async fn fetch_boxes(&mut self) -> Result<(), TableError> {
+        let listed = self.context.roster.boxes(&self.roster_tag).await?;
+        let Some(listed) = listed else {
+            return Ok(());
+        };
+        self.roster_tag = listed.tag;
+        // A reader may already have passed on this list or a newer one.
+        if listed.revision == Revision::NONE || listed.revision > self.boxes_revision {
             self.boxes_revision = listed.revision;
             self.set_boxes(listed.boxes.into());
         }
+        Ok(())
     }
 
     fn set_boxes(&mut self, boxes: Arc<[Listing]>) {
