--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -226,7 +226,7 @@
     let member = rng.random_range(0..world.members.len());
     let index = rng.random_range(0..world.boxes.len());
     let id = world.members[member].0.clone();
-    match rng.random_range(0..14) {
+    match rng.random_range(0..15) {
         0 => {
             world.boxes[index].kill();
             tokio::time::sleep(duration / 4).await;
@@ -291,6 +291,11 @@
             format!("open connections to {id} go silent")
         }
         10 | 11 => restore_store(world, index, rng).await,
+        12 => {
+            let count = rng.random_range(100..2_000);
+            world.add_databases(count);
+            format!("manifest with {count} more databases")
+        }
         _ => {
             let impairments = [
                 Impairment::Silent,
