fix(readers): a follower whose rows still differ after all rows came asks another reader

It went on with the same reader's changes, unconfirmed, as if all rows were still to be requested. Found in reading the change; it polled the store meanwhile. Which answers lead to a request for all rows is now asked in one place, next_cursor.

--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -228,10 +228,10 @@
             digest,
             resynced,
         };
+        let requests_all_next = last.next_cursor(own_digest).is_none();
         self.last_answers.insert(reader.clone(), last);
         let heard = heard_ms.map(Duration::from_millis);
-        if heard.is_some() && own_digest != digest && request.cursor.is_some() {
-            // The next request is for all rows of this reader.
+        if heard.is_some() && requests_all_next {
             return;
         }
         let confirmed = heard.filter(|_| own_digest == digest);
