--- a/tests/platform/follower.rs
+++ b/tests/platform/follower.rs
@@ -39,12 +39,19 @@
     Fails,
 }
 
+/// A request that the reader has met.
+#[derive(Clone, Copy)]
+struct Asked {
+    behaviour: Behaviour,
+    cursor: Option<Cursor>,
+}
+
 /// A reader that answers without rows.
 #[derive(Clone)]
 struct Reader {
     behaviour: Arc<Mutex<Behaviour>>,
-    /// The cursors of the requests so far, with the behaviour that each met.
-    requests: Arc<Mutex<Vec<(Behaviour, Option<Cursor>)>>>,
+    /// The last request.
+    asked: Arc<Mutex<Option<Asked>>>,
 }
 
 impl Reader {
@@ -52,7 +59,7 @@
     async fn start(behaviour: Behaviour) -> (Self, SocketAddr) {
         let reader = Self {
             behaviour: Arc::new(Mutex::new(behaviour)),
-            requests: Arc::default(),
+            asked: Arc::default(),
         };
         let router = Router::new()
             .route(FOLLOW, post(answer))
@@ -67,17 +74,12 @@
         *self.behaviour.lock().expect("no panic under the lock") = behaviour;
     }
 
-    /// Waits until requests have met this behaviour, and returns the cursor of the last one.
+    /// Waits until the last request has met this behaviour, and returns its cursor.
     async fn last_cursor(&self, behaviour: Behaviour) -> Option<Cursor> {
         loop {
-            let last = self
-                .requests
-                .lock()
-                .expect("no panic under the lock")
-                .last()
-                .copied();
-            match last {
-                Some((met, cursor)) if met == behaviour => return cursor,
+            let asked = *self.asked.lock().expect("no panic under the lock");
+            match asked {
+                Some(asked) if asked.behaviour == behaviour => return asked.cursor,
                 _ => tokio::time::sleep(Duration::from_millis(5)).await,
             }
         }
@@ -91,8 +93,10 @@
     let request: FollowRequest = rmp_serde::from_slice(&body).expect("a request");
     tokio::time::sleep(ANSWER_DELAY).await;
     let behaviour = *reader.behaviour.lock().expect("no panic under the lock");
-    let mut requests = reader.requests.lock().expect("no panic under the lock");
-    requests.push((behaviour, request.cursor));
+    *reader.asked.lock().expect("no panic under the lock") = Some(Asked {
+        behaviour,
+        cursor: request.cursor,
+    });
     let digest = match behaviour {
         Behaviour::Differs => !request.digest,
         _ => request.digest,
