--- a/tests/platform/store_reads.rs
+++ b/tests/platform/store_reads.rs
@@ -32,6 +32,14 @@
     start_mirror_with_metrics(store, Rc::default()).await
 }
 
+/// Starts a mirror that reaches the store through a proxy.
+fn start_mirror_behind(proxy: &Proxy) -> Rc<Mirror> {
+    let client = Client::new(proxy.address.ip());
+    let reader = Reader::new(client, proxy.address.to_string().into());
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Mirror::start(reader, Settings::default(), Rc::default(), log)
+}
+
 pub async fn start_mirror_with_metrics(store: &Store, metrics: Rc<Metrics>) -> Rc<Mirror> {
     Mirror::start(
         start_reader(store).await,
@@ -152,10 +160,7 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let client = Client::new(proxy.address.ip());
-            let reader = Reader::new(client, proxy.address.to_string().into());
-            let log = slog::Logger::root(slog::Discard, slog::o!());
-            let mirror = Mirror::start(reader, Settings::default(), Rc::default(), log);
+            let mirror = start_mirror_behind(&proxy);
             let first = scan_until(&mirror, "i-0").await;
             expect_that!(first.lag_ms, none());
             store.put("servers", "i-1", &entry_in_state("draining"));
@@ -187,10 +192,7 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let client = Client::new(proxy.address.ip());
-            let reader = Reader::new(client, proxy.address.to_string().into());
-            let log = slog::Logger::root(slog::Discard, slog::o!());
-            let mirror = Mirror::start(reader, Settings::default(), Rc::default(), log);
+            let mirror = start_mirror_behind(&proxy);
             scan_until(&mirror, "i-0").await;
             proxy.silence_open_connections();
             store.put("servers", "i-1", &entry_in_state("draining"));
