refactor(tests): one wait for a box that serves a database

Three new tests, the soak and one on restarts each had the loop. Bounds and assertions are unchanged; no sources change.

--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -11,6 +11,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::client::Client;
+
 /// Where a box listens, and what its settings file holds.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -151,6 +153,14 @@
         status_of(self.settings.ready, "/v1/readyz").await == Some(200)
     }
 
+    /// Waits until the box accepts callers of a database.
+    pub async fn wait_until_served(&self, database: &str) {
+        let front = self.settings.front;
+        while Client::connect(front, database, "probe").await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     pub async fn wait_ready(&self) {
         while !self.is_ready().await {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/tests/platform/follower.rs
+++ b/tests/platform/follower.rs
@@ -16,7 +16,6 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
-use super::client::Client;
 use super::world::World;
 
 /// Time within which users require a change to be in force.
@@ -139,15 +138,10 @@
     world.boxes[0].wait_ready().await;
     reader.set_behaviour(Behaviour::Differs);
     reader.last_cursor(Behaviour::Differs).await;
-    let front = world.boxes[0].settings.front;
     // A poll that is already under way reports the first change.
     for _ in 0..2 {
         let added = world.add_database();
-        let served = async {
-            while Client::connect(front, &added, "a").await.is_err() {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
+        let served = world.boxes[0].wait_until_served(&added);
         let in_time = tokio::time::timeout(APPLY_DEADLINE, served).await;
         expect_that!(in_time, ok(anything()));
     }
--- a/tests/platform/large_manifests.rs
+++ b/tests/platform/large_manifests.rs
@@ -4,7 +4,6 @@
 
 use googletest::prelude::*;
 
-use super::client::Client;
 use super::proxy::{Impairment, Proxy};
 use super::store::Fault;
 use super::world::World;
@@ -24,14 +23,6 @@
     proxy
 }
 
-/// Waits until the box accepts callers of a database.
-async fn wait_until_served(world: &World, database: &str) {
-    let front = world.boxes[0].settings.front;
-    while Client::connect(front, database, "a").await.is_err() {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[gtest]
 #[tokio::test]
 async fn a_large_change_is_in_force_in_time_on_a_box_with_a_slow_link() {
@@ -42,7 +33,7 @@
     let added = world.add_databases(DATABASES);
     tokio::time::sleep(Duration::from_millis(300)).await;
     world.store.set_fault(Fault::None);
-    let served = wait_until_served(&world, &added);
+    let served = world.boxes[0].wait_until_served(&added);
     let in_time = tokio::time::timeout(APPLY_DEADLINE, served).await;
     expect_that!(in_time, ok(anything()));
 }
@@ -53,7 +44,7 @@
     let mut world = World::without_boxes().await;
     let added = world.add_databases(DATABASES);
     let _link = start_box_on_slow_link(&mut world).await;
-    let served = wait_until_served(&world, &added);
+    let served = world.boxes[0].wait_until_served(&added);
     let in_time = tokio::time::timeout(APPLY_DEADLINE, served).await;
     expect_that!(in_time, ok(anything()));
 }
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -154,9 +154,7 @@
     world.store.put("op", "config", &next);
     world.store.set_fault(Fault::None);
     let front = world.boxes[0].settings.front;
-    while Client::connect(front, ADDED, "b").await.is_err() {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    world.boxes[0].wait_until_served(ADDED).await;
     // The newest change has taken effect, so the removal has too.
     let refused = Client::connect(front, STRICT, "c").await;
     expect_that!(refused.err(), some(contains_substring("NODB")));
--- a/tests/platform/silent_connections.rs
+++ b/tests/platform/silent_connections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::http;
+use larkfall::http::{self, Client};
 use larkfall::node::peers;
 use larkfall::node::updates::ScanRequest;
 use larkfall::platform::table;
@@ -11,7 +11,6 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::boxes::{Process, Settings};
-use super::client::Client;
 use super::proxy::Proxy;
 use super::restarts::read_until_outcome;
 use super::store::Fault;
@@ -88,12 +87,7 @@
     world.boxes[0].wait_ready().await;
     proxy.silence_open_connections();
     let added = world.add_database();
-    let front = world.boxes[0].settings.front;
-    let served = async {
-        while Client::connect(front, &added, "a").await.is_err() {
-            tokio::time::sleep(OPEN_CHECK).await;
-        }
-    };
+    let served = world.boxes[0].wait_until_served(&added);
     let in_time = tokio::time::timeout(CONTACT_DEADLINE, served).await;
     expect_that!(in_time, ok(anything()));
 }
@@ -109,7 +103,7 @@
     settings.seeds = vec![peer.local_addr().expect("bound")];
     let control = settings.control;
     let _box = Process::start(settings);
-    let client = http::Client::new([127, 0, 0, 1].into());
+    let client = Client::new([127, 0, 0, 1].into());
     let request = rmp_serde::to_vec(&ScanRequest {
         since: 0.into(),
         digest: 1,
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -411,15 +411,10 @@
     tokio::time::sleep(RECOVERY_TIME).await;
     let added = world.add_database();
     // Checks the boxes concurrently, so that a slow box doesn't use up the others' deadline.
-    let served = world.boxes.iter().map(|process| {
-        let front = process.settings.front;
-        let added = added.as_str();
-        tokio::time::timeout(APPLY_DEADLINE, async move {
-            while Client::connect(front, added, "soak").await.is_err() {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        })
-    });
+    let served = world
+        .boxes
+        .iter()
+        .map(|process| tokio::time::timeout(APPLY_DEADLINE, process.wait_until_served(&added)));
     let served = futures::future::join_all(served).await;
     served.iter().filter(|served| served.is_err()).count()
 }
