--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,20 +1,23 @@
-//! Runs one scenario of the review: `standins SCENARIO`. `address-reuse` and `lease-ids` belong to
-//! the cases 1 and 2; `lost-listing`, `sync-commit`, `blank-replica` and `cut-at-stop` show further
-//! faults that the report lists.
+//! Runs one scenario of the review: `standins SCENARIO`. `address-reuse`, `lease-ids` and
+//! `returned-primary` belong to the cases 1 to 3; `lost-listing`, `sync-commit`, `blank-replica`,
+//! `bare-lf`, `large-version` and `cut-at-stop` show further faults that the report lists.
 //!
 //! Reads `PROGRAM` (the box's program), `RECORD` (the record's path) and `TROUBLE` (0 leaves out
 //! the disturbance) from the environment. Exits with 1 if the rule was broken, 0 if it held, and 2
 //! if the scenario couldn't run.
 
 mod address_reuse;
+mod bare_lf;
 mod blank_replica;
 mod boxes;
 mod cut_at_stop;
 mod json;
+mod large_version;
 mod lease_ids;
 mod lost_listing;
 mod member;
 mod record;
+mod returned_primary;
 mod store;
 mod sync_commit;
 
@@ -84,7 +87,10 @@
             "lost-listing" => lost_listing::play(run),
             "sync-commit" => sync_commit::play(run),
             "address-reuse" => address_reuse::play(run),
+            "returned-primary" => returned_primary::play(run),
             "cut-at-stop" => cut_at_stop::play(run),
+            "large-version" => large_version::play(run),
+            "bare-lf" => bare_lf::play(run),
             "blank-replica" => blank_replica::play(run),
             _ => Err("no such scenario".to_owned()),
         }));
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -205,6 +205,19 @@
         state.received.clear();
     }
 
+    /// Starts a crashed member under a new id, as a replica with its log.
+    pub fn start_as(&self, old: &str, new: &str) {
+        let mut states = self.states();
+        let state = states.remove(old).expect("a member");
+        let state = State {
+            running: true,
+            primary: false,
+            fence: 0,
+            ..state
+        };
+        states.insert(new.to_owned(), state);
+    }
+
     /// Copies the newest primary's log to the replicas that receive.
     fn replicate(&self) {
         let mut states = self.states();
