--- a/review/standins/boxes.rs
+++ b/review/standins/boxes.rs
@@ -27,7 +27,8 @@
     }
 }
 
-fn send_signal(id: u32, signal: &str) {
+/// Sends a signal to a process that a run has started.
+pub fn send_signal(id: u32, signal: &str) {
     let command = format!("kill -{signal} {id}");
     let _ = Command::new("sh")
         .args(["-c", &command])
@@ -153,6 +154,11 @@
         self.child = Some(child);
     }
 
+    /// Returns the process id; 0 if none runs.
+    pub fn process(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,7 @@
 //! Runs one scenario of the review: `standins SCENARIO`. `address-reuse`, `lease-ids` and
 //! `returned-primary` belong to the cases 1 to 3; `lost-listing`, `sync-commit`, `blank-replica`,
-//! `bare-lf`, `large-version` and `cut-at-stop` show further faults that the report lists.
+//! `bare-lf`, `large-version`, `cut-at-stop` and `lower-number` show further faults that the report
+//! lists.
 //!
 //! Reads `PROGRAM` (the box's program), `RECORD` (the record's path) and `TROUBLE` (0 leaves out
 //! the disturbance) from the environment. Exits with 1 if the rule was broken, 0 if it held, and 2
@@ -15,6 +16,7 @@
 mod large_version;
 mod lease_ids;
 mod lost_listing;
+mod lower_number;
 mod member;
 mod record;
 mod returned_primary;
@@ -88,6 +90,7 @@
             "sync-commit" => sync_commit::play(run),
             "address-reuse" => address_reuse::play(run),
             "returned-primary" => returned_primary::play(run),
+            "lower-number" => lower_number::play(run),
             "cut-at-stop" => cut_at_stop::play(run),
             "large-version" => large_version::play(run),
             "bare-lf" => bare_lf::play(run),
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -424,9 +424,19 @@
         }
     }
 
+    /// Starts the crashed member again at its address, as a replica with its log.
+    pub fn start_with_log(&self) {
+        self.group.start_as(&self.id, &self.id);
+        self.listen_again();
+    }
+
     /// Starts the crashed member again at its address. It retains nothing.
     pub fn start_again(&self) {
         self.group.start_blank(&self.id);
+        self.listen_again();
+    }
+
+    fn listen_again(&self) {
         let listener = loop {
             match TcpListener::bind(self.address) {
                 Ok(listener) => break listener,
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -51,7 +51,25 @@
     }
 }
 
+/// A call that the store or the platform makes before it answers.
+type Hook<T> = Mutex<Option<Box<dyn Fn(T) + Send>>>;
+
+/// An order to promote a member.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub group: String,
+    pub member: String,
+    pub holder: String,
+    pub generation: u64,
+}
+
 pub struct Store {
+    /// Called with the machine that has claimed a duty.
+    pub on_claim: Hook<IpAddr>,
+    /// Called with each order to promote that is accepted.
+    pub on_order: Hook<Order>,
+    /// All orders to promote, in the order in which they came.
+    pub orders: Mutex<Vec<Order>>,
     state: Mutex<State>,
     changed: Condvar,
     groups: Mutex<HashMap<String, Arc<Group>>>,
@@ -62,6 +80,9 @@
 impl Store {
     pub fn new(record: Arc<Record>) -> Arc<Self> {
         Arc::new(Self {
+            on_claim: Mutex::default(),
+            on_order: Mutex::default(),
+            orders: Mutex::default(),
             state: Mutex::default(),
             changed: Condvar::new(),
             groups: Mutex::default(),
@@ -325,6 +346,12 @@
         let version = state.version;
         drop(state);
         self.changed.notify_all();
+        let puts = body.get("puts").list();
+        if puts.iter().any(|row| key(row).1.starts_with("duty/"))
+            && let Some(hook) = &*self.on_claim.lock().unwrap()
+        {
+            hook(machine);
+        }
         let now = self.start.elapsed().as_millis();
         (
             200,
@@ -348,6 +375,16 @@
             .get(&group)
             .is_some_and(|group| group.promote(&member));
         let status = if accepted { 200 } else { 409 };
+        let order = Order {
+            group: group.clone(),
+            member: member.clone(),
+            holder: request.header("x-duty-holder").to_owned(),
+            generation: request.header("x-fencing-token").parse().unwrap_or(0),
+        };
+        self.orders.lock().unwrap().push(order.clone());
+        if accepted && let Some(hook) = &*self.on_order.lock().unwrap() {
+            hook(order);
+        }
         self.record.line(&format!(
             "platform: order to promote {member} of {group} from {} under {}: {status}",
             request.header("x-duty-holder"),
