fix(review): an interrupted script ends the boxes that it started

Cause: the scripts replaced themselves by the stand-ins, which can't catch a signal, so SIGTERM during case 2 left 12 boxes running. review/play.sh now keeps their process ids and ends them.

Result: after SIGTERM to the script, and after SIGKILL to the stand-ins, it exits with 2 and no process is left.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,4 @@
 # out the disturbance. Needs target/release/larkfall; what was sent, answered and run goes into
 # record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/larkfall ] || { echo "build the project first"; exit 2; }
-[ -x target/review/standins ] || sh review/build.sh || exit 2
-export PROGRAM=target/release/larkfall RECORD=review/1/record.txt
-exec target/review/standins address-reuse
+exec sh review/play.sh address-reuse review/1/record.txt
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,4 @@
 # out the disturbance. Needs target/release/larkfall; what was sent, answered and run goes into
 # record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/larkfall ] || { echo "build the project first"; exit 2; }
-[ -x target/review/standins ] || sh review/build.sh || exit 2
-export PROGRAM=target/release/larkfall RECORD=review/2/record.txt
-exec target/review/standins lease-ids
+exec sh review/play.sh lease-ids review/2/record.txt
--- a/review/standins/boxes.rs
+++ b/review/standins/boxes.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// Adds a process id to the file that `STARTED` names, for the script that ends the boxes if this
+/// program is interrupted.
+fn note_started(id: u32) {
+    let Some(path) = std::env::var_os("STARTED") else {
+        return;
+    };
+    let file = std::fs::OpenOptions::new().append(true).open(path);
+    let noted = file.and_then(|mut file| writeln!(file, "{id}"));
+    noted.expect("a process id can be noted");
+}
+
 /// Sends a signal to a process that a run has started.
 pub fn send_signal(id: u32, signal: &str) {
     let command = format!("kill -{signal} {id}");
@@ -151,6 +162,7 @@
             .spawn()
             .expect("a box starts");
         RUNNING.lock().unwrap().push(child.id());
+        note_started(child.id());
         self.child = Some(child);
     }
 
