--- a/review/play.sh
+++ b/review/play.sh
@@ -8,6 +8,7 @@
 export PROGRAM=target/release/larkfall RECORD="$2" STARTED="$started"
 end_boxes() {
     while read -r id; do
+        [ -r "/proc/$id/cmdline" ] || continue
         # An id may have been given to another process since.
         if tr '\0' ' ' < "/proc/$id/cmdline" 2> /dev/null | grep -q "^$PROGRAM serve "; then
             kill -KILL "$id"
