--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -72,6 +72,8 @@
     pub sender: IpAddr,
     pub id: String,
     pub text: String,
+    /// Mode and shape that an EXECUTE ran.
+    pub shape: Option<String>,
     /// Id of the BEGIN of the transaction in which it ran.
     pub transaction: Option<String>,
     /// Length of the log that a read saw.
@@ -479,6 +481,7 @@
                         writes: Vec::new(),
                         values: BTreeMap::new(),
                         prepared: HashMap::new(),
+                        shape: None,
                     };
                     session.run(stream, full);
                     open.fetch_sub(1, Ordering::SeqCst);
@@ -534,6 +537,8 @@
     writes: Vec<Entry>,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, (String, String)>,
+    /// Mode and shape of the EXECUTE that runs.
+    shape: Option<String>,
 }
 
 const DONE: &str = "COMPLETE -\r\n";
@@ -641,6 +646,7 @@
             sender: self.machine,
             id: id.to_owned(),
             text: text.to_owned(),
+            shape: self.shape.clone(),
             transaction,
             applied,
         });
@@ -683,12 +689,15 @@
             }
             "EXECUTE" => match self.prepared.get(first).cloned() {
                 None => "ERROR NOSTMT unknown\r\n".to_owned(),
-                Some((mode, _)) => {
+                Some((mode, shape)) => {
                     let (thing, data) = tail.split_once(' ').unwrap_or((tail, ""));
-                    match mode.as_str() {
+                    self.shape = Some(format!("{mode} {shape}"));
+                    let answer = match mode.as_str() {
                         "READ" => self.read(id, text, thing),
                         _ => self.write(id, text, thing, data),
-                    }
+                    };
+                    self.shape = None;
+                    answer
                 }
             },
             "BEGIN" => self.begin(id, text, rest == "READ"),
