test(review): one client's values take a box over its memory

Nothing bounds the values (and the prepared statements) that a session keeps. 249 messages SET of 1 MiB from one client, all answered COMPLETE, and the box holds 261 MB of its machine's 260.

--- a/review/standins/boxes.rs
+++ b/review/standins/boxes.rs
@@ -14,6 +14,8 @@
 const CONTROL: u16 = 8782;
 /// Metrics port in the run command of the deploy file.
 const METRICS: u16 = 9464;
+/// Memory of a box's machine.
+pub const MEMORY_MB: u64 = 260;
 /// Longer than any answer of a box takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -103,7 +105,7 @@
 ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"santiago\"\nzones:\n{zones}\
 listen_addrs:\n  front: \"{ip}:{FRONT}\"\n  ready: \"{ip}:{READY}\"\n  control: \"{ip}:{CONTROL}\"\n\
 internal_port_range:\n  - 7440\n  - 7455\nseeds:{seeds}bootstrap: {bootstrap}\nloss_counts: false\n\
-limits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  max_fds: 4200\n  link_mbps: 1000.0\n  disk_mb: 0\n\
+limits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: {MEMORY_MB}\n  max_fds: 4200\n  link_mbps: 1000.0\n  disk_mb: 0\n\
 data_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\n\
 contracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"recover\"\n  - \"sql\"\n  - \"platform\"\n\
 fault_tolerance:\n  machines: 2\n  zones: 1\n  regions: 0\n\
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,6 @@
 //! Runs one scenario of the review: `standins SCENARIO`. `address-reuse`, `lease-ids` and
-//! `returned-primary` belong to the cases 1 to 3; `lost-listing`, `sync-commit`, `blank-replica`,
-//! `bare-lf`, `large-version`, `cut-at-stop`, `lower-number` and `shape-collision` show further faults
-//! that the report lists.
+//! `returned-primary` belong to the cases 1 to 3; the others show further faults that the report
+//! lists.
 //!
 //! Reads `PROGRAM` (the box's program), `RECORD` (the record's path) and `TROUBLE` (0 leaves out
 //! the disturbance) from the environment. Exits with 1 if the rule was broken, 0 if it held, and 2
@@ -12,6 +11,7 @@
 mod blank_replica;
 mod boxes;
 mod cut_at_stop;
+mod endless_values;
 mod json;
 mod large_version;
 mod lease_ids;
@@ -95,6 +95,7 @@
             "cut-at-stop" => cut_at_stop::play(run),
             "large-version" => large_version::play(run),
             "bare-lf" => bare_lf::play(run),
+            "endless-values" => endless_values::play(run),
             "shape-collision" => shape_collision::play(run),
             "blank-replica" => blank_replica::play(run),
             _ => Err("no such scenario".to_owned()),
