refactor(review): the case of PINNED becomes a further fault

PINNED (lease-ids) strikes only where the owner is young or little used when it is killed; its script and its text stay in review/further/. The case of ROUTE is now number 2.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # out the disturbance. Needs target/release/larkfall; what was sent, answered and run goes into
 # record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
-exec sh review/play.sh lease-ids review/2/record.txt
+exec sh review/play.sh address-reuse review/2/record.txt
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,5 @@
-//! Runs one scenario of the review: `standins SCENARIO`. `address-reuse`, `lease-ids` and
-//! `returned-primary` belong to the cases 1 to 3; the others show further faults that the report
-//! lists.
+//! Runs one scenario of the review: `standins SCENARIO`. `address-reuse` and `returned-primary`
+//! belong to the cases 2 and 3; the others show further faults that the report lists.
 //!
 //! Reads `PROGRAM` (the box's program), `RECORD` (the record's path) and `TROUBLE` (0 leaves out
 //! the disturbance) from the environment. Exits with 1 if the rule was broken, 0 if it held, and 2
