test(review): case 1, a replaced primary serves again when it is the only member listed

A group is what the store lists now: one without listed members is dropped with its term and its members, or isn't known to a box that starts, and the first member whose entry is back counts as the whole service and as its own majority. If that is an old primary that was replaced and can't reach the new one, the boxes serve there; its writes are acknowledged and lost.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,6 @@
-//! Runs one scenario of the review: `standins SCENARIO`. `address-reuse` and `returned-primary`
-//! belong to the cases 2 and 3; the others show further faults that the report lists.
+//! Runs one scenario of the review: `standins SCENARIO`. `forgotten-term`, `address-reuse` and
+//! `returned-primary` belong to the cases 1 to 3; the others show further faults that the report
+//! lists.
 //!
 //! Reads `PROGRAM` (the box's program), `RECORD` (the record's path) and `TROUBLE` (0 leaves out
 //! the disturbance) from the environment. Exits with 1 if the rule was broken, 0 if it held, and 2
@@ -11,6 +12,7 @@
 mod boxes;
 mod cut_at_stop;
 mod endless_values;
+mod forgotten_term;
 mod json;
 mod large_version;
 mod lease_ids;
@@ -85,6 +87,7 @@
     ));
     let played =
         std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match scenario.as_str() {
+            "forgotten-term" => forgotten_term::play(run),
             "lease-ids" => lease_ids::play(run),
             "lost-listing" => lost_listing::play(run),
             "sync-commit" => sync_commit::play(run),
@@ -197,7 +200,7 @@
     const HEARTBEAT: Duration = Duration::from_millis(1_200);
     let (store, members) = (store.clone(), members.to_vec());
     let put = move |sequence: u64| {
-        for member in members.iter().filter(|member| !member.has_ended()) {
+        for member in members.iter().filter(|member| member.keeps_entry()) {
             store.put("servers", &member.id, &member.entry(sequence, None));
         }
     };
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -46,6 +46,8 @@
     lag: Duration,
     /// Whether the member receives nothing for a while.
     deaf: bool,
+    /// Whether the member is partitioned from the other members.
+    isolated: bool,
 }
 
 impl State {
@@ -130,6 +132,7 @@
                 received: Vec::new(),
                 lag: REPLICA_LAG,
                 deaf: false,
+                isolated: false,
             };
             (id.to_string(), state)
         };
@@ -181,6 +184,15 @@
         self.states().get_mut(id).expect("a member").deaf = deaf;
     }
 
+    /// Sets whether a member is partitioned from the other members.
+    pub fn set_isolated(&self, id: &str, isolated: bool) {
+        self.states().get_mut(id).expect("a member").isolated = isolated;
+    }
+
+    fn is_isolated(&self, id: &str) -> bool {
+        self.states().get(id).is_some_and(|state| state.isolated)
+    }
+
     /// Whether a running replica has received the log up to this length.
     fn is_received(&self, index: usize) -> bool {
         let states = self.states();
@@ -229,9 +241,13 @@
         let Some(newest) = primaries.max_by_key(|state| state.term) else {
             return;
         };
+        if newest.isolated {
+            return;
+        }
         let (term, log) = (newest.term, newest.log.clone());
         for state in states.values_mut() {
-            if !state.running || state.primary || state.fence > 0 || state.deaf {
+            let receives = state.running && !state.deaf && !state.isolated && state.fence == 0;
+            if state.primary || !receives {
                 continue;
             }
             let same = state.log.iter().zip(&log).take_while(|(a, b)| a == b);
@@ -291,7 +307,11 @@
         self.promotions.lock().unwrap().push(promotion);
         let group = self.clone();
         std::thread::spawn(move || {
+            // It goes on until a second after it can reach the new one.
             std::thread::sleep(OLD_PRIMARY_TIME);
+            while group.is_isolated(&replaced) {
+                std::thread::sleep(OLD_PRIMARY_TIME);
+            }
             group.step_down(&replaced, term);
         });
     }
@@ -322,6 +342,8 @@
     /// Time that a read, a write or a commit occupies a slot.
     work: Duration,
     draining: Arc<AtomicBool>,
+    /// Whether the store doesn't hear the member.
+    unheard: Arc<AtomicBool>,
     life: Arc<Mutex<Life>>,
     /// Machines whose links to this member are cut.
     cut: Arc<Mutex<HashSet<IpAddr>>>,
@@ -367,6 +389,7 @@
             connections,
             work,
             draining: Arc::default(),
+            unheard: Arc::default(),
             life: Arc::default(),
             cut: Arc::default(),
             slots: Arc::new((Mutex::new(SLOTS), Condvar::new())),
@@ -407,6 +430,16 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Sets whether the store hears the member, which keeps its entry there.
+    pub fn set_heard(&self, heard: bool) {
+        self.unheard.store(!heard, Ordering::SeqCst);
+    }
+
+    /// Whether the member writes its entry.
+    pub fn keeps_entry(&self) -> bool {
+        !self.has_ended() && !self.unheard.load(Ordering::SeqCst)
+    }
+
     /// Cuts the link to a machine, or heals it. Nothing passes a cut link, and nothing is reset.
     pub fn cut_link(&self, machine: IpAddr, cut: bool) {
         let mut links = self.cut.lock().unwrap();
