feat(events): a box logs the groups that it owns, with their members and majority

Three hypotheses stood: the group was started anew with one member as its own majority; missing members were removed until one was left; the lease of the earlier term was kept. No line told them apart: 305 names the primary that was adopted, but not over how many members.

Events 316 and 317 tell when a box begins and ceases to own a group, the first with the members that it knows and the majority; 318 names a member that is removed, with the majority that is left.

--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -300,6 +300,11 @@
         self.failover.primary
     }
 
+    /// Number of members that make a majority.
+    pub fn majority(&self) -> usize {
+        self.failover.majority()
+    }
+
     /// Whether this owner suspects each member, by index.
     pub fn suspicions(&self) -> impl Iterator<Item = bool> {
         self.members.iter().map(|member| member.suspected)
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -208,6 +208,7 @@
             if !leads {
                 member.removed = true;
                 member.report = None;
+                out.push(Action::Log(Note::Removed { member: index }));
             }
         }
         self.update_members();
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -290,4 +290,6 @@
     ImplausibleReport { member: usize },
     /// A member restarted; what was known of it is void.
     Restarted { member: usize },
+    /// A member that is missing from the list was removed from the group.
+    Removed { member: usize },
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -60,6 +60,9 @@
     DRAIN_EXPIRED = 313, Warning, "leaving primary receives no new requests";
     MEMBER_RESTARTED = 314, Info, "member restarted under its name; what was known about it is discarded";
     FENCE_REFUSED = 315, Info, "member refused a fence";
+    GROUP_OWNED = 316, Info, "acting as an owner of the group";
+    GROUP_RELEASED = 317, Info, "no longer acting as an owner of the group";
+    MEMBER_REMOVED = 318, Warning, "missing member removed from the group";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller violated the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "outcome of a write is unknown";
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -271,6 +271,15 @@
                 &events::MEMBER_RESTARTED,
                 &[("group", id), ("member", &name(*member))],
             ),
+            Note::Removed { member } => events::emit(
+                log,
+                &events::MEMBER_REMOVED,
+                &[
+                    ("group", id),
+                    ("member", &name(*member)),
+                    ("majority", &group.majority()),
+                ],
+            ),
             Note::DrainStarted {
                 member,
                 age,
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -20,7 +20,11 @@
             // An unfinished ballot would leave its fences behind, and the group without a primary
             // until another owner notices.
             owned.departing = !owned_plans.contains_key(id);
-            !owned.departing || owned.group.is_deposing()
+            let kept = !owned.departing || owned.group.is_deposing();
+            if !kept {
+                events::emit(&self.context.log, &events::GROUP_RELEASED, &[("group", id)]);
+            }
+            kept
         });
         let load_factor = (owned_plans.len() as u32)
             .div_ceil(GROUPS_AT_FULL_PROBE_RATE)
@@ -49,7 +53,13 @@
     pub(super) fn drop_departed(&mut self) {
         let finished = |owned: &Owned| owned.departing && !owned.group.is_deposing();
         if self.groups.values().any(finished) {
-            self.groups.retain(|_, owned| !finished(owned));
+            self.groups.retain(|id, owned| {
+                let kept = !finished(owned);
+                if !kept {
+                    events::emit(&self.context.log, &events::GROUP_RELEASED, &[("group", id)]);
+                }
+                kept
+            });
             self.release_departed();
         }
     }
@@ -88,6 +98,7 @@
         let mut group = Group::new(plan.clone(), domain, rank, self.settings, seed, now);
         group.set_rank(rank, load_factor);
         group.set_owners(owners);
+        self.log_owned_group(&id, &group);
         let owned = Owned {
             incarnation,
             plan,
@@ -105,6 +116,18 @@
         self.handle_event(&id, Event::BoxListed { listed });
     }
 
+    /// Logs the members of a group that this box starts to own: a majority of them decides.
+    fn log_owned_group(&self, id: &Arc<str>, group: &Group) {
+        let members = group.plan.members.iter().map(|member| &*member.name);
+        let members: Vec<&str> = members.collect();
+        let fields: [(_, &dyn std::fmt::Display); 3] = [
+            ("group", id),
+            ("members", &members.join(" ")),
+            ("majority", &group.majority()),
+        ];
+        events::emit(&self.context.log, &events::GROUP_OWNED, &fields);
+    }
+
     /// Creates and watches the borders to new members.
     pub(super) fn add_members(&mut self, id: &Arc<str>) {
         let Some(owned) = self.groups.get_mut(id) else {
