fix: a majority is counted over the members that a group is known to have

Cause: a group was what the store listed at the moment. An empty list dropped it with its term and members, a box that starts knew nothing else, and a member that was missing for 3 s was removed whoever was left. The first entry back, or the last one left, was the whole group and its own majority.

Change: - The owners record a group's members in the table (membership/GROUP). A box that starts, or gets a group from another, counts recorded members that it doesn't see, and starts no group before it knows the records. - A group keeps its members while none is listed. - A missing member is removed only if the others still are a majority, if it announced its departure, or if its loss is confirmed by a box of its failure domain and no owner objects. A primary whose term was claimed for replacement by then is promoted anew before it is used. - A primary isn't used once any member follows a later term.

Ruled out: the duty's record as the only fence (a claim isn't a promotion, and may be made without the table); a longer wait; a lease that was kept (the processes were new).

Three tests let two members vanish in silence and expected the third to serve. That is the fault; the members now announce that they leave, and the tests keep their bounds.

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -33,6 +33,13 @@
     pub revision: Revision,
 }
 
+impl Duty {
+    /// Returns the term that the holder's ballot was to replace.
+    pub fn replaced_term(&self) -> u64 {
+        self.generation / (BOX_SLOTS * BALLOTS_PER_TERM)
+    }
+}
+
 /// This box's claim of the duty.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim {
--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -218,6 +218,9 @@
     acceptors: BTreeSet<usize>,
     /// All present members.
     members: BTreeSet<usize>,
+    /// Number of recorded members that aren't known otherwise. They count towards the size of a
+    /// majority, and each may lead a later term.
+    absent: usize,
     rank: u32,
     pub term: u64,
     pub primary: Option<usize>,
@@ -257,6 +260,7 @@
             settings,
             acceptors: (0..members).collect(),
             members: (0..members).collect(),
+            absent: 0,
             rank,
             term: 0,
             primary: None,
@@ -289,6 +293,16 @@
         self.set_acceptors();
     }
 
+    /// Sets the number of recorded members that aren't known otherwise.
+    pub fn set_absent(&mut self, absent: usize) {
+        self.absent = absent;
+    }
+
+    /// Returns the number of recorded members that aren't known otherwise.
+    pub fn absent(&self) -> usize {
+        self.absent
+    }
+
     fn set_acceptors(&mut self) {
         let stays =
             |member: &usize| !self.leaving.contains(member) || self.primary == Some(*member);
@@ -315,7 +329,17 @@
     }
 
     pub fn majority(&self) -> usize {
-        self.acceptors.len() / 2 + 1
+        (self.acceptors.len() + self.absent) / 2 + 1
+    }
+
+    /// Records that a term may have been replaced, without a member in sight that follows a later one.
+    pub fn record_ended_term(&mut self, term: u64) {
+        self.followed = self.followed.max(term + 1);
+    }
+
+    /// Whether a member follows a later term than the known primary's, which was replaced then.
+    pub fn is_replaced(&self) -> bool {
+        self.primary.is_some() && self.followed > self.term
     }
 
     /// Returns the term that a ballot would end. A box that has never seen the primary
--- a/src/decisions/failover/ballot.rs
+++ b/src/decisions/failover/ballot.rs
@@ -142,7 +142,7 @@
         let counted = |member: &&usize| acceptors.contains(member);
         let refused = refused.iter().filter(counted).count();
         let grants = granted.keys().filter(counted).count();
-        if acceptors.len() - refused < majority {
+        if acceptors.len() < majority + refused {
             return self.fail_ballot(term, now);
         }
         if grants < majority {
--- a/src/decisions/failover/orphaned.rs
+++ b/src/decisions/failover/orphaned.rs
@@ -75,7 +75,7 @@
     pub(super) fn has_abandoned_promise(&self, now: Duration) -> bool {
         let orphaned = self.orphaned.as_ref();
         let orphaned = orphaned.filter(|orphaned| {
-            !(self.settings.promotion_clears_fences && orphaned.unseen.is_empty())
+            !(self.settings.promotion_clears_fences && self.has_seen_all(orphaned))
         });
         orphaned.is_some_and(|orphaned| now >= orphaned.first_seen + self.abandon_delay())
     }
@@ -85,7 +85,7 @@
         let orphaned = self.orphaned.as_ref()?;
         let abandoned_at = orphaned.first_seen + self.abandon_delay();
         match self.settings.promotion_clears_fences
-            && (orphaned.unseen.is_empty() || !orphaned.probed)
+            && (self.has_seen_all(orphaned) || !orphaned.probed)
         {
             true => Some(abandoned_at.min(self.settled_at(orphaned))),
             false => Some(abandoned_at),
@@ -102,16 +102,22 @@
         let Some(orphaned) = &self.orphaned else {
             return false;
         };
-        let is_actionable = orphaned.unseen.is_empty() || !orphaned.probed;
+        let is_actionable = self.has_seen_all(orphaned) || !orphaned.probed;
         self.settings.promotion_clears_fences && is_actionable && now >= self.settled_at(orphaned)
     }
 
+    /// Whether every member was seen since a promotion would be visible.
+    fn has_seen_all(&self, orphaned: &OrphanedFences) -> bool {
+        self.absent == 0 && orphaned.unseen.is_empty()
+    }
+
     /// Releases the fences if every member was seen; otherwise probes the members.
     pub(super) fn release_or_probe(&mut self) -> Vec<Step> {
+        let absent = self.absent;
         let Some(orphaned) = &mut self.orphaned else {
             return Vec::new();
         };
-        if !orphaned.unseen.is_empty() {
+        if absent > 0 || !orphaned.unseen.is_empty() {
             orphaned.probed = true;
             return vec![Step::ProbeMembers];
         }
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod message;
 mod observation;
+mod recorded;
 mod restart;
 mod settings;
 mod timers;
@@ -203,6 +204,16 @@
     load_factor: u32,
     /// Earlier and new index of each restarted member whose restart is not handled yet.
     pending_restarts: Vec<(usize, usize)>,
+    /// Recorded members that aren't known otherwise.
+    absent: recorded::Absent,
+    /// When it was last checked whether missing members can be removed.
+    removals_checked: Duration,
+    /// When the other owners are asked whether missing members are lost.
+    next_loss_check: Option<Duration>,
+    /// Whether the members may differ from the recorded ones.
+    record_outdated: bool,
+    /// When the members are recorded.
+    record_due: Option<Duration>,
 }
 
 /// A member in a dump.
@@ -268,8 +279,14 @@
             owners,
             load_factor: 1,
             pending_restarts: Vec::new(),
+            absent: recorded::Absent::default(),
+            removals_checked: Duration::ZERO,
+            next_loss_check: None,
+            record_outdated: true,
+            record_due: None,
             plan,
         };
+        group.update_absent(now);
         group.update_departures(now);
         group.update_members();
         group.update_probe_periods();
@@ -481,6 +498,9 @@
                 same_domain,
                 suspects,
             } => self.failover.record_opinion(from, same_domain, suspects),
+            Event::LossesConfirmed { members, claimed } => {
+                self.remove_lost(&members, claimed, now, &mut out)
+            }
             Event::PrimaryAnnounced { term, primary } => {
                 self.learn_primary(term, &primary, now, &mut out)
             }
@@ -569,6 +589,11 @@
             .chain(queued)
             .chain(failover)
             .chain(self.next_removal())
+            .chain(self.record_due)
+            .chain(
+                self.next_loss_check
+                    .filter(|_| !self.failover.is_deposing()),
+            )
             .chain(lease)
             .chain(limited);
         all.min().unwrap_or(never)
--- a/src/decisions/group/dispatch.rs
+++ b/src/decisions/group/dispatch.rs
@@ -51,7 +51,8 @@
             true => self.failover.is_deposing() || known.drain_expired,
             false => known.spec.leaving,
         };
-        let usable = !known.suspected && !leaving && self.sees_majority();
+        let leads = !known.suspected && !self.failover.is_replaced();
+        let usable = leads && !leaving && self.sees_majority();
         usable.then_some(primary)
     }
 
@@ -310,6 +311,7 @@
         let known = |i: &usize| !member(*i).joined_later || member(*i).report.is_some();
         // `None` is less than any moment.
         let all = self.present().filter(known).map(unreplaced).min().flatten();
+        let all = all.filter(|_| self.failover.absent() == 0);
         self.majority_confirmed_at(now).max(all)
     }
 
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -44,6 +44,7 @@
             ..Plan::clone(&plan)
         });
         self.reset_capacities();
+        self.update_absent(now);
         self.update_departures(now);
         self.update_members();
     }
@@ -185,33 +186,63 @@
         missing.map(|since| since + self.settings.missing_grace)
     }
 
-    /// When the next missing member is to be removed. No member is removed during a ballot,
-    /// which may rely on the member's grant or promote it.
+    /// When the next missing member may be removed. No member is removed during a ballot, which may
+    /// rely on the member's grant or promote it.
     pub(super) fn next_removal(&self) -> Option<Duration> {
         let indexes = 0..self.members.len();
-        let next = indexes.filter_map(|index| self.removal_due(index)).min();
+        let due = indexes.filter_map(|index| self.removal_due(index));
+        let due = due.chain(self.absence_due());
+        let next = due.filter(|due| *due > self.removals_checked).min();
         next.filter(|_| !self.failover.is_deposing())
     }
 
-    /// Removes members that have been missing from the list for the grace period.
+    /// Removes members that have been missing from the list for the grace period. A member that
+    /// hasn't announced its departure may be alive, and a majority that it belongs to may have
+    /// promoted another primary. So it is removed only if the others still are a majority.
     pub(super) fn remove_missing(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.next_removal().is_none_or(|next| now < next) {
+        if self.failover.is_deposing() {
             return;
         }
-        for index in 0..self.members.len() {
-            if self.removal_due(index).is_none_or(|at| now < at) {
-                continue;
-            }
+        let is_due = |due: Option<Duration>| due.is_some_and(|due| now >= due);
+        let due = (0..self.members.len()).filter(|index| is_due(self.removal_due(*index)));
+        let due: Vec<usize> = due.collect();
+        if due.is_empty() && !is_due(self.absence_due()) {
+            return;
+        }
+        self.removals_checked = now;
+        let missing = due.iter().map(|i| &self.members[*i].spec.name);
+        let majority_stays = self.majority_stays(&missing.cloned().collect());
+        if majority_stays {
+            self.give_up_absent(now);
+        } else {
+            self.next_loss_check = self.next_loss_check.or(Some(now));
+        }
+        let mut changed = majority_stays;
+        for index in due {
             let leads = Some(index) == self.failover.primary;
             let member = &mut self.members[index];
+            if !member.spec.leaving && !majority_stays {
+                continue;
+            }
             member.spec.leaving = true;
+            changed = true;
             if !leads {
                 member.removed = true;
                 member.report = None;
                 out.push(Action::Log(Note::Removed { member: index }));
             }
         }
-        self.update_members();
-        self.requeue(now, out);
+        if changed {
+            self.record_outdated = true;
+            self.update_members();
+            self.requeue(now, out);
+        }
+    }
+
+    /// Whether the members other than the `missing` ones are a majority.
+    pub(super) fn majority_stays(&self, missing: &BTreeSet<Arc<str>>) -> bool {
+        let acceptors = self.present().filter(|i| self.failover.is_acceptor(*i));
+        let staying = acceptors.filter(|i| !missing.contains(&self.members[*i].spec.name));
+        staying.count() >= self.failover.majority()
     }
 }
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -1,5 +1,6 @@
 //! Events that a group handles, and the actions that it asks for.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -209,6 +210,12 @@
         same_domain: bool,
         suspects: bool,
     },
+    /// Boxes in the failure domains of these members confirm that they are lost.
+    LossesConfirmed {
+        members: BTreeSet<Arc<str>>,
+        /// Latest term for whose replacement a box has claimed the duty.
+        claimed: Option<u64>,
+    },
     /// A peer or the table names the primary of a term.
     PrimaryAnnounced { term: u64, primary: Arc<str> },
 }
@@ -251,6 +258,12 @@
     AskOpinions,
     /// Record the primary in the table and announce it to the peers.
     RecordPrimary { term: u64, primary: usize },
+    /// Record the members in the table: failure domains by name.
+    RecordMembers {
+        members: BTreeMap<Arc<str>, Arc<str>>,
+    },
+    /// Ask the other owners whether these members are lost.
+    ConfirmLosses { members: BTreeSet<Arc<str>> },
     /// Write a log entry.
     Log(Note),
 }
--- a/src/decisions/group/observation.rs
+++ b/src/decisions/group/observation.rs
@@ -59,6 +59,7 @@
         {
             return;
         }
+        self.record_outdated |= known.report.is_none();
         known.report = Some((status, began));
         known.applied = status.applied;
         let leads = status.role == Role::Primary && !self.has_lost_log(member, &status);
@@ -303,6 +304,7 @@
         let ended = self.unconfirmed.end_older_terms(self.failover.term);
         Self::report_outcomes(ended, out);
         self.history.clear();
+        self.record_outdated = true;
         for member in &mut self.members {
             member.in_term_at = None;
             member.unfenced_at = None;
--- a/src/decisions/group/restart.rs
+++ b/src/decisions/group/restart.rs
@@ -87,6 +87,7 @@
             let other = &self.members[other];
             other.in_term_at.max(other.unfenced_at) >= Some(earlier.restart_seen)
         };
-        self.present().filter(|other| *other != member).all(seen)
+        let others_seen = self.present().filter(|other| *other != member).all(seen);
+        others_seen && self.failover.absent() == 0
     }
 }
--- a/src/decisions/group/settings.rs
+++ b/src/decisions/group/settings.rs
@@ -37,6 +37,13 @@
     /// Time for which a member that is missing from the list stays in the group: lists
     /// lag, and entries of live members may expire while the store is unreachable.
     pub missing_grace: Duration,
+    /// Least time for which the members differ from the recorded ones before they are recorded
+    /// again, for each rank.
+    pub record_delay: Duration,
+    /// Random part of that time, so that the owners of many groups don't write at once.
+    pub record_spread: Duration,
+    /// Time after which the members are recorded again if the record still differs.
+    pub record_retry: Duration,
     /// Added to the primary's expected wait when it competes with replicas for a read.
     /// `None`: the primary serves reads only if no replica is suitable.
     pub primary_cost: Option<Duration>,
@@ -79,6 +86,9 @@
             lease_margin: Duration::from_millis(50),
             serve_leaving: false,
             missing_grace: Duration::ZERO,
+            record_delay: Duration::from_secs(1),
+            record_spread: Duration::ZERO,
+            record_retry: Duration::from_secs(5),
             primary_cost: None,
             wait_until_deadline: false,
             idle_connections_percent: 100,
--- a/src/decisions/group/timers.rs
+++ b/src/decisions/group/timers.rs
@@ -14,9 +14,12 @@
 impl Group {
     pub(super) fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.remove_missing(now, out);
+        self.check_losses(now, out);
+        self.update_record(now, out);
         self.update_suspicions(now, out);
         let handover = self.is_handover_due(now, out);
         let trigger = match self.failover.primary {
+            Some(_) if self.failover.is_replaced() => Trigger::Suspected,
             Some(primary) if handover && !self.members[primary].suspected => Trigger::Drained,
             Some(primary) if !self.members[primary].suspected => Trigger::None,
             None if now < self.started_at + self.settings.detect.period => Trigger::None,
--- a/src/decisions/owners.rs
+++ b/src/decisions/owners.rs
@@ -133,10 +133,11 @@
     }
 }
 
-/// Returns the failure domains of a group's members.
+/// Returns the failure domains of a group's members, listed or not: the owners stay the same while
+/// entries are missing.
 fn member_domains(plan: &Plan) -> BTreeSet<Arc<str>> {
-    let members = plan.members.iter();
-    members.map(|member| member.domain.clone()).collect()
+    let listed = plan.members.iter().map(|member| &member.domain);
+    listed.chain(plan.recorded.values()).cloned().collect()
 }
 
 /// Computes the weights of boxes for a group.
--- a/src/decisions/owners/assignment.rs
+++ b/src/decisions/owners/assignment.rs
@@ -92,8 +92,10 @@
     }
 
     fn has_member_in(&self, domain: &Arc<str>) -> bool {
-        let members = &self.plan.members;
-        members.iter().any(|member| member.domain == *domain)
+        let listed = self.plan.members.iter().map(|member| &member.domain);
+        listed
+            .chain(self.plan.recorded.values())
+            .any(|known| known == domain)
     }
 }
 
@@ -178,7 +180,7 @@
             })
             .collect();
         match own_rank {
-            Some(rank) if !plan.members.is_empty() => {
+            Some(rank) => {
                 let ownership = Ownership {
                     plan: plan.clone(),
                     rank: rank as u32,
@@ -186,7 +188,7 @@
                 };
                 self.owned.insert(plan.id.clone(), ownership);
             }
-            _ => {
+            None => {
                 self.owned.remove(&plan.id);
             }
         }
--- a/src/declarations/snapshot.rs
+++ b/src/declarations/snapshot.rs
@@ -43,9 +43,16 @@
     /// Departures that this box knows of, by the name of the member: it is leaving or no longer
     /// listed.
     pub departures: BTreeMap<Arc<str>, Departure>,
+    /// The group's members as recorded in the table, listed or not: failure domains by name.
+    pub recorded: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl Plan {
+    /// Whether any member is listed or recorded.
+    pub fn has_members(&self) -> bool {
+        !self.members.is_empty() || !self.recorded.is_empty()
+    }
+
     fn mark_leaving(&mut self, name: &str) {
         let members = self.members.iter_mut();
         for member in members.filter(|member| *member.name == *name) {
@@ -65,6 +72,17 @@
     pub revision: Revision,
 }
 
+/// A group's members, as last recorded in the table. The list of members may lack some that are
+/// alive, so a majority is counted over these too.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Failure domains of the members, by name.
+    pub members: BTreeMap<Arc<str>, Arc<str>>,
+    /// Revision of the row. An update must give it as the expected revision.
+    #[serde(skip)]
+    pub revision: Revision,
+}
+
 /// Every resource at one revision. A snapshot is immutable; a newer one replaces it.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -83,6 +101,10 @@
     pub primaries: OrdMap<Arc<str>, Primary>,
     /// By `PARTNER/GROUP`.
     pub duties: OrdMap<Arc<str>, Duty>,
+    /// By `PARTNER/GROUP`.
+    pub memberships: OrdMap<Arc<str>, Membership>,
+    /// Whether all records of the table are known, so that a missing one doesn't exist.
+    pub records_known: bool,
 }
 
 impl Snapshot {
--- a/src/declarations/snapshot/builder.rs
+++ b/src/declarations/snapshot/builder.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::{Plan, Primary, Snapshot, Stored, group_id};
+use super::{Membership, Plan, Primary, Snapshot, Stored, group_id};
 use crate::borders::table::Revision;
 use crate::decisions::duty::Duty;
 use crate::declarations::resource::{Database, Key, Kind, Spec, Workspace};
@@ -60,6 +60,17 @@
         };
     }
 
+    /// Sets the recorded members of a group; none removes the record.
+    pub fn set_membership(&mut self, group: Arc<str>, membership: Option<Membership>) {
+        if let Some((partner, name)) = group.split_once('/') {
+            self.changed_groups.insert((partner.into(), name.into()));
+        }
+        match membership {
+            Some(membership) => self.snapshot.memberships.insert(group, membership),
+            None => self.snapshot.memberships.remove(&group),
+        };
+    }
+
     /// Returns the recorded duty of a group.
     pub fn duty(&self, group: &str) -> Option<&Duty> {
         self.snapshot.duties.get(group)
@@ -223,6 +234,7 @@
             onces: Vec::new(),
             keyed: self.keyed_databases.contains_key(name),
             departures: BTreeMap::new(),
+            recorded: self.recorded_members(&id),
         };
         for kind in [Kind::Member, Kind::Read, Kind::Once] {
             for spec in self.resources(kind, partner, &prefix) {
@@ -239,6 +251,11 @@
         self.snapshot.groups.insert(id, Arc::new(plan));
     }
 
+    fn recorded_members(&self, group: &str) -> BTreeMap<Arc<str>, Arc<str>> {
+        let recorded = self.snapshot.memberships.get(group);
+        recorded.map_or_else(BTreeMap::new, |recorded| recorded.members.clone())
+    }
+
     /// Returns the resources of a kind whose names start with a prefix, in the order of their keys;
     /// without a partner, those of all partners.
     fn resources(&self, kind: Kind, partner: &str, prefix: &str) -> impl Iterator<Item = &Spec> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod joining;
 pub mod limits;
+pub mod membership;
 pub mod message;
 pub mod once;
 pub mod owner;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -100,6 +100,7 @@
         .route(peers::ABANDON, post(abandon))
         .route(peers::OPINION, post(opinion))
         .route(peers::REACH, post(reach))
+        .route(peers::LIVE_MEMBERS, post(live_members))
         .route(peers::REVOKE, post(revoke))
         .route(peers::UPDATE, post(update))
         .route(peers::SCAN, post(scan))
@@ -171,6 +172,15 @@
     Ok(pack(&answer.await.ok().flatten()))
 }
 
+async fn live_members(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
+    let group = unpack(&body)?;
+    let (reply, answer) = oneshot::channel();
+    let _ = api
+        .decisions
+        .send(Message::QueryLiveMembers { group, reply });
+    Ok(pack(&answer.await.ok().flatten()))
+}
+
 async fn revoke(State(api): Shared, body: Bytes) -> Result<Response, StatusCode> {
     let group = unpack(&body)?;
     let (reply, revoked) = oneshot::channel();
--- a/src/node/configuration/store.rs
+++ b/src/node/configuration/store.rs
@@ -15,9 +15,10 @@
 use crate::declarations::check;
 use crate::declarations::entry::Entry;
 use crate::declarations::resource::Key;
-use crate::declarations::snapshot::{Builder, Primary, Snapshot, Stored};
+use crate::declarations::snapshot::{Builder, Membership, Primary, Snapshot, Stored};
 use crate::events;
 use crate::node::duty::DUTY_PREFIX;
+use crate::node::membership::MEMBERSHIP_PREFIX;
 use crate::node::updates::ScanRequest;
 
 /// A row as it is kept: values are encoded, which takes a fraction of the memory, and as other boxes
@@ -110,6 +111,7 @@
         if since > self.revision {
             return false;
         }
+        let known_sections = self.complete_sections.len();
         let mut complete = self.current_sections(&scan.whole);
         if let Some(digest) = scan.same_as {
             self.confirm_sections(digest, std::mem::take(&mut complete));
@@ -118,7 +120,8 @@
         let rows = scan.rows.iter();
         changes.extend(rows.filter_map(|row| self.changed_row(row, &complete)));
         self.complete_sections.extend(complete);
-        if scan.head <= self.revision && changes.is_empty() {
+        let new_section = self.complete_sections.len() > known_sections;
+        if scan.head <= self.revision && changes.is_empty() && !new_section {
             return false;
         }
         self.sequence += 1;
@@ -234,6 +237,13 @@
             self.declarations.set_duty(group.into(), duty);
             return parsed.map(|_| ());
         }
+        if let Some(group) = row.key.strip_prefix(MEMBERSHIP_PREFIX) {
+            let membership = parse_value::<Membership>(row);
+            let known = membership.as_ref().ok().cloned().flatten();
+            let known = known.map(|read| Membership { revision, ..read });
+            self.declarations.set_membership(group.into(), known);
+            return membership.map(|_| ());
+        }
         let key = row.key.strip_prefix(RESOURCE_PREFIX).and_then(Key::parse);
         let key = key.ok_or("unknown kind of row")?;
         let stored = row
@@ -317,7 +327,10 @@
 
     /// Returns all declarations and records in force.
     pub fn snapshot(&mut self) -> Snapshot {
-        self.declarations.snapshot(self.revision)
+        Snapshot {
+            records_known: self.complete_sections.contains_key(&Section::Records),
+            ..self.declarations.snapshot(self.revision)
+        }
     }
 
     /// Returns how many groups' plans were derived from their declarations so far.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,6 +5,7 @@
 //! return as messages.
 
 mod actions;
+mod losses;
 mod ownership;
 mod partition;
 
@@ -24,7 +25,7 @@
 use crate::borders::roster::Listing;
 use crate::borders::table::Polling;
 use crate::decisions::confirmation::Outcome;
-use crate::decisions::duty::Claim;
+use crate::decisions::duty::{Claim, Duty};
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
 use crate::decisions::owners::{Assignment, GROUPS_PER_BOX};
 use crate::decisions::partition::Monitor;
@@ -42,6 +43,8 @@
 /// Time after which a change of the list of boxes has reached every box that can read the table.
 /// Exceeds the interval at which boxes read the list, and the delay of updates between boxes.
 const LISTING_DELAY: Duration = Duration::from_secs(5);
+/// Mean time between the records that the owners of all groups write at the start of a system.
+const RECORD_INTERVAL: Duration = Duration::from_millis(20);
 const MIN_SLEEP: Duration = Duration::from_millis(1);
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -210,6 +213,11 @@
                 let owned = self.groups.get(&group);
                 let _ = reply.send(owned.and_then(|owned| owned.group.reaches_majority(now)));
             }
+            Message::QueryLiveMembers { group, reply } => {
+                let now = self.context.now();
+                let owned = self.groups.get(&group);
+                let _ = reply.send(owned.map(|owned| owned.group.live_members(now)));
+            }
             Message::QueryOpinion { group, term, reply } => {
                 let owned = self.groups.get(&group);
                 let _ = reply.send(owned.map(|owned| owned.group.suspects_primary(term)));
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -5,7 +5,7 @@
 use super::*;
 use crate::borders::member::Order;
 use crate::decisions::group::Note;
-use crate::node::{duty, peers};
+use crate::node::{duty, membership, peers};
 
 impl Driver {
     /// Performs an action. Returns the event that results from it at once, if any.
@@ -145,6 +145,11 @@
                 let record = peers::record_primary(self.context.clone(), id.clone(), term, name);
                 tokio::task::spawn_local(record);
             }
+            Action::RecordMembers { members } => {
+                let record = membership::record(self.context.clone(), id.clone(), members);
+                tokio::task::spawn_local(record);
+            }
+            Action::ConfirmLosses { members } => self.confirm_losses(id, owned, members),
             Action::Log(note) => self.log_note(id, &owned.group, &note),
         }
         None
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -1,7 +1,7 @@
 //! Determines which groups this box owns, and informs them of changes to the list of boxes, the
 //! duties and the primaries.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,6 @@
 
 use super::*;
 use crate::borders::table::Revision;
-use crate::decisions::duty::Duty;
 use crate::decisions::owners::Ownership;
 
 impl Driver {
@@ -29,6 +28,7 @@
         let load_factor = (owned_plans.len() as u32)
             .div_ceil(GROUPS_AT_FULL_PROBE_RATE)
             .max(1);
+        let knows_records = self.knows_records();
         for (id, ownership) in owned_plans {
             let Ownership { plan, rank, owners } = ownership;
             match self.groups.get_mut(&id) {
@@ -43,12 +43,23 @@
                     // The changes may have made an action due.
                     self.handle_event(&id, Event::Tick);
                 }
-                None => self.start_group(id, plan, (rank, owners), load_factor),
+                None if plan.has_members() && knows_records => {
+                    self.start_group(id, plan, (rank, owners), load_factor);
+                }
+                None => {}
             }
         }
         self.release_departed();
     }
 
+    /// Whether this box knows which members the table records for each group. Where members may be
+    /// missing from the list, a majority can't be counted without.
+    fn knows_records(&self) -> bool {
+        let lists_are_complete = self.settings.missing_grace.is_zero();
+        let nothing_recorded = self.context.settings.first_start;
+        lists_are_complete || nothing_recorded || self.snapshot.records_known
+    }
+
     /// Drops groups that were kept only for a ballot, once it has ended.
     pub(super) fn drop_departed(&mut self) {
         let finished = |owned: &Owned| owned.departing && !owned.group.is_deposing();
@@ -95,7 +106,11 @@
         self.next_id += 1;
         let seed = rand::rng().random();
         let domain = self.context.settings.domain.clone();
-        let mut group = Group::new(plan.clone(), domain, rank, self.settings, seed, now);
+        let settings = Settings {
+            record_spread: RECORD_INTERVAL * self.snapshot.groups.len() as u32,
+            ..self.settings
+        };
+        let mut group = Group::new(plan.clone(), domain, rank, settings, seed, now);
         group.set_rank(rank, load_factor);
         group.set_owners(owners);
         self.log_owned_group(&id, &group);
@@ -118,8 +133,9 @@
 
     /// Logs the members of a group that this box starts to own: a majority of them decides.
     fn log_owned_group(&self, id: &Arc<str>, group: &Group) {
-        let members = group.plan.members.iter().map(|member| &*member.name);
-        let members: Vec<&str> = members.collect();
+        let listed = group.plan.members.iter().map(|member| &member.name);
+        let members: BTreeSet<&Arc<str>> = listed.chain(group.plan.recorded.keys()).collect();
+        let members: Vec<&str> = members.into_iter().map(|name| &**name).collect();
         let fields: [(_, &dyn std::fmt::Display); 3] = [
             ("group", id),
             ("members", &members.join(" ")),
--- a/src/node/message.rs
+++ b/src/node/message.rs
@@ -1,5 +1,6 @@
 //! Messages to the loop that owns a box's decisions.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -152,6 +153,11 @@
         group: Arc<str>,
         reply: oneshot::Sender<Option<bool>>,
     },
+    /// Asks which members of the group this box, as an owner, doesn't take for lost.
+    QueryLiveMembers {
+        group: Arc<str>,
+        reply: oneshot::Sender<Option<BTreeSet<Arc<str>>>>,
+    },
     /// Asks whether this box, as an owner, suspects the primary of the term.
     QueryOpinion {
         group: Arc<str>,
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,6 +1,7 @@
 //! Calls between boxes: HTTP requests with MessagePack bodies. Structs are encoded by position,
 //! so the order of their fields is part of the protocol.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 pub const ABANDON: &str = "/peer/abandon";
 pub const OPINION: &str = "/peer/opinion";
 pub const REACH: &str = "/peer/reach";
+pub const LIVE_MEMBERS: &str = "/peer/members";
 pub const REVOKE: &str = "/peer/revoke";
 pub const UPDATE: &str = "/peer/news";
 pub const SCAN: &str = "/peer/scan";
@@ -164,6 +166,17 @@
     answer.ok().flatten()
 }
 
+/// Asks an owner which members of a group it doesn't take for lost; none if it can't tell.
+pub async fn fetch_live_members(
+    context: &Context,
+    owner: &str,
+    group: &Arc<str>,
+) -> Option<BTreeSet<Arc<str>>> {
+    let answer: Result<Option<BTreeSet<Arc<str>>>, _> =
+        call(context, owner, LIVE_MEMBERS, group, CALL_TIMEOUT).await;
+    answer.ok().flatten()
+}
+
 /// Alerts a box of the same failure domain that the other failure domains may be unreachable.
 pub async fn send_partition_alert(context: Rc<Context>, peer: Arc<str>) {
     let from = &context.settings.name;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -24,4 +24,5 @@
 mod soak;
 mod store_reads;
 mod store_restore;
+mod unlisted;
 mod workspaces;
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -247,6 +247,7 @@
         onces: Vec::new(),
         keyed: false,
         departures: BTreeMap::new(),
+        recorded: BTreeMap::new(),
     })
 }
 
@@ -567,7 +568,7 @@
             Action::ReleaseFence { .. } | Action::ClaimDuty | Action::RevokeLeases { .. } => {}
             Action::AskOpinions => self.ask_peers(owner),
             Action::RecordPrimary { .. } => self.counts.failovers += 1,
-            Action::Log(_) => {}
+            Action::RecordMembers { .. } | Action::ConfirmLosses { .. } | Action::Log(_) => {}
         }
     }
 
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -54,6 +54,7 @@
         onces: Vec::new(),
         keyed: false,
         departures: BTreeMap::new(),
+        recorded: BTreeMap::new(),
     })
 }
 
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -25,6 +25,8 @@
 /// Returns a group whose only member, the primary, announces that it leaves.
 fn last_member_leaves() -> Fixture {
     let mut fixture = Fixture::new(0);
+    let leaving = (0..3).map(|i| member(i, i > 0)).collect();
+    fixture.group.set_plan(plan(leaving), fixture.now);
     fixture
         .group
         .set_plan(plan(vec![member(0, false)]), fixture.now);
@@ -494,6 +496,8 @@
     for (before, after) in [(ms(7_000), ms(3_000)), (ms(3_000), ms(7_000))] {
         let mut fixture = Fixture::new(0);
         fixture.group.set_drain_limit(before);
+        let others_leave = (0..3).map(|i| member(i, i > 0)).collect();
+        fixture.group.set_plan(plan(others_leave), fixture.now);
         let alone = |leaving| plan(vec![member(0, leaving)]);
         fixture.group.set_plan(alone(false), fixture.now);
         report_primary_for(&mut fixture, ms(4_000));
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -18,6 +18,7 @@
 mod partition;
 mod randomised;
 mod readers;
+mod recorded;
 mod restarted;
 mod settings;
 mod setup;
