fix(pool): a connection belongs to a member, not to an address

Cause: the pool kept idle connections by address and compared only the member's start, which these members don't tell. Probes and statements for the crashed member took connections that were opened to the new one. Its reports were booked for the crashed member, which then looked alive and was sent reads.

Change: resource::Identity (partner, group, name, address, start) is the key of the pool and of the shares. Each connection holds the identity that it was opened to, and is returned without naming a member, so it can't be filed under another one. The border to a member is created anew if its identity changes.

Ruled out: an unchecked new connection (CONNECT names service and id, and a wrong member refuses); a wrong list (the statement was granted for the crashed member).

--- a/src/declarations/resource.rs
+++ b/src/declarations/resource.rs
@@ -155,7 +155,28 @@
     pub born: Option<u64>,
 }
 
+/// Identifies one start of a member. An address alone doesn't: another member, of another group too,
+/// may listen there later.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Identity {
+    partner: Arc<str>,
+    group: Arc<str>,
+    name: Arc<str>,
+    address: Address,
+    born: Option<u64>,
+}
+
 impl Member {
+    pub fn identity(&self) -> Identity {
+        Identity {
+            partner: self.partner.clone(),
+            group: self.group.clone(),
+            name: self.name.clone(),
+            address: self.address.clone(),
+            born: self.born,
+        }
+    }
+
     /// Whether `later` is this member after a restart. An earlier start time is outdated
     /// information and no restart.
     pub fn restarted_as(&self, later: &Member) -> bool {
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -18,7 +18,7 @@
 use crate::borders::table::{Polling, Revision, Table};
 use crate::configs::live::Live;
 use crate::configs::run::Run;
-use crate::declarations::resource::{Database, Workspace};
+use crate::declarations::resource::{Database, Identity, Workspace};
 use crate::declarations::snapshot::{Snapshot, UnknownKey};
 use crate::http::Client;
 use crate::metrics::Metrics;
@@ -50,8 +50,8 @@
     pub limits: Limits,
     /// Number of idle connections to members.
     pub idle_connections: Cell<usize>,
-    /// This box's share of the connections to each member of its groups, by address.
-    pub connection_shares: watch::Sender<HashMap<Arc<str>, usize>>,
+    /// This box's share of the connections to each member of its groups.
+    pub connection_shares: watch::Sender<HashMap<Identity, usize>>,
     /// Peers that didn't answer, with the time until which they are tried last.
     pub unresponsive_peers: RefCell<HashMap<Arc<str>, Duration>>,
     /// Readers of this box's failure domain, as the box through which it joined chose them.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -29,6 +29,7 @@
 use crate::decisions::group::{Action, Event, Group, Request, Settings};
 use crate::decisions::owners::{Assignment, GROUPS_PER_BOX};
 use crate::decisions::partition::Monitor;
+use crate::declarations::resource::Identity;
 use crate::declarations::snapshot::{Plan, Snapshot};
 use crate::events;
 
@@ -55,9 +56,7 @@
     /// remain valid.
     plan: Arc<Plan>,
     group: Group,
-    members: Vec<Rc<dyn Member>>,
-    /// Tasks that watch the members' processes.
-    watches: Vec<AbortHandle>,
+    members: Vec<Handle>,
     health: watch::Sender<Health>,
     /// This box's last claim to the duty.
     claim: Option<Claim>,
@@ -66,11 +65,17 @@
     departing: bool,
 }
 
-impl Drop for Owned {
+/// The border to one start of a member.
+struct Handle {
+    identity: Identity,
+    border: Rc<dyn Member>,
+    /// Task that watches the member's process.
+    watch: AbortHandle,
+}
+
+impl Drop for Handle {
     fn drop(&mut self) {
-        for watch in &self.watches {
-            watch.abort();
-        }
+        self.watch.abort();
     }
 }
 
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -75,7 +75,7 @@
             }
             Action::Fence { member, term } => {
                 let fence = owned.group.fence_request(term);
-                let border = owned.members[member].clone();
+                let border = owned.members[member].border.clone();
                 let (context, group) = (self.context.clone(), id.clone());
                 let name = owned.group.plan.members[member].name.clone();
                 self.spawn_for_event(id, async move {
@@ -97,7 +97,7 @@
                 });
             }
             Action::ReleaseFence { member } => {
-                let border = owned.members[member].clone();
+                let border = owned.members[member].border.clone();
                 self.spawn_for_event(id, async move {
                     // The probe that follows shows whether the fence was released.
                     let _ = border.release_fence().await;
@@ -105,7 +105,7 @@
                 });
             }
             Action::Promote { member, term } => {
-                let border = owned.members[member].clone();
+                let border = owned.members[member].border.clone();
                 let claim = owned.claim.clone();
                 let order = claim.as_ref().map_or_else(Order::default, |claim| Order {
                     holder: claim.duty.holder.clone(),
@@ -127,7 +127,7 @@
                 term,
                 primary,
             } => {
-                let border = owned.members[member].clone();
+                let border = owned.members[member].border.clone();
                 let address = owned.group.plan.members[primary].address.clone();
                 self.spawn_for_event(id, async move {
                     let _ = border.follow(term, &address).await;
@@ -175,7 +175,7 @@
 
     pub(super) fn probe(&self, id: &Arc<str>, owned: &Owned, member: usize) {
         self.context.metrics.probes.add(1, &[]);
-        let border = owned.members[member].clone();
+        let border = owned.members[member].border.clone();
         let began = self.context.now();
         self.spawn_for_event(id, async move {
             let answer = border.status().await;
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -38,7 +38,7 @@
                     if owned.plan != plan {
                         owned.plan = plan.clone();
                         owned.group.set_plan(plan, self.context.now());
-                        self.add_members(&id);
+                        self.update_members(&id);
                     }
                     // The changes may have made an action due.
                     self.handle_event(&id, Event::Tick);
@@ -84,13 +84,13 @@
             .retain(|_, (incarnation, _)| live.contains(incarnation));
         self.confirm_replies
             .retain(|_, (incarnation, _)| live.contains(incarnation));
-        let addresses = self.groups.values().flat_map(|owned| {
+        let shares = self.groups.values().flat_map(|owned| {
             let share = owned.group.idle_connections();
             let members = owned.group.plan.members.iter();
-            members.map(move |member| (member.address.sql.clone(), share))
+            members.map(move |member| (member.identity(), share))
         });
-        let addresses = addresses.collect();
-        self.context.connection_shares.send_replace(addresses);
+        let shares = shares.collect();
+        self.context.connection_shares.send_replace(shares);
     }
 
     /// Starts to act as an owner of a group.
@@ -119,14 +119,13 @@
             plan,
             group,
             members: Vec::new(),
-            watches: Vec::new(),
             health: watch::channel(Health::default()).0,
             claim: None,
             next_tick: now,
             departing: false,
         };
         self.groups.insert(id.clone(), owned);
-        self.add_members(&id);
+        self.update_members(&id);
         let listed = self.is_listing_settled();
         self.handle_event(&id, Event::BoxListed { listed });
     }
@@ -144,21 +143,32 @@
         events::emit(&self.context.log, &events::GROUP_OWNED, &fields);
     }
 
-    /// Creates and watches the borders to new members.
-    pub(super) fn add_members(&mut self, id: &Arc<str>) {
+    /// Creates and watches the borders to new members, and to those whose identity has changed.
+    pub(super) fn update_members(&mut self, id: &Arc<str>) {
         let Some(owned) = self.groups.get_mut(id) else {
             return;
         };
-        for index in owned.members.len()..owned.group.plan.members.len() {
-            let border = self
-                .context
-                .members
-                .member(&owned.group.plan.members[index]);
+        for (index, declared) in owned.group.plan.members.iter().enumerate() {
+            let identity = declared.identity();
+            let known = owned.members.get_mut(index);
+            if known
+                .as_ref()
+                .is_some_and(|known| known.identity == identity)
+            {
+                continue;
+            }
+            let border = self.context.members.member(declared);
             let group = (id.clone(), owned.incarnation);
             let watching = watch_member(self.context.clone(), group, index, border.clone());
-            let watch = tokio::task::spawn_local(watching).abort_handle();
-            owned.watches.push(watch);
-            owned.members.push(border);
+            let handle = Handle {
+                identity,
+                border,
+                watch: tokio::task::spawn_local(watching).abort_handle(),
+            };
+            match known {
+                Some(known) => *known = handle,
+                None => owned.members.push(handle),
+            }
         }
     }
 
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -103,7 +103,7 @@
     };
     match done {
         Ok(keyed) => {
-            owner.pool.release(&slot.grant.spec, connection);
+            owner.pool.release(connection);
             keyed
         }
         Err(_) => Keyed::Unresolved,
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -176,7 +176,7 @@
                 lease.slot.send_event(Event::ProbeAll)
             }
         }
-        self.pool.release(&lease.slot.grant.spec, lease.connection);
+        self.pool.release(lease.connection);
     }
 
     /// Waits for a slot at a member that suits `target`.
@@ -383,7 +383,7 @@
             Some(position) if wrote && grant.primary => Some(Unconfirmed::Write(position)),
             _ => unconfirmed_read(&slot, target, since, position),
         };
-        self.pool.release(&slot.grant.spec, connection);
+        self.pool.release(connection);
         drop(slot);
         if let Some(unconfirmed) = unconfirmed {
             let confirmation =
@@ -527,7 +527,7 @@
         tokio::task::spawn_local(async move {
             let done = tokio::time::timeout(ROLLBACK_TIMEOUT, lease.connection.roll_back()).await;
             if let Ok(Ok(())) = done {
-                pool.release(&lease.slot.grant.spec, lease.connection);
+                pool.release(lease.connection);
             }
         });
     }
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -4,6 +4,9 @@
 //! opened on demand and closed after an idle time, so that a burst at one box can use connections
 //! that other boxes leave unused. A connection opened for a workspace serves no other workspace:
 //! if the share is used up, a new connection replaces the one that has been idle longest.
+//!
+//! A connection belongs to the member to which it was opened, not to the member's address: another
+//! member may listen there later.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,7 +17,7 @@
 
 use crate::borders::clock::Clock;
 use crate::borders::upstream::{ConnectError, Dialer, Upstream};
-use crate::declarations::resource::Member;
+use crate::declarations::resource::{Identity, Member};
 
 /// Idle time after which a connection above the share is closed: longer than a few handshakes,
 /// so that a burst doesn't reopen the same connections.
@@ -24,6 +27,7 @@
 /// opened, so the connection must never serve another one.
 pub struct Connection {
     inner: Box<dyn Upstream>,
+    member: Identity,
     workspace: Option<Arc<str>>,
     _open_guard: OpenGuard,
 }
@@ -61,8 +65,6 @@
 struct Idle {
     connection: Connection,
     since: Duration,
-    /// When the member at the other end was started.
-    member_started: Option<u64>,
 }
 
 impl Idle {
@@ -71,7 +73,7 @@
     }
 }
 
-/// Connections to one address.
+/// Connections to one member.
 #[derive(Default)]
 struct Endpoint {
     /// Idle connections, least recently used first.
@@ -109,11 +111,11 @@
     }
 }
 
-/// Open connections by member address.
+/// Open connections by member.
 pub struct Pool {
     dialer: Rc<dyn Dialer>,
     clock: Rc<dyn Clock>,
-    endpoints: RefCell<HashMap<Arc<str>, Endpoint>>,
+    endpoints: RefCell<HashMap<Identity, Endpoint>>,
 }
 
 impl Pool {
@@ -132,13 +134,14 @@
         member: &Member,
         workspace: Option<&Arc<str>>,
     ) -> Result<Connection, ConnectError> {
+        let identity = member.identity();
         let fits = |idle: &Idle| idle.connection.workspace.as_ref() == workspace;
-        if let Some(connection) = self.take_idle(member, fits) {
+        if let Some(connection) = self.take_idle(&identity, fits) {
             return Ok(connection);
         }
         let open_guard = {
             let mut endpoints = self.endpoints.borrow_mut();
-            let endpoint = endpoints.entry(member.address.sql.clone()).or_default();
+            let endpoint = endpoints.entry(identity.clone()).or_default();
             if workspace.is_some() {
                 endpoint.evict();
             }
@@ -147,6 +150,7 @@
         let name = workspace.map(|name| &**name);
         Ok(Connection {
             inner: self.dialer.connect(member, name).await?,
+            member: identity,
             workspace: workspace.cloned(),
             _open_guard: open_guard,
         })
@@ -154,21 +158,19 @@
 
     /// Returns any idle connection, or opens one, for the box's own commands to a member.
     pub async fn acquire_any(&self, member: &Member) -> Result<Connection, ConnectError> {
-        match self.take_idle(member, |_| true) {
+        match self.take_idle(&member.identity(), |_| true) {
             Some(connection) => Ok(connection),
             None => self.acquire(member, None).await,
         }
     }
 
     /// Takes the most recently used idle connection of those that fit.
-    fn take_idle(&self, member: &Member, fits: impl Fn(&Idle) -> bool) -> Option<Connection> {
+    fn take_idle(&self, member: &Identity, fits: impl Fn(&Idle) -> bool) -> Option<Connection> {
         let mut endpoints = self.endpoints.borrow_mut();
-        let idle = &mut endpoints.get_mut(&member.address.sql)?.idle;
+        let idle = &mut endpoints.get_mut(member)?.idle;
         while let Some(index) = idle.iter().rposition(&fits) {
             let mut found = idle.remove(index);
-            // A connection to an earlier start of the member may look open but never answer: a
-            // member that crashes during a partition can't close it.
-            if found.member_started == member.born && found.connection.is_reusable() {
+            if found.connection.is_reusable() {
                 return Some(found.connection);
             }
         }
@@ -176,28 +178,24 @@
     }
 
     /// Returns a connection to the pool. Its last answer must have been read to the end.
-    pub fn release(&self, member: &Member, mut connection: Connection) {
+    pub fn release(&self, mut connection: Connection) {
         if !connection.is_reusable() {
             return;
         }
         let since = self.clock.now();
         let mut endpoints = self.endpoints.borrow_mut();
-        let endpoint = endpoints.entry(member.address.sql.clone()).or_default();
-        endpoint.idle.push(Idle {
-            connection,
-            since,
-            member_started: member.born,
-        });
+        let endpoint = endpoints.entry(connection.member.clone()).or_default();
+        endpoint.idle.push(Idle { connection, since });
     }
 
-    /// Closes idle connections to addresses that are not in `shares`, and those above an
-    /// address's share that have been idle for long.
-    pub fn trim(&self, shares: &HashMap<Arc<str>, usize>) {
+    /// Closes idle connections to members that are not in `shares`, and those above a member's
+    /// share that have been idle for long.
+    pub fn trim(&self, shares: &HashMap<Identity, usize>) {
         let now = self.clock.now();
         let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.retain(|address, _| shares.contains_key(address));
-        for (address, endpoint) in endpoints.iter_mut() {
-            endpoint.trim(shares[address], now);
+        endpoints.retain(|member, _| shares.contains_key(member));
+        for (member, endpoint) in endpoints.iter_mut() {
+            endpoint.trim(shares[member], now);
         }
     }
 
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -76,7 +76,7 @@
         let answer = connection.run(&task).await.map_err(upstream_error)?;
         let lines = String::from_utf8_lossy(&answer.messages).into_owned();
         let applied = connection.position();
-        self.pool.release(&self.member, connection);
+        self.pool.release(connection);
         match answer.verdict {
             Verdict::Done => parse_status(&lines, applied),
             Verdict::Rejection(Rejection::Busy) => Err(MemberError::Busy),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Tests of boxes on the users' platform: real processes in front of small stand-ins for
 //! the platform's store and for members that speak the line protocol.
 
+mod address_reuse;
 mod boxes;
 mod client;
 mod domain_restart;
--- a/tests/platform/member.rs
+++ b/tests/platform/member.rs
@@ -79,7 +79,24 @@
 
 /// Starts a member that accepts this many connections at once, and returns its address.
 pub async fn start(group: Group, id: &str, connections: usize, handle: Handle) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    start_at(any_port, group, id, connections, handle).await
+}
+
+/// Starts a member at an address, once that is free.
+pub async fn start_at(
+    address: SocketAddr,
+    group: Group,
+    id: &str,
+    connections: usize,
+    handle: Handle,
+) -> SocketAddr {
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
     let address = listener.local_addr().expect("bound");
     let id = id.to_owned();
     tokio::spawn(async move {
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod owners;
 mod partition;
+mod pool;
 mod randomised;
 mod readers;
 mod recorded;
