fix(owner): two starts of a box give out different ids of open transactions

Cause: an owner counted the ids of open transactions from 1 at each start, and other boxes keep the id that they were given until their caller's next statement.

Change: the count begins at a random 64-bit number.

--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -75,7 +75,8 @@
             context,
             pool,
             leases: RefCell::default(),
-            next_id: Cell::new(1),
+            // Other boxes may still hold ids of an earlier start, which must name nothing here.
+            next_id: Cell::new(rand::random()),
             peer_exchanges: Cell::new(0),
             budget: RefCell::new(budget),
         }
@@ -83,7 +84,7 @@
 
     fn take_id(&self) -> u64 {
         let id = self.next_id.get();
-        self.next_id.set(id + 1);
+        self.next_id.set(id.wrapping_add(1));
         id
     }
 
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -1,8 +1,11 @@
 //! Boxes that start, stop and reload, also while the store doesn't answer.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use larkfall::http::{self, Call};
+use larkfall::node::peers::ABANDON;
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
@@ -228,3 +231,31 @@
     let mut client = early.await.unwrap().expect("the database is there");
     read_until_outcome(&mut client, None).await;
 }
+
+/// Guards against statements and rollbacks of another box that hit a transaction opened after a restart,
+/// because the owner gives out the ids of its earlier start again.
+#[gtest]
+#[tokio::test]
+async fn ids_of_open_transactions_are_not_given_out_again_after_a_restart() {
+    const IDS_OF_A_YOUNG_BOX: u64 = 500;
+    let mut world = World::start(1).await;
+    let settings = world.boxes[0].settings.clone();
+    world.boxes[0].kill();
+    world.boxes[0] = Process::start(settings);
+    world.boxes[0].wait_ready().await;
+    world.wait_for_primary().await;
+    let mut client = world.client(0, STRICT, "a").await;
+    for text in ["BEGIN", "WRITE farm kept"] {
+        expect_that!(client.run(text).await.unwrap().error, none());
+    }
+    let peer = http::Client::new(IpAddr::from([127, 0, 0, 1]));
+    let address = world.boxes[0].settings.control.to_string();
+    for id in 0..IDS_OF_A_YOUNG_BOX {
+        let body = rmp_serde::to_vec(&id).expect("a number can be encoded");
+        let call = Call::post(&address, ABANDON, body, Duration::from_secs(1));
+        peer.call(call).await.unwrap();
+    }
+    expect_that!(client.run("COMMIT").await.unwrap().error, none());
+    let log = world.group.log(&world.group.primary());
+    expect_that!(log.last().map(|entry| &*entry.value), some(eq("kept")));
+}
