fix(group): members that an operator removes leave the group at once

Where members are declared, on the PostgreSQL side, a member that isn't listed was removed by an operator. With the majority counted over the known members, two of three that were removed together would have stayed: the third was never a majority again.

Without a grace time the list is complete, and missing members are removed whoever is left. The shares of connections name present members only, so that a former member's or an earlier start's idle connections are closed.

recorded::members_that_an_operator_removes_leave_the_group_at_once: red without the change, green with it. The shares have no test of their own.

--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -211,7 +211,8 @@
         }
         self.removals_checked = now;
         let missing = due.iter().map(|i| &self.members[*i].spec.name);
-        let majority_stays = self.majority_stays(&missing.cloned().collect());
+        let missing = missing.cloned().collect();
+        let majority_stays = self.is_list_complete() || self.majority_stays(&missing);
         if majority_stays {
             self.give_up_absent(now);
         } else {
@@ -239,6 +240,11 @@
         }
     }
 
+    /// Whether a member that isn't listed was removed by an operator: entries don't lapse.
+    pub(super) fn is_list_complete(&self) -> bool {
+        self.settings.missing_grace.is_zero()
+    }
+
     /// Whether the members other than the `missing` ones are a majority.
     pub(super) fn majority_stays(&self, missing: &BTreeSet<Arc<str>>) -> bool {
         let acceptors = self.present().filter(|i| self.failover.is_acceptor(*i));
--- a/src/decisions/group/recorded.rs
+++ b/src/decisions/group/recorded.rs
@@ -203,7 +203,7 @@
     /// order of their ranks, so that usually only one of them writes.
     pub(super) fn update_record(&mut self, now: Duration, out: &mut Vec<Action>) {
         let is_due = self.record_due.is_some_and(|due| now >= due);
-        if self.settings.missing_grace.is_zero() || !(self.record_outdated || is_due) {
+        if self.is_list_complete() || !(self.record_outdated || is_due) {
             return;
         }
         self.record_outdated = false;
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -86,8 +86,9 @@
             .retain(|_, (incarnation, _)| live.contains(incarnation));
         let shares = self.groups.values().flat_map(|owned| {
             let share = owned.group.idle_connections();
-            let members = owned.group.plan.members.iter();
-            members.map(move |member| (member.identity(), share))
+            let members = &owned.group.plan.members;
+            let present = owned.group.present();
+            present.map(move |index| (members[index].identity(), share))
         });
         let shares = shares.collect();
         self.context.connection_shares.send_replace(shares);
--- a/tests/unit/recorded.rs
+++ b/tests/unit/recorded.rs
@@ -9,7 +9,7 @@
 use larkfall::decisions::group::{Action, Event};
 use larkfall::declarations::snapshot::Plan;
 
-use super::fake::ms;
+use super::fake::{ms, new_group};
 use super::lease::{Fixture, member, plan, status};
 
 /// Returns the record of some members.
@@ -167,6 +167,22 @@
     expect_that!(is_served(&fixture, 1), eq(true));
 }
 
+/// Guards against members that stay in a group although an operator has removed them: where members
+/// are declared, none is missing by accident.
+#[gtest]
+fn members_that_an_operator_removes_leave_the_group_at_once() {
+    let mut group = new_group();
+    let first = group.plan.members[0].clone();
+    let plan = Arc::new(Plan {
+        members: vec![first],
+        ..Plan::clone(&group.plan)
+    });
+    group.set_plan(plan, ms(10));
+    group.handle(Event::Tick, ms(20));
+    expect_that!(group.present().collect::<Vec<_>>(), eq(&[0]));
+    expect_that!(group.majority(), eq(1));
+}
+
 /// Guards against records that name members which may not exist, or that are written without need.
 #[gtest]
 fn members_are_recorded_once_they_have_answered_and_only_if_they_differ() {
