test(unlisted): members lost for good, with and without a box in their failure domain

The confirmation of losses was tested by single decisions only, not by boxes that ask each other. Two tests of real boxes: a primary is served again after both replicas are lost for good, and isn't while no box of a lost member's failure domain answers.

--- a/tests/platform/unlisted.rs
+++ b/tests/platform/unlisted.rs
@@ -6,11 +6,16 @@
 use googletest::prelude::*;
 
 use super::boxes::Process;
+use super::client::Client;
 use super::world::{STRICT, World, member_entry};
 
 /// Time after the return of the old primary's entry in which it must acknowledge nothing.
 const ALONE: Duration = Duration::from_millis(1_500);
 
+/// Time in which a group would go on without its lost members: longer than the grace time and two questions
+/// to the other owners.
+const UNCONFIRMED: Duration = Duration::from_secs(6);
+
 /// Returns a world whose primary, i-0, was replaced without noticing, and whose members are no longer
 /// listed.
 async fn replaced_and_unlisted() -> World {
@@ -108,3 +113,75 @@
     world.member("i-0").frozen.store(false, Ordering::SeqCst);
     expect_no_write_lost(&world).await;
 }
+
+/// Repeats a write, each time over a new session, until a member acknowledges it. A box that reaches no
+/// majority closes idle sessions.
+async fn write_over_new_sessions(world: &World, text: &str) {
+    let front = world.boxes[0].settings.front;
+    loop {
+        if let Ok(mut client) = Client::connect(front, STRICT, "a").await
+            && let Ok(answer) = client.run(text).await
+            && answer.error.is_none()
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Ends both replicas for good.
+fn lose_replicas(world: &World) {
+    for id in ["i-1", "i-2"] {
+        world.crash_member(id);
+        world.store.put_raw("servers", id, None);
+    }
+}
+
+/// Guards against a group that is never served again after two of its three members are lost for good,
+/// although the boxes of their failure domains can tell.
+#[gtest]
+#[tokio::test]
+async fn a_primary_is_served_again_after_both_replicas_are_lost_for_good() {
+    let world = World::start(3).await;
+    world
+        .store
+        .wait_for_row("larkfall", "membership/platform/db1")
+        .await;
+    lose_replicas(&world);
+    for process in &world.boxes {
+        while !process.log().contains("missing member removed") {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let mut client = world.client(0, STRICT, "a").await;
+    world
+        .write_until_acknowledged(&mut client, "WRITE farm alone")
+        .await;
+    expect_that!(world.group.primary(), eq("i-0"));
+    let log = world.group.log("i-0");
+    expect_that!(log.last().map(|entry| &*entry.value), some(eq("alone")));
+}
+
+/// Guards against a group that goes on without a member of a failure domain that no box answers from: the
+/// member may be alive there, and lead.
+#[gtest]
+#[tokio::test]
+async fn a_member_is_not_lost_while_no_box_of_its_failure_domain_answers() {
+    let mut world = World::start(2).await;
+    world
+        .store
+        .wait_for_row("larkfall", "membership/platform/db1")
+        .await;
+    lose_replicas(&world);
+    for process in &world.boxes {
+        while process.dump().await.matches("\"suspected\":true").count() < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let early = write_over_new_sessions(&world, "WRITE farm early");
+    let early = tokio::time::timeout(UNCONFIRMED, early).await;
+    expect_that!(early.is_err(), eq(true));
+    world.add_box(2);
+    write_over_new_sessions(&world, "WRITE farm late").await;
+    expect_that!(world.group.primary(), eq("i-0"));
+}
