--- a/tests/platform/address_reuse.rs
+++ b/tests/platform/address_reuse.rs
@@ -8,7 +8,7 @@
 
 use super::group::Group;
 use super::member::{self, Handle};
-use super::world::{BOUNDED, STRICT, World, manifest};
+use super::world::{BOUNDED, STRICT, World, manifest, member_entry};
 
 const OTHER_SERVICE: &str = "db2";
 const CONNECTIONS: usize = 12;
@@ -34,11 +34,8 @@
 }
 
 fn list_member(world: &World, id: &str, address: SocketAddr) {
-    let entry = json!({
-        "backend": OTHER_SERVICE, "address": address.to_string(), "zone": "zone-1",
-        "version": "v1", "capacity": 3, "state": "ready", "cold_remaining_ms": 0,
-        "db_role": "replica", "sequence": 1,
-    });
+    let mut entry = member_entry(1, address, "ready");
+    entry["backend"] = OTHER_SERVICE.into();
     world.store.put("servers", id, &entry);
 }
 
--- a/tests/platform/unlisted.rs
+++ b/tests/platform/unlisted.rs
@@ -16,14 +16,20 @@
 /// to the other owners.
 const UNCONFIRMED: Duration = Duration::from_secs(6);
 
-/// Returns a world whose primary, i-0, was replaced without noticing, and whose members are no longer
-/// listed.
-async fn replaced_and_unlisted() -> World {
-    let world = World::start(3).await;
+/// Starts boxes, and waits until the group's members are recorded in the store.
+async fn start_recorded(boxes: usize) -> World {
+    let world = World::start(boxes).await;
     world
         .store
         .wait_for_row("larkfall", "membership/platform/db1")
         .await;
+    world
+}
+
+/// Returns a world whose primary, i-0, was replaced without noticing, and whose members are no longer
+/// listed.
+async fn replaced_and_unlisted() -> World {
+    let world = start_recorded(3).await;
     let mut client = world.client(0, STRICT, "a").await;
     client.run("WRITE farm before").await.unwrap();
     world.member("i-0").frozen.store(true, Ordering::SeqCst);
@@ -142,11 +148,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_primary_is_served_again_after_both_replicas_are_lost_for_good() {
-    let world = World::start(3).await;
-    world
-        .store
-        .wait_for_row("larkfall", "membership/platform/db1")
-        .await;
+    let world = start_recorded(3).await;
     lose_replicas(&world);
     for process in &world.boxes {
         while !process.log().contains("missing member removed") {
@@ -167,11 +169,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_member_is_not_lost_while_no_box_of_its_failure_domain_answers() {
-    let mut world = World::start(2).await;
-    world
-        .store
-        .wait_for_row("larkfall", "membership/platform/db1")
-        .await;
+    let mut world = start_recorded(2).await;
     lose_replicas(&world);
     for process in &world.boxes {
         while process.dump().await.matches("\"suspected\":true").count() < 2 {
--- a/tests/unit/recorded.rs
+++ b/tests/unit/recorded.rs
@@ -103,13 +103,17 @@
     fixture
 }
 
+/// Confirms the loss of both replicas; `claimed` is the term for whose replacement a box claimed the duty.
+fn confirm_losses(fixture: &mut Fixture, claimed: Option<u64>) {
+    let members = record(&[1, 2]).into_keys().collect();
+    fixture.handle(Event::LossesConfirmed { members, claimed });
+}
+
 /// Guards against a primary that is never served again after both replicas are lost for good.
 #[gtest]
 fn a_group_goes_on_without_members_that_are_confirmed_as_lost() {
     let mut fixture = lost_replicas();
-    let members = record(&[1, 2]).into_keys().collect();
-    let claimed = Some(0);
-    fixture.handle(Event::LossesConfirmed { members, claimed });
+    confirm_losses(&mut fixture, Some(0));
     fixture.record_write(1);
     answer_alone(&mut fixture, 0, 1);
     expect_that!(fixture.outcome(1), some(eq(Outcome::Confirmed)));
@@ -120,9 +124,7 @@
 #[gtest]
 fn a_primary_whose_term_was_claimed_is_promoted_anew_before_it_is_used() {
     let mut fixture = lost_replicas();
-    let members = record(&[1, 2]).into_keys().collect();
-    let claimed = Some(1);
-    fixture.handle(Event::LossesConfirmed { members, claimed });
+    confirm_losses(&mut fixture, Some(1));
     answer_alone(&mut fixture, 0, 1);
     fixture.submit_write(1);
     expect_that!(is_served(&fixture, 1), eq(false));
@@ -137,9 +139,7 @@
     fixture
         .group
         .set_plan(partly_listed(&[0, 1], &[]), fixture.now);
-    let members = record(&[1, 2]).into_keys().collect();
-    let claimed = None;
-    fixture.handle(Event::LossesConfirmed { members, claimed });
+    confirm_losses(&mut fixture, None);
     expect_that!(fixture.group.majority(), eq(2));
 }
 
