test(review): an order to promote that a cut holds up is carried out late

Cause: the client of the promotion API drops a call that timed out without resetting its connection, so bytes that a cut holds up arrive after it; the boxes release the fences 2.7 s after them and go on with the old primary.

--- /dev/null
+++ b/review/standins-2/cases.rs
@@ -0,0 +1,2 @@
+pub mod late_order;
+pub mod stop_in_transactions;
