test(review): the grant of a primary that restarted empty loses commits

Cause: a ballot counts the grant of a restarted member, which holds nothing, towards its majority; that majority need not overlap with the members that confirmed a write.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,2 +1,3 @@
+pub mod empty_grant;
 pub mod late_order;
 pub mod stop_in_transactions;
--- a/review/standins-2/cases/late_order.rs
+++ b/review/standins-2/cases/late_order.rs
@@ -16,8 +16,10 @@
 /// `cosecha-larkfall`, its sales.
 const SHEET: Sheet = Sheet {
     lag: Duration::from_millis(60),
+    promote: Duration::from_millis(300),
     work: Duration::from_millis(6),
     connections: 23,
+    sync_replicas: 0,
 };
 /// How long the machine that holds the duty is cut off from the API for promotions.
 const API_CUT: Duration = Duration::from_millis(6_000);
--- a/review/standins-2/cases/stop_in_transactions.rs
+++ b/review/standins-2/cases/stop_in_transactions.rs
@@ -16,8 +16,10 @@
 /// `mlg-cartes`, its page reads.
 const SHEET: Sheet = Sheet {
     lag: Duration::from_millis(20),
+    promote: Duration::from_millis(600),
     work: Duration::from_millis(40),
     connections: 38,
+    sync_replicas: 0,
 };
 /// Statements of a transaction, its COMMIT included.
 const STATEMENTS: usize = 12;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -16,6 +16,7 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match name.as_str() {
+        "empty-grant" => cases::empty_grant::run(trouble),
         "late-order" => cases::late_order::run(trouble),
         "stop-in-transactions" => cases::stop_in_transactions::run(trouble),
         _ => Err(format!("no case {name:?}")),
--- a/review/standins-2/member.rs
+++ b/review/standins-2/member.rs
@@ -10,8 +10,6 @@
 
 use crate::net::Links;
 
-/// Time from an order to the new leader.
-pub const PROMOTE: Duration = Duration::from_millis(300);
 /// Time for which a replaced primary that can reach the new one goes on.
 const STEP_DOWN_AFTER: Duration = Duration::from_secs(1);
 /// Time of a new connection.
@@ -30,6 +28,8 @@
     pub zone: String,
     pub address: SocketAddr,
     pub running: bool,
+    /// Whether the member has ended for good.
+    gone: bool,
     pub primary: bool,
     pub term: u64,
     pub log: Vec<Entry>,
@@ -37,6 +37,8 @@
     received: Vec<Instant>,
     held_term: u64,
     draining: bool,
+    /// Whether the member, a replica, receives nothing.
+    deaf: bool,
     sequence: u64,
     born: u128,
     /// Since when the member, a primary, could reach one of a newer term.
@@ -75,6 +77,10 @@
     pub at: Instant,
     pub member: String,
     pub term: u64,
+    /// Ids of the commits in the member's log.
+    pub held: Vec<String>,
+    /// What the other running members held.
+    pub others: String,
 }
 
 /// What the sheet of a site tells of its members.
@@ -82,10 +88,14 @@
 pub struct Sheet {
     /// How far the replicas are behind.
     pub lag: Duration,
+    /// Time from an order to the new leader.
+    pub promote: Duration,
     /// Time for which a read, a write or a commit holds a slot.
     pub work: Duration,
     /// `max_connections` of each member.
     pub connections: usize,
+    /// `sync_replicas`: replicas that must have received a write before it is answered.
+    pub sync_replicas: usize,
 }
 
 #[derive(Clone)]
@@ -99,6 +109,8 @@
     pub promotions: Arc<Mutex<Vec<Promotion>>>,
     /// Statements of clients that reached a member, by id.
     pub arrived: Arc<Mutex<HashMap<String, Instant>>>,
+    /// Open connections by member, to end them when it crashes.
+    streams: Arc<Mutex<HashMap<String, Vec<TcpStream>>>>,
     start: Instant,
     record: Arc<Mutex<File>>,
 }
@@ -113,6 +125,7 @@
             commits: Arc::default(),
             promotions: Arc::default(),
             arrived: Arc::default(),
+            streams: Arc::default(),
             start: Instant::now(),
             record: Arc::new(Mutex::new(record)),
         }
@@ -132,6 +145,13 @@
         self.members.lock().unwrap()
     }
 
+    /// Returns the ids of the running members.
+    pub fn ids(&self) -> Vec<String> {
+        let members = self.members();
+        let running = members.iter().filter(|(_, state)| state.running);
+        running.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the running primary with the newest term.
     pub fn primary(&self) -> Option<String> {
         let members = self.members();
@@ -167,30 +187,33 @@
 
     /// Starts a member. The first one is the primary of term 1.
     pub fn start(&self, id: &str, zone: &str, ip: std::net::Ipv4Addr) -> std::io::Result<()> {
-        let listener = TcpListener::bind((ip, 0))?;
+        self.start_at(id, zone, (ip, 0).into())
+    }
+
+    /// Starts a member that holds and knows nothing.
+    fn start_at(&self, id: &str, zone: &str, address: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address)?;
         let mut members = self.members();
         let first = members.is_empty();
-        let unix = std::time::SystemTime::UNIX_EPOCH
-            .elapsed()
-            .unwrap()
-            .as_millis();
-        members.insert(
-            id.to_owned(),
-            State {
-                zone: zone.to_owned(),
-                address: listener.local_addr()?,
-                running: true,
-                primary: first,
-                term: u64::from(first),
-                log: Vec::new(),
-                received: Vec::new(),
-                held_term: 0,
-                draining: false,
-                sequence: 0,
-                born: unix,
-                replaced_since: None,
-            },
-        );
+        let unix = std::time::SystemTime::UNIX_EPOCH.elapsed();
+        let born = unix.map_err(std::io::Error::other)?.as_millis();
+        let state = State {
+            zone: zone.to_owned(),
+            address: listener.local_addr()?,
+            running: true,
+            gone: false,
+            primary: first,
+            term: u64::from(first),
+            log: Vec::new(),
+            received: Vec::new(),
+            held_term: 0,
+            draining: false,
+            deaf: false,
+            sequence: 0,
+            born,
+            replaced_since: None,
+        };
+        members.insert(id.to_owned(), state);
         drop(members);
         let (group, id) = (self.clone(), id.to_owned());
         std::thread::spawn(move || group.accept(&id, listener));
@@ -201,9 +224,13 @@
         let slots = Arc::new(Slots::default());
         let open = Arc::new(AtomicUsize::new(0));
         for stream in listener.incoming().flatten() {
-            if !self.is_running(id) {
+            if self.members()[id].gone {
                 return;
             }
+            if let Ok(copy) = stream.try_clone() {
+                let mut streams = self.streams.lock().unwrap();
+                streams.entry(id.to_owned()).or_default().push(copy);
+            }
             let (group, id) = (self.clone(), id.to_owned());
             let (slots, open) = (slots.clone(), open.clone());
             std::thread::spawn(move || {
@@ -216,8 +243,53 @@
         }
     }
 
-    fn is_running(&self, id: &str) -> bool {
-        self.members().get(id).is_some_and(|state| state.running)
+    /// Lets a member crash without a word, and starts it again under its id and at its address. It
+    /// holds and knows nothing of before; connections of before are reset.
+    pub fn restart(&self, id: &str, down: Duration, boxes: &[std::net::Ipv4Addr]) {
+        self.note(format!("{id} crashes and is dark"));
+        self.cut_member(id, boxes);
+        if let Some(state) = self.members().get_mut(id) {
+            state.running = false;
+        }
+        std::thread::sleep(down);
+        let unix = std::time::SystemTime::UNIX_EPOCH.elapsed();
+        if let Some(state) = self.members().get_mut(id) {
+            state.running = true;
+            state.primary = false;
+            state.term = 0;
+            state.log.clear();
+            state.received.clear();
+            state.held_term = 0;
+            state.sequence = 0;
+            state.born = unix.unwrap_or_default().as_millis();
+            state.replaced_since = None;
+        }
+        let streams = self.streams.lock().unwrap().remove(id);
+        for stream in streams.into_iter().flatten() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        self.heal_members();
+        self.note(format!("{id} starts again and holds nothing"));
+    }
+
+    /// Whether the member runs and is the one that started at `born`.
+    fn is_running(&self, id: &str, born: u128) -> bool {
+        let members = self.members();
+        let state = members.get(id).filter(|state| state.running);
+        state.is_some_and(|state| state.born == born)
+    }
+
+    /// Sets whether a replica receives nothing.
+    pub fn set_deaf(&self, id: &str, deaf: bool) {
+        if let Some(state) = self.members().get_mut(id) {
+            state.deaf = deaf;
+        }
+        let what = if deaf {
+            "receives nothing"
+        } else {
+            "receives again"
+        };
+        self.note(format!("{id} {what}"));
     }
 
     /// Copies the newest primary's log to the replicas, and lets replaced primaries step down.
@@ -237,7 +309,7 @@
                 }
                 continue;
             }
-            if state.primary || state.held_term > 0 || state.term > term {
+            if state.primary || state.deaf || state.held_term > 0 || state.term > term {
                 continue;
             }
             let shorter = state.log.len().min(log.len());
@@ -269,7 +341,7 @@
         }
         let (group, id) = (self.clone(), id.to_owned());
         std::thread::spawn(move || {
-            std::thread::sleep(PROMOTE);
+            std::thread::sleep(group.sheet.promote);
             group.promote(&id);
         });
         true
@@ -278,6 +350,11 @@
     fn promote(&self, id: &str) {
         let mut members = self.members();
         let newest = members.values().map(|state| state.term).max().unwrap_or(0);
+        let others = members
+            .iter()
+            .filter(|(other, s)| **other != id && s.running);
+        let others = others.map(|(other, s)| format!("{other} held {} then", s.log.len()));
+        let others = others.collect::<Vec<_>>().join(", ");
         let Some(state) = members.get_mut(id).filter(|state| state.running) else {
             return;
         };
@@ -288,6 +365,8 @@
             at: Instant::now(),
             member: id.to_owned(),
             term: state.term,
+            held: state.log.iter().map(|entry| entry.id.clone()).collect(),
+            others,
         };
         self.note(format!("{id} leads term {}", state.term));
         self.promotions.lock().unwrap().push(promotion);
@@ -318,12 +397,17 @@
         let address = match self.members().get_mut(id) {
             Some(state) => {
                 state.running = false;
+                state.gone = true;
                 state.address
             }
             None => return,
         };
         // Wakes the thread that accepts connections, which ends.
         let _ = TcpStream::connect(address);
+        let streams = self.streams.lock().unwrap().remove(id);
+        for stream in streams.into_iter().flatten() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
     }
 }
 
@@ -361,6 +445,8 @@
     prepared: HashMap<String, (String, String)>,
     ended: AtomicBool,
     links: Links,
+    /// Start of the member that opened the connection.
+    born: u128,
 }
 
 const DONE: &str = "COMPLETE -\r\n";
@@ -368,10 +454,12 @@
 impl Session {
     fn new(group: Group, id: String, slots: Arc<Slots>, open: Arc<AtomicUsize>) -> Self {
         let links = group.links_of(&id);
+        let born = group.members()[&id].born;
         Self {
             group,
             id,
             links,
+            born,
             slots,
             open,
             transaction: None,
@@ -409,7 +497,7 @@
         writer.write_all(b"READY I -\r\n")?;
         loop {
             let mut line = String::new();
-            if reader.read_line(&mut line)? == 0 || !self.group.is_running(&self.id) {
+            if reader.read_line(&mut line)? == 0 || !self.group.is_running(&self.id, self.born) {
                 return Ok(());
             }
             self.links.pass(from);
@@ -422,7 +510,7 @@
                 arrived.entry(id.to_owned()).or_insert_with(Instant::now);
             }
             let answer = self.run(id, text);
-            if !self.group.is_running(&self.id) || self.ended.load(Ordering::SeqCst) {
+            if !self.group.is_running(&self.id, self.born) || self.ended.load(Ordering::SeqCst) {
                 return Ok(());
             }
             if id != "-" {
@@ -625,9 +713,9 @@
 
     /// Commits writes. Returns false if the member doesn't lead.
     fn append(&self, writes: &[(String, String, String)]) -> bool {
-        self.with_state(|state| {
-            if !state.primary {
-                return false;
+        let end = self.with_state(|state| {
+            if !state.primary || state.born != self.born {
+                return None;
             }
             let now = Instant::now();
             let mut commits = self.group.commits.lock().unwrap();
@@ -646,7 +734,24 @@
                     id: id.clone(),
                 });
             }
-            true
-        })
+            Some((state.term, state.log.len()))
+        });
+        let Some((term, length)) = end else {
+            return false;
+        };
+        // Answered once as many replicas as wanted have received it.
+        while self.group.is_running(&self.id, self.born) {
+            let members = self.group.members();
+            let others = members
+                .iter()
+                .filter(|(id, s)| **id != self.id && s.running);
+            let holds = others.filter(|(_, s)| s.term == term && s.log.len() >= length);
+            if holds.count() >= self.group.sheet.sync_replicas {
+                break;
+            }
+            drop(members);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        true
     }
 }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -31,14 +31,15 @@
 }
 
 /// The operator's manifest, with the time-outs and targets of the site file.
-fn manifest(connections: usize) -> String {
+fn manifest(sheet: Sheet) -> String {
+    let (connections, sync) = (sheet.connections, sheet.sync_replicas);
     let route = |host: &str, kind: &str, timeout: u32, aim: u32, priority: u32, stale: &str| {
         format!(
             "{{\"name\":\"r-{host}\",\"hostname\":\"{host}\",\"path_prefix\":\"/\",\"type\":\"{kind}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{aim},\"priority\":{priority},\"backend\":\"{SERVICE}\",\"max_attempts\":2{stale}}}"
         )
     };
     format!(
-        "{{\"version\":3,\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"max_connections\":{connections},\"sync_replicas\":0}}],\"limits\":{{\"tx_idle_ms\":3000,\"idle_timeout_ms\":60000}}}}",
+        "{{\"version\":3,\"routes\":[{},{},{}],\"services\":[{{\"name\":\"{SERVICE}\",\"max_connections\":{connections},\"sync_replicas\":{sync}}}],\"limits\":{{\"tx_idle_ms\":3000,\"idle_timeout_ms\":60000}}}}",
         route(STRICT, "primary", 800, 150, 1, ""),
         route(
             OWN_WRITES,
@@ -79,7 +80,7 @@
         let orders = api.clone();
         let handler = Arc::new(move |request| orders.handle(request));
         let api_at = http::serve(any(251), api_links.clone(), handler).map_err(say)?;
-        store.put("op", "config", Some(&manifest(sheet.connections)));
+        store.put("op", "config", Some(&manifest(sheet)));
         let mut world = Self {
             store,
             api,
