--- a/review/standins-2/boxes.rs
+++ b/review/standins-2/boxes.rs
@@ -5,7 +5,6 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -197,64 +196,6 @@
         }
         Ok(())
     }
-
-    pub fn signal(&self, signal: i32) {
-        unsafe extern "C" {
-            fn kill(pid: i32, signal: i32) -> i32;
-        }
-        if let Some(child) = &self.child {
-            // The process is a child that was not waited for, so its number is its own.
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        let ended = self.child.as_mut().map(|child| child.try_wait());
-        !matches!(ended, Some(Ok(None)))
-    }
-}
-
-/// The platform's balancer: asks each box every second, and sends no new connections to one that
-/// missed two questions in a row, until it answers 200 again.
-#[derive(Clone)]
-pub struct Balancer {
-    boxes: Arc<Vec<(String, SocketAddr)>>,
-    misses: Arc<Mutex<Vec<u32>>>,
-}
-
-impl Balancer {
-    pub fn start(machines: &[Machine]) -> Self {
-        let boxes = machines
-            .iter()
-            .map(|machine| (machine.name.clone(), machine.front()));
-        let ready: Vec<SocketAddr> = machines.iter().map(Machine::ready).collect();
-        let balancer = Self {
-            boxes: Arc::new(boxes.collect()),
-            misses: Arc::new(Mutex::new(vec![0; machines.len()])),
-        };
-        for (i, address) in ready.into_iter().enumerate() {
-            let misses = balancer.misses.clone();
-            std::thread::spawn(move || {
-                loop {
-                    let good = http::status_of(address, "/v1/readyz") == Some(200);
-                    let mut misses = misses.lock().unwrap();
-                    misses[i] = if good { 0 } else { misses[i] + 1 };
-                    drop(misses);
-                    std::thread::sleep(Duration::from_secs(1));
-                }
-            });
-        }
-        balancer
-    }
-
-    /// Returns the box for a client's new connection, by the client's number.
-    pub fn choose(&self, client: usize) -> (String, SocketAddr) {
-        let misses = self.misses.lock().unwrap();
-        let count = self.boxes.len();
-        let order = (0..count).map(|i| (client + i) % count);
-        let mut is_in = order.filter(|i| misses[*i] < 2);
-        self.boxes[is_in.next().unwrap_or(client % count)].clone()
-    }
 }
 
 impl Drop for Machine {
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -1,3 +1,2 @@
 pub mod empty_grant;
 pub mod late_order;
-pub mod stop_in_transactions;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -18,7 +18,6 @@
     let verdict = match name.as_str() {
         "empty-grant" => cases::empty_grant::run(trouble),
         "late-order" => cases::late_order::run(trouble),
-        "stop-in-transactions" => cases::stop_in_transactions::run(trouble),
         _ => Err(format!("no case {name:?}")),
     };
     let code = match verdict {
--- a/review/standins-2/member.rs
+++ b/review/standins-2/member.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -107,8 +107,6 @@
     members: Arc<Mutex<BTreeMap<String, State>>>,
     pub commits: Arc<Mutex<Vec<Commit>>>,
     pub promotions: Arc<Mutex<Vec<Promotion>>>,
-    /// Statements of clients that reached a member, by id.
-    pub arrived: Arc<Mutex<HashMap<String, Instant>>>,
     /// Open connections by member, to end them when it crashes.
     streams: Arc<Mutex<HashMap<String, Vec<TcpStream>>>>,
     start: Instant,
@@ -124,7 +122,6 @@
             members: Arc::default(),
             commits: Arc::default(),
             promotions: Arc::default(),
-            arrived: Arc::default(),
             streams: Arc::default(),
             start: Instant::now(),
             record: Arc::new(Mutex::new(record)),
@@ -443,7 +440,6 @@
     failed: bool,
     values: HashMap<String, String>,
     prepared: HashMap<String, (String, String)>,
-    ended: AtomicBool,
     links: Links,
     /// Start of the member that opened the connection.
     born: u128,
@@ -467,7 +463,6 @@
             failed: false,
             values: HashMap::new(),
             prepared: HashMap::new(),
-            ended: AtomicBool::new(false),
         }
     }
 
@@ -505,12 +500,8 @@
                 return Ok(());
             };
             let (id, text) = query.split_once(' ').unwrap_or((query, ""));
-            if id != "-" {
-                let mut arrived = self.group.arrived.lock().unwrap();
-                arrived.entry(id.to_owned()).or_insert_with(Instant::now);
-            }
             let answer = self.run(id, text);
-            if !self.group.is_running(&self.id, self.born) || self.ended.load(Ordering::SeqCst) {
+            if !self.group.is_running(&self.id, self.born) {
                 return Ok(());
             }
             if id != "-" {
