feat(events): a promotion without a new primary is logged with its order's outcome

The logs named the fences and their release (302, 311) but not what became of the order, so these couldn't be told apart: the order was never sent, was refused, was sent without an answer, or came from another box.

Event 321 has the member, the generation and the outcome. The outcome is typed: nothing was sent, or an order without a known outcome.

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -59,6 +59,11 @@
     Busy,
     #[error("not ordered: another box has taken the duty")]
     Superseded,
+    #[error("not ordered: {0}")]
+    Unsent(String),
+    /// A promotion was ordered, and may still take effect.
+    #[error("ordered without a known outcome: {0}")]
+    Unresolved(String),
     #[error("answered nonsense: {0}")]
     InvalidAnswer(String),
 }
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -113,12 +113,23 @@
                 });
                 let context = self.context.clone();
                 let group = id.clone();
+                let name = owned.group.plan.members[member].name.clone();
                 self.spawn_for_event(id, async move {
                     let is_current = || match &claim {
                         Some(claim) => duty::is_current(&context, &group, claim),
                         None => true,
                     };
                     let answer = border.promote(term, &order, &is_current).await;
+                    if let Err(error) = &answer {
+                        let fields: [(_, &dyn std::fmt::Display); 5] = [
+                            ("group", &group),
+                            ("member", &name),
+                            ("term", &term),
+                            ("generation", &order.generation),
+                            ("error", error),
+                        ];
+                        events::emit(&context.log, &events::PROMOTION_FAILED, &fields);
+                    }
                     Event::Promoted { term, answer }
                 });
             }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -16,7 +16,7 @@
 use crate::borders::upstream::{ConnectError, Rejection, Task, UpstreamError, Verdict};
 use crate::decisions::position::Position;
 use crate::declarations::resource::{Address, Member as Declared};
-use crate::http::{Call, Client};
+use crate::http::{Call, Client, HttpError};
 use crate::node::pool::Pool;
 
 /// Timeout of a command, which may wait behind a full queue of statements at the member: 24 before
@@ -84,7 +84,7 @@
         }
     }
 
-    async fn order_promotion(&self, order: &Order) -> Result<(), MemberError> {
+    async fn order_promotion(&self, order: &Order) -> Result<(), HttpError> {
         let body = json!({ "backend": self.member.group, "id": self.member.name });
         let call = Call {
             headers: vec![
@@ -99,10 +99,7 @@
                 ORDER_TIMEOUT,
             )
         };
-        let answered = self.client.call(call).await;
-        answered
-            .map(|_| ())
-            .map_err(|error| MemberError::InvalidAnswer(error.to_string()))
+        self.client.call(call).await.map(|_| ())
     }
 }
 
@@ -212,13 +209,19 @@
                 return Ok(status);
             }
             // Only a refusal is final: an order without an answer may still take effect.
-            if let Err(MemberError::InvalidAnswer(why)) = &ordered
-                && why.starts_with("status 4")
+            if let Err(HttpError::Status {
+                code: 400..500,
+                body,
+            }) = &ordered
             {
-                return Err(MemberError::InvalidAnswer(why.clone()));
+                return Err(MemberError::InvalidAnswer(body.clone()));
             }
         }
-        Err(MemberError::TimedOut)
+        Err(match ordered {
+            Ok(()) => MemberError::Unresolved("accepted, but no primary appeared".to_owned()),
+            Err(HttpError::Unsent(why)) => MemberError::Unsent(why),
+            Err(error) => MemberError::Unresolved(error.to_string()),
+        })
     }
 
     async fn follow(&self, term: u64, _: &Address) -> Result<Status, MemberError> {
