fix(failover): fences under which a member may still be promoted are not released

An order to promote that got no answer was carried out six seconds later, when the boxes had gone on with the old primary; until it stepped down, two primaries were acknowledged.

Cause: 2.7 s after the newest fence each box that saw every member took the promotion for void and released the fences, also those of another box. In the case's log the ordering box (b-2) tells "ordered without a known outcome" (321), and another one (c-1), untouched by any disruption, releases both fences 60 ms later (311). Ruled out by the same log: an order of another box (one generation), a lost fence (no 314), a refused order.

Why this works: an order is sent only while a majority keeps its fences. Fences are now released only where no order can rely on them: all are of this box's own ballots, and it has no order outstanding, or a majority is without a fence. Otherwise the promotion is finished by the next ballot, of this box or of any other that sees the fences; no time makes them void. A release names the term that it ends, since RESUME has none. Members that are fenced by a ballot that sent no order are released once they were all seen again, without the 2.7 s.

Changed tests: actions and stand-ins name the released term; the bounds are the same.

--- a/src/borders/member.rs
+++ b/src/borders/member.rs
@@ -105,8 +105,9 @@
     ) -> Result<Status, MemberError>;
     /// Makes the member follow the primary of `term`.
     async fn follow(&self, term: u64, primary: &Address) -> Result<Status, MemberError>;
-    /// Releases the fence of an abandoned election, where the platform can release fences.
-    async fn release_fence(&self) -> Result<(), MemberError> {
+    /// Releases the fence for `term`, where the platform can release fences. A fence for another
+    /// term is kept.
+    async fn release_fence(&self, _term: u64) -> Result<(), MemberError> {
         Ok(())
     }
     /// Waits until the member's process is known to have ended.
--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -41,7 +41,7 @@
     pub cooldown: Duration,
     /// Time after which a promised term without a primary counts as abandoned.
     pub abandon_timeout: Duration,
-    /// Time after a fence by which a promotion that relies on it is visible.
+    /// Time for which another box's fence is left alone, as its ballot may be under way.
     pub settle_time: Duration,
     /// Usual time from the first suspicion to a new primary.
     pub expected_duration: Duration,
@@ -127,9 +127,10 @@
     Revoke {
         term: u64,
     },
-    /// Release an orphaned fence.
+    /// Release an orphaned fence for a term.
     Release {
         member: usize,
+        term: u64,
     },
     Promote {
         member: usize,
@@ -238,6 +239,12 @@
     highest_seen: u64,
     /// Fences above the current term for which no primary has appeared yet.
     orphaned: Option<OrphanedFences>,
+    /// Terms of this box's ballots against the current term, unless another box had fenced
+    /// members before.
+    own_ballots: BTreeSet<u64>,
+    /// Whether an order of this box to replace the current primary got no answer, and may still
+    /// be carried out.
+    has_order_outstanding: bool,
     phase: Phase,
     /// When the latest new primary was adopted.
     last_failover: Option<Duration>,
@@ -271,6 +278,8 @@
             rival_fenced: None,
             highest_seen: 0,
             orphaned: None,
+            own_ballots: BTreeSet::new(),
+            has_order_outstanding: false,
             phase: Phase::Steady,
             last_failover: None,
             suspected_since: None,
@@ -437,6 +446,8 @@
         };
         self.highest_seen = self.highest_promise;
         self.orphaned = None;
+        self.own_ballots.clear();
+        self.has_order_outstanding = false;
         self.record_orphaned(now);
         self.phase = Phase::Steady;
         self.suspected_since = None;
@@ -453,7 +464,7 @@
         self.record_promise(status.promised, now);
         self.record_deposed(member, status);
         if let Some(orphaned) = &mut self.orphaned {
-            orphaned.observe(member, began, self.settings.settle_time);
+            orphaned.observe(member, status.promised, began);
         }
         if let Phase::Suspecting {
             since, replicas, ..
@@ -514,8 +525,13 @@
     pub fn tick(&mut self, trigger: Trigger, now: Duration) -> Vec<Step> {
         let abandoned = self.has_abandoned_promise(now);
         match &self.phase {
-            Phase::Steady if trigger == Trigger::Drained && self.has_active_rival(now) => {
-                Vec::new()
+            Phase::Steady
+                if trigger == Trigger::Drained && self.has_active_rival(now) && !abandoned =>
+            {
+                match self.orphaned_settled(now) {
+                    true => self.release_or_probe(),
+                    false => Vec::new(),
+                }
             }
             Phase::Steady if trigger == Trigger::Drained => self.claim_duty(true, now),
             Phase::Claiming { since, .. } if now >= *since + self.settings.ballot_timeout => {
@@ -543,7 +559,9 @@
             Phase::Promoting { term, since, .. }
                 if now >= *since + self.settings.promotion_timeout =>
             {
-                self.fail_ballot(*term, now)
+                let term = *term;
+                self.has_order_outstanding = true;
+                self.fail_ballot(term, now)
             }
             Phase::Promoting { .. } => Vec::new(),
             Phase::Cooldown { until } if now >= *until => {
--- a/src/decisions/failover/ballot.rs
+++ b/src/decisions/failover/ballot.rs
@@ -20,6 +20,15 @@
 
     pub(super) fn start_ballot(&mut self, now: Duration, others_due: Option<Duration>) -> u64 {
         let term = self.next_term();
+        if self.highest_promise <= self.replaced_term() {
+            self.own_ballots.clear();
+            self.own_ballots.insert(term);
+        } else if self.own_ballots.contains(&self.highest_promise) {
+            self.own_ballots.insert(term);
+        } else {
+            // Another box may have ordered a promotion under the fences that this ballot replaces.
+            self.own_ballots.clear();
+        }
         self.promised_before_ballot = self.highest_promise.max(self.replaced_term());
         self.ballot_term = term;
         self.highest_promise = term;
@@ -221,6 +230,9 @@
         if let Err(MemberError::Fenced { promised }) = answer {
             self.record_promise(*promised, now);
         }
+        if let Err(MemberError::Unresolved(_)) = answer {
+            self.has_order_outstanding = true;
+        }
         let Ok(status) = answer else {
             return self.fail_ballot(term, now);
         };
@@ -242,6 +254,9 @@
         let until = now + self.settings.poll_interval * (1 + 2 * self.rank);
         self.phase = Phase::Cooldown { until };
         self.record_orphaned(now);
+        if let Some(orphaned) = &mut self.orphaned {
+            orphaned.reset(now);
+        }
         vec![Step::Lost { term }]
     }
 }
--- a/src/decisions/failover/orphaned.rs
+++ b/src/decisions/failover/orphaned.rs
@@ -1,17 +1,30 @@
 //! Orphaned fences: fences above the current term for which no primary has appeared yet.
 //!
 //! A fence keeps its member from confirming the old primary's writes while another member
-//! is promoted. A box may release one only if no member was or will be promoted because of
-//! it: after the time that a promotion takes to become visible, the box must have seen
-//! every member, and no primary of a higher term among them. An unreachable member may be
-//! that primary, beyond a network partition. Then only a new ballot ends the fence, since
-//! its majority overlaps with the earlier one.
+//! is promoted. An order to promote that got no answer may be carried out at any later moment,
+//! so no passing of time makes its fences void: the promotion can only be finished, by the next
+//! ballot. Fences are released where no order can rely on them:
+//!
+//! - All of them are of this box's own ballots, and this box has no order outstanding.
+//! - A majority of the members is without a fence. An order is sent only while a majority keeps
+//!   its fences.
+//!
+//! In both cases the box must have seen every member. An unreachable member may be the new
+//! primary, beyond a network partition.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{Failover, Step};
 
+/// What a member reported of its fence.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// When the probe was sent.
+    began: Duration,
+    promised: u64,
+}
+
 /// Fences above the current term.
 #[derive(Clone, Debug)]
 pub(super) struct OrphanedFences {
@@ -21,27 +34,45 @@
     first_seen: Duration,
     /// When the fence of the highest term was seen.
     newest_seen: Duration,
-    /// Members, including former ones, not seen since a promotion would be visible.
-    unseen: BTreeSet<usize>,
+    /// Members that must be seen before a release, including former ones.
+    required: BTreeSet<usize>,
+    /// Newest reports of the members since `newest_seen`.
+    reports: BTreeMap<usize, Report>,
     /// Whether the members were probed for a report since `newest_seen`.
     probed: bool,
 }
 
 impl OrphanedFences {
-    /// Records that a member reported to a probe sent at `began`. The caller handles a report
-    /// of a newer primary, which ends these fences.
-    pub(super) fn observe(&mut self, member: usize, began: Duration, settle_time: Duration) {
-        if began >= self.newest_seen + settle_time {
-            self.unseen.remove(&member);
+    /// Records a member's report. The caller handles a report of a newer primary, which ends
+    /// these fences.
+    pub(super) fn observe(&mut self, member: usize, promised: u64, began: Duration) {
+        let is_newer = |known: &Report| began >= known.began;
+        if began >= self.newest_seen && self.reports.get(&member).is_none_or(is_newer) {
+            self.reports.insert(member, Report { began, promised });
         }
     }
-}
 
-impl OrphanedFences {
+    /// Requires new reports of all members.
+    pub(super) fn reset(&mut self, now: Duration) {
+        self.newest_seen = now;
+        self.reports.clear();
+        self.probed = false;
+    }
+
     /// Moves a restarted member to its new index, where it counts as unseen.
     pub(super) fn move_member(&mut self, earlier: usize, member: usize) {
-        self.unseen.remove(&earlier);
-        self.unseen.insert(member);
+        self.required.remove(&earlier);
+        self.required.insert(member);
+        self.reports.remove(&earlier);
+    }
+
+    /// Whether every member was seen since `moment`.
+    fn has_seen_all(&self, moment: Duration) -> bool {
+        let seen = |member| {
+            let report: Option<&Report> = self.reports.get(member);
+            report.is_some_and(|report| report.began >= moment)
+        };
+        self.required.iter().all(seen)
     }
 }
 
@@ -55,13 +86,14 @@
         if previous.is_some_and(|orphaned| orphaned.term >= self.highest_promise) {
             return;
         }
-        let mut unseen = self.members.clone();
-        unseen.extend(previous.iter().flat_map(|orphaned| &orphaned.unseen));
+        let mut required = self.members.clone();
+        required.extend(previous.iter().flat_map(|orphaned| &orphaned.required));
         self.orphaned = Some(OrphanedFences {
             term: self.highest_promise,
             first_seen: previous.map_or(now, |orphaned| orphaned.first_seen),
             newest_seen: now,
-            unseen,
+            required,
+            reports: BTreeMap::new(),
             probed: false,
         });
     }
@@ -74,9 +106,7 @@
     /// Whether a promised term was abandoned and its fences can't be released.
     pub(super) fn has_abandoned_promise(&self, now: Duration) -> bool {
         let orphaned = self.orphaned.as_ref();
-        let orphaned = orphaned.filter(|orphaned| {
-            !(self.settings.promotion_clears_fences && self.has_seen_all(orphaned))
-        });
+        let orphaned = orphaned.filter(|orphaned| !self.is_releasable(orphaned));
         orphaned.is_some_and(|orphaned| now >= orphaned.first_seen + self.abandon_delay())
     }
 
@@ -84,46 +114,78 @@
     pub(super) fn orphaned_due(&self) -> Option<Duration> {
         let orphaned = self.orphaned.as_ref()?;
         let abandoned_at = orphaned.first_seen + self.abandon_delay();
-        match self.settings.promotion_clears_fences
-            && (self.has_seen_all(orphaned) || !orphaned.probed)
-        {
+        let may_release = self.settings.promotion_clears_fences
+            && (self.is_releasable(orphaned) || !orphaned.probed);
+        match may_release {
             true => Some(abandoned_at.min(self.settled_at(orphaned))),
             false => Some(abandoned_at),
         }
     }
 
+    /// When the fences may be released. Those of other boxes are left alone for the time of a
+    /// ballot, which could otherwise not get its majority.
     fn settled_at(&self, orphaned: &OrphanedFences) -> Duration {
-        orphaned.newest_seen + self.settings.settle_time + self.settings.stagger * self.rank
+        match self.is_own(orphaned.term) {
+            true => orphaned.newest_seen,
+            false => {
+                let settle_time = self.settings.settle_time;
+                orphaned.newest_seen + settle_time + self.settings.stagger * self.rank
+            }
+        }
+    }
+
+    /// Whether a fence is of this box's ballots, and no order of this box relies on it.
+    fn is_own(&self, promised: u64) -> bool {
+        !self.has_order_outstanding && self.own_ballots.contains(&promised)
     }
 
-    /// Whether a promotion that relies on the orphaned fences would be visible by now, and
-    /// the fences can be released or the members still have to be probed.
+    /// Whether the fences can be released, or the members still have to be probed.
     pub(super) fn orphaned_settled(&self, now: Duration) -> bool {
         let Some(orphaned) = &self.orphaned else {
             return false;
         };
-        let is_actionable = self.has_seen_all(orphaned) || !orphaned.probed;
+        let is_actionable = self.is_releasable(orphaned) || !orphaned.probed;
         self.settings.promotion_clears_fences && is_actionable && now >= self.settled_at(orphaned)
     }
 
-    /// Whether every member was seen since a promotion would be visible.
-    fn has_seen_all(&self, orphaned: &OrphanedFences) -> bool {
-        self.absent == 0 && orphaned.unseen.is_empty()
+    /// Whether every member was seen, and no order to promote can rely on the fences.
+    fn is_releasable(&self, orphaned: &OrphanedFences) -> bool {
+        if !self.settings.promotion_clears_fences || self.absent > 0 {
+            return false;
+        }
+        let is_unfenced = |report: &Report| report.promised <= self.term;
+        let all_own = orphaned
+            .reports
+            .values()
+            .all(|report| is_unfenced(report) || self.is_own(report.promised));
+        if all_own && orphaned.has_seen_all(orphaned.newest_seen) {
+            return true;
+        }
+        let reports = orphaned.reports.iter();
+        let unfenced = reports
+            .filter(|(member, report)| self.acceptors.contains(member) && is_unfenced(report));
+        let settled = orphaned.newest_seen + self.settings.settle_time;
+        unfenced.count() >= self.majority() && orphaned.has_seen_all(settled)
     }
 
-    /// Releases the fences if every member was seen; otherwise probes the members.
+    /// Releases the fences if no order can rely on them; otherwise probes the members.
     pub(super) fn release_or_probe(&mut self) -> Vec<Step> {
-        let absent = self.absent;
-        let Some(orphaned) = &mut self.orphaned else {
+        let Some(orphaned) = self.orphaned.take() else {
             return Vec::new();
         };
-        if absent > 0 || !orphaned.unseen.is_empty() {
-            orphaned.probed = true;
+        if !self.is_releasable(&orphaned) {
+            self.orphaned = Some(OrphanedFences {
+                probed: true,
+                ..orphaned
+            });
             return vec![Step::ProbeMembers];
         }
-        self.orphaned = None;
-        let others = self.members.iter().filter(|m| Some(**m) != self.primary);
-        let release = |member: &usize| Step::Release { member: *member };
-        others.map(release).collect()
+        let reports = orphaned.reports.iter();
+        let fenced = reports.filter(|(_, report)| report.promised > self.term);
+        let release = |(member, report): (&usize, &Report)| Step::Release {
+            member: *member,
+            term: report.promised,
+        };
+        fenced.map(release).collect()
     }
 }
--- a/src/decisions/failover/restarting.rs
+++ b/src/decisions/failover/restarting.rs
@@ -67,6 +67,7 @@
             }
             Phase::Promoting { term, winner, .. } if *winner == earlier => {
                 let term = *term;
+                self.has_order_outstanding = true;
                 self.fail_ballot(term, now)
             }
             _ => Vec::new(),
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -244,8 +244,8 @@
     RevokeLeases { term: u64 },
     /// Fence a member for a term.
     Fence { member: usize, term: u64 },
-    /// Release a fence whose ballot failed.
-    ReleaseFence { member: usize },
+    /// Release a member's fence for a term whose ballot failed.
+    ReleaseFence { member: usize, term: u64 },
     /// Promote a member.
     Promote { member: usize, term: u64 },
     /// Order a member to follow the primary.
--- a/src/decisions/group/timers.rs
+++ b/src/decisions/group/timers.rs
@@ -127,9 +127,9 @@
                     }
                     out.push(Action::Fence { member, term });
                 }
-                Step::Release { member } => {
+                Step::Release { member, term } => {
                     out.push(Action::Log(Note::FenceReleased { member }));
-                    out.push(Action::ReleaseFence { member });
+                    out.push(Action::ReleaseFence { member, term });
                 }
                 Step::Promote { member, term } => out.push(Action::Promote { member, term }),
                 Step::Lost { term } => out.push(Action::Log(Note::BallotLost { term })),
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -96,11 +96,11 @@
                     }
                 });
             }
-            Action::ReleaseFence { member } => {
+            Action::ReleaseFence { member, term } => {
                 let border = owned.members[member].border.clone();
                 self.spawn_for_event(id, async move {
                     // The probe that follows shows whether the fence was released.
-                    let _ = border.release_fence().await;
+                    let _ = border.release_fence(term).await;
                     Event::ProbeAll
                 });
             }
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -233,7 +233,12 @@
         Ok(status)
     }
 
-    async fn release_fence(&self) -> Result<(), MemberError> {
+    async fn release_fence(&self, term: u64) -> Result<(), MemberError> {
+        // The command names no term, and would end the fence of a later ballot.
+        let promised = self.status().await?.promised;
+        if promised != term {
+            return Err(MemberError::Fenced { promised });
+        }
         self.run_command("RESUME").await.map(|_| ())
     }
 
--- /dev/null
+++ b/tests/platform/late_orders.rs
@@ -0,0 +1,65 @@
+//! Orders to promote that are carried out long after their sender gave them up.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use super::client::Client;
+use super::proxy::Impairment;
+use super::world::{OWN_WRITES, STRICT, World};
+
+/// Writes over and over. Returns the ids of the acknowledged writes.
+async fn write_until(mut client: Client, end: Instant) -> BTreeSet<String> {
+    let mut acknowledged = BTreeSet::new();
+    while Instant::now() < end {
+        let answer = client.run("WRITE farm more").await;
+        if answer.is_ok_and(|answer| answer.error.is_none()) {
+            acknowledged.insert(client.last_id());
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    acknowledged
+}
+
+/// Guards against an order that is carried out after the boxes went on with the old primary, which
+/// loses the writes acknowledged meanwhile.
+#[gtest]
+#[tokio::test]
+async fn writes_survive_an_order_that_is_carried_out_late() {
+    let (world, proxies) = World::behind_proxies(3, false).await;
+    let end = Instant::now() + Duration::from_secs(12);
+    let mut clients = Vec::new();
+    let sessions = [(STRICT, "a"), (OWN_WRITES, "b"), (STRICT, "c")];
+    for (i, (database, name)) in sessions.into_iter().enumerate() {
+        let client = world.client(i, database, name).await;
+        clients.push(tokio::spawn(write_until(client, end)));
+    }
+    sleep(Duration::from_millis(300)).await;
+    world.store.hold_orders(true);
+    proxies[0].set_impairment(Impairment::Silent);
+    while world.store.orders().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    proxies[0].set_impairment(Impairment::None);
+    // Longer than a ballot with its promotion, and than the time for which fences are left alone.
+    sleep(Duration::from_secs(6)).await;
+    world.store.hold_orders(false);
+    while world.group.primary() == "i-0" {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut acknowledged = BTreeSet::new();
+    for client in clients {
+        acknowledged.extend(client.await.expect("no panic"));
+    }
+    let log = world.group.log(&world.group.primary());
+    let kept: BTreeSet<String> = log.into_iter().map(|entry| entry.id).collect();
+    let lost: Vec<&String> = acknowledged.difference(&kept).collect();
+    expect_that!(lost, is_empty());
+    // Writes are served again by the new primary.
+    let mut client = world.client(0, STRICT, "d").await;
+    world
+        .write_until_acknowledged(&mut client, "WRITE farm after")
+        .await;
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod domain_readers;
 mod follower;
 mod large_manifests;
+mod late_orders;
 mod leaving;
 mod malformed_input;
 mod reload;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use super::group::Group;
@@ -126,6 +126,8 @@
     changed: Arc<Notify>,
     groups: Arc<Mutex<HashMap<String, Group>>>,
     orders: Arc<Mutex<Vec<Order>>>,
+    /// Whether orders to promote are taken, but neither carried out nor answered yet.
+    holds_orders: Arc<watch::Sender<bool>>,
 }
 
 impl Store {
@@ -181,6 +183,12 @@
         groups.insert(group.name.clone(), group);
     }
 
+    /// Sets whether orders to promote are held back. They are carried out later, also if their
+    /// sender has given them up.
+    pub fn hold_orders(&self, hold: bool) {
+        self.holds_orders.send_replace(hold);
+    }
+
     /// Returns all orders to promote so far.
     pub fn orders(&self) -> Vec<Order> {
         self.orders.lock().expect("no panic under the lock").clone()
@@ -509,6 +517,17 @@
         .lock()
         .expect("no panic under the lock")
         .push(order);
+    let carried_out = tokio::spawn(async move {
+        let mut held = store.holds_orders.subscribe();
+        let _ = held.wait_for(|held| !held).await;
+        carry_out(&store, &promotion)
+    });
+    carried_out
+        .await
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn carry_out(store: &Store, promotion: &Promotion) -> StatusCode {
     let groups = store.groups.lock().expect("no panic under the lock");
     match groups.get(&promotion.backend) {
         Some(group) if group.promote(&promotion.id) => StatusCode::OK,
--- a/tests/unit/departing.rs
+++ b/tests/unit/departing.rs
@@ -346,9 +346,12 @@
                 self.schedule(STEP * 2, Due::Deliver(by, Event::LeasesRevoked { term }));
             }
             Action::Fence { member, term } => self.fence(by, member, term),
-            Action::ReleaseFence { member } => {
+            Action::ReleaseFence { member, term } => {
                 let index = self.index_of(by, member);
-                self.members[index].fence = 0;
+                let member = &mut self.members[index];
+                if member.fence == term {
+                    member.fence = 0;
+                }
             }
             Action::Promote { member, term } => {
                 let index = self.index_of(by, member);
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -518,7 +518,10 @@
     }
     expect_that!(
         fixture.actions,
-        contains(eq(&Action::ReleaseFence { member: 1 }))
+        contains(eq(&Action::ReleaseFence {
+            member: 1,
+            term: fence
+        }))
     );
 }
 
@@ -576,7 +579,7 @@
     }
     expect_that!(
         fixture.actions,
-        contains(eq(&Action::ReleaseFence { member: 1 }))
+        contains(eq(&Action::ReleaseFence { member: 1, term: 9 }))
     );
     expect_that!(
         fixture.count_actions(|a| matches!(a, Action::Fence { .. })),
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -23,3 +23,4 @@
 mod restarted;
 mod settings;
 mod setup;
+mod unanswered_orders;
--- a/tests/unit/orders.rs
+++ b/tests/unit/orders.rs
@@ -68,6 +68,7 @@
     },
     ReleaseFence {
         member: usize,
+        term: u64,
     },
     Follow {
         member: usize,
@@ -231,7 +232,7 @@
                     request,
                 });
             }
-            Action::ReleaseFence { member } => self.send(Step::ReleaseFence { member }),
+            Action::ReleaseFence { member, term } => self.send(Step::ReleaseFence { member, term }),
             Action::Follow { member, term, .. } => self.send(Step::Follow { member, term }),
             Action::ClaimDuty => self.claim(owner),
             Action::Promote { member, term } => {
@@ -340,7 +341,12 @@
                 member,
                 term,
             } => self.grant_fence(owner, member, term),
-            Step::ReleaseFence { member } => self.members[member].fence_term = 0,
+            Step::ReleaseFence { member, term } => {
+                let member = &mut self.members[member];
+                if member.fence_term == term {
+                    member.fence_term = 0;
+                }
+            }
             Step::Follow { member, term } => self.follow(member, term),
             Step::Claim { owner, claim } => self.complete_claim(owner, claim),
             Step::Promote {
