fix(platform): an order to promote that is given up is reset

Cause: the order went over a pooled connection that was closed without a reset when the call timed out, and what a closed connection has sent stays on its way. An order also learned only by a timeout that the API was out of reach.

Now each order has a connection of its own, opened before the last checks and reset when it is dropped. If no connection opens, nothing was sent, and the ballot has failed for certain. An order without an answer fails its ballot after 0.8 s in place of 2.8 s, and is followed by the next one. dial() serves this and the members' connections.

Test, red before: late_orders::an_order_that_is_given_up_behind_a_partition_never_arrives (the generation that the box had given up arrived).

--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP client with a fixed local address and a timeout for each call.
 
+pub mod exclusive;
+
 use std::net::IpAddr;
 use std::time::Duration;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configs;
 pub mod decisions;
 pub mod declarations;
+pub mod dial;
 pub mod events;
 pub mod http;
 pub mod metrics;
--- a/src/platform/control.rs
+++ b/src/platform/control.rs
@@ -2,6 +2,7 @@
 //! of statements, since a member accepts only a few connections. Promotions are ordered
 //! through the platform's cloud API.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,13 +17,13 @@
 use crate::borders::upstream::{ConnectError, Rejection, Task, UpstreamError, Verdict};
 use crate::decisions::position::Position;
 use crate::declarations::resource::{Address, Member as Declared};
-use crate::http::{Call, Client, HttpError};
+use crate::http::{Call, HttpError, exclusive};
 use crate::node::pool::Pool;
 
 /// Timeout of a command, which may wait behind a full queue of statements at the member: 24 before
 /// 3 slots.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout of a promotion order. The member's status shows whether it took effect.
+/// Timeout of a promotion order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between status polls of a member that is being promoted.
 const PROMOTION_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -32,7 +33,8 @@
 /// Creates the control handles of members.
 pub struct Controls {
     pub pool: Rc<Pool>,
-    pub client: Client,
+    /// Local address of connections to the API.
+    pub from: IpAddr,
     /// `IP:port` of the API that takes promotion orders.
     pub cloud_api: Arc<str>,
 }
@@ -41,7 +43,7 @@
     fn member(&self, declared: &Declared) -> Rc<dyn Member> {
         Rc::new(Control {
             pool: self.pool.clone(),
-            client: self.client.clone(),
+            from: self.from,
             cloud_api: self.cloud_api.clone(),
             member: declared.clone(),
         })
@@ -50,7 +52,7 @@
 
 struct Control {
     pool: Rc<Pool>,
-    client: Client,
+    from: IpAddr,
     cloud_api: Arc<str>,
     member: Declared,
 }
@@ -84,7 +86,12 @@
         }
     }
 
-    async fn order_promotion(&self, order: &Order) -> Result<(), HttpError> {
+    /// Sends an order to promote this member.
+    async fn order_promotion(
+        &self,
+        connection: exclusive::Connection,
+        order: &Order,
+    ) -> Result<(), MemberError> {
         let body = json!({ "backend": self.member.group, "id": self.member.name });
         let call = Call {
             headers: vec![
@@ -99,7 +106,16 @@
                 ORDER_TIMEOUT,
             )
         };
-        self.client.call(call).await.map(|_| ())
+        match connection.call(call).await {
+            Ok(_) => Ok(()),
+            Err(HttpError::Unsent(why)) => Err(MemberError::Unsent(why)),
+            // Only a refusal is final.
+            Err(HttpError::Status {
+                code: 400..500,
+                body,
+            }) => Err(MemberError::InvalidAnswer(body)),
+            Err(error) => Err(MemberError::Unresolved(error.to_string())),
+        }
     }
 }
 
@@ -189,6 +205,9 @@
         order: &Order,
         holds_duty: &dyn Fn() -> bool,
     ) -> Result<Status, MemberError> {
+        // Opened before the last checks, which must be recent when the order is sent.
+        let connection = exclusive::Connection::open(self.from, &self.cloud_api).await;
+        let connection = connection.map_err(|error| MemberError::Unsent(error.to_string()))?;
         let before = self.status().await?;
         // The fence may have been lost in a restart or replaced by another box's fence, or another
         // box's promotion may have reached the same term.
@@ -200,7 +219,7 @@
         if !holds_duty() {
             return Err(MemberError::Superseded);
         }
-        let ordered = self.order_promotion(order).await;
+        self.order_promotion(connection, order).await?;
         for _ in 0..MAX_PROMOTION_POLLS {
             tokio::time::sleep(PROMOTION_POLL_INTERVAL).await;
             if let Ok(status) = self.status().await
@@ -208,20 +227,9 @@
             {
                 return Ok(status);
             }
-            // Only a refusal is final: an order without an answer may still take effect.
-            if let Err(HttpError::Status {
-                code: 400..500,
-                body,
-            }) = &ordered
-            {
-                return Err(MemberError::InvalidAnswer(body.clone()));
-            }
         }
-        Err(match ordered {
-            Ok(()) => MemberError::Unresolved("accepted, but no primary appeared".to_owned()),
-            Err(HttpError::Unsent(why)) => MemberError::Unsent(why),
-            Err(error) => MemberError::Unresolved(error.to_string()),
-        })
+        let why = "accepted, but no primary appeared";
+        Err(MemberError::Unresolved(why.to_owned()))
     }
 
     async fn follow(&self, term: u64, _: &Address) -> Result<Status, MemberError> {
--- a/src/platform/ports.rs
+++ b/src/platform/ports.rs
@@ -36,11 +36,11 @@
         from: file.ip,
         connect_timeout: run.connect_timeout,
     };
-    let (cloud_api, control_client) = (file.cloud_api.address.clone(), client.clone());
+    let (cloud_api, from) = (file.cloud_api.address.clone(), file.ip);
     let controls = move |pool: &Rc<_>| -> Rc<dyn crate::borders::member::Members> {
         Rc::new(Controls {
             pool: Rc::clone(pool),
-            client: control_client,
+            from,
             cloud_api,
         })
     };
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -1,12 +1,10 @@
 //! Connections to members over the line protocol.
 
-use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use tokio::net::TcpSocket;
 
 use super::line::{Channel, LineError};
 use super::protocol::{format_position, parse_position, split_word};
@@ -17,6 +15,7 @@
 use crate::decisions::position::Position;
 use crate::decisions::setup::{State, Step};
 use crate::declarations::resource::Member;
+use crate::dial::dial;
 
 /// Workspace name sent to members for connections that belong to no workspace.
 const NO_WORKSPACE: &str = "larkfall";
@@ -220,15 +219,6 @@
     }
 }
 
-async fn dial(from: IpAddr, address: &Arc<str>) -> std::io::Result<tokio::net::TcpStream> {
-    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::new(from, 0))?;
-    let stream = socket.connect(address).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
 impl From<LineError> for UpstreamError {
     fn from(error: LineError) -> Self {
         match error {
--- a/tests/platform/boxes.rs
+++ b/tests/platform/boxes.rs
@@ -23,6 +23,8 @@
     pub control: SocketAddr,
     pub metrics: SocketAddr,
     pub store: SocketAddr,
+    /// Address of the API that takes orders to promote.
+    pub cloud_api: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time.
     pub bootstrap: bool,
@@ -57,6 +59,7 @@
             control: at(8432),
             metrics: at(9464),
             store,
+            cloud_api: store,
             seeds: Vec::new(),
             bootstrap: false,
             with_pressure_rules: false,
@@ -88,7 +91,7 @@
             self.ready,
             self.control,
             self.store,
-            self.store
+            self.cloud_api
         )
     }
 }
--- a/tests/platform/late_orders.rs
+++ b/tests/platform/late_orders.rs
@@ -6,8 +6,9 @@
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
+use super::boxes::{Process, Settings};
 use super::client::Client;
-use super::proxy::Impairment;
+use super::proxy::{Impairment, Proxy};
 use super::world::{OWN_WRITES, STRICT, World};
 
 /// Writes over and over. Returns the ids of the acknowledged writes.
@@ -63,3 +64,54 @@
         .write_until_acknowledged(&mut client, "WRITE farm after")
         .await;
 }
+
+/// Returns the generations of the orders that the box gave up without an answer.
+fn given_up(process: &Process) -> BTreeSet<u64> {
+    let log = process.log();
+    let lines = log.lines().filter(|line| {
+        line.contains("\"event\":321") && line.contains("ordered without a known outcome")
+    });
+    let generation = |line: &str| -> u64 {
+        let fields: serde_json::Value = serde_json::from_str(line).expect("a line is JSON");
+        let text = fields["generation"].as_str().expect("a generation");
+        text.parse().expect("a number")
+    };
+    lines.map(generation).collect()
+}
+
+/// Guards against an order that is given up, but still reaches the platform once a network partition
+/// ends: by then it may be older than another box's order, or name a former primary.
+#[gtest]
+#[tokio::test]
+async fn an_order_that_is_given_up_behind_a_partition_never_arrives() {
+    let mut world = World::without_boxes().await;
+    let api = Proxy::start(world.store_address).await;
+    for i in 0..2 {
+        let zone = format!("zone-{i}");
+        let settings = Settings::new(&format!("box-{i}"), &zone, world.store_address);
+        world.boxes.push(Process::start(Settings {
+            cloud_api: api.address,
+            ..settings
+        }));
+    }
+    for process in &world.boxes {
+        process.wait_ready().await;
+    }
+    world.wait_for_primary().await;
+    api.set_impairment(Impairment::Silent);
+    world.crash_member("i-0");
+    let unanswered = || -> BTreeSet<u64> { world.boxes.iter().flat_map(given_up).collect() };
+    while unanswered().is_empty() {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let given_up_before = unanswered();
+    api.set_impairment(Impairment::None);
+    let mut client = world.client(0, STRICT, "a").await;
+    world
+        .write_until_acknowledged(&mut client, "WRITE farm after")
+        .await;
+    let orders = world.store.orders();
+    let arrived: BTreeSet<u64> = orders.iter().map(|order| order.generation).collect();
+    let late: Vec<&u64> = arrived.intersection(&given_up_before).collect();
+    expect_that!(late, is_empty());
+}
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -10,6 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Time between bytes that were held back and the end of their connection.
+const END_DELAY: Duration = Duration::from_millis(50);
+
 /// How the proxy impairs all its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Impairment {
@@ -19,7 +22,8 @@
     Delay(u64),
     /// Passes on at most this many bytes per second on each connection.
     Bandwidth(u64),
-    /// Holds back all bytes, in both directions, until the impairment ends.
+    /// Holds back all bytes, in both directions, until the impairment ends. They are lost if their
+    /// sender resets the connection.
     Silent,
     /// Holds back bytes from the upstream until the impairment ends.
     OneWay,
@@ -124,6 +128,17 @@
     }
 }
 
+/// Waits until the sender resets the connection.
+async fn wait_for_reset(from: &OwnedReadHalf) -> std::io::Error {
+    loop {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        match from.as_ref().take_error() {
+            Ok(None) => {}
+            Ok(Some(error)) | Err(error) => return error,
+        }
+    }
+}
+
 /// Copies bytes in one direction, held back during the impairments `held`.
 async fn copy(
     mut from: OwnedReadHalf,
@@ -133,17 +148,24 @@
     silence: &Silence,
 ) -> std::io::Result<()> {
     let mut bytes = vec![0; 16 * 1024];
+    let mut was_held = false;
     loop {
         let count = from.read(&mut bytes).await?;
         if count == 0 {
+            if was_held {
+                // The receiver must not see the end before it has handled what was held back.
+                tokio::time::sleep(END_DELAY).await;
+            }
             return Ok(());
         }
-        if impairment
-            .wait_for(|impairment| !held.contains(impairment))
-            .await
-            .is_err()
-        {
-            return Ok(());
+        was_held = held.contains(&impairment.borrow());
+        tokio::select! {
+            passed = impairment.wait_for(|impairment| !held.contains(impairment)) => {
+                if passed.is_err() {
+                    return Ok(());
+                }
+            }
+            error = wait_for_reset(&from) => return Err(error),
         }
         if silence.is_silent() {
             continue;
