fix(failover): a box that can't order a promotion leaves the duty to the others

If the box that acts first reached the store and the members, but not the API that takes the orders, its claim of the duty made the other boxes wait for the time of a whole ballot, and its next claims could do so again. With fences that are kept for an unanswered order, the time without writes in such a case would have grown.

Now the box records in its duty's row that it resigns, and holds back itself for the time of a ballot, so that two boxes don't order in turn. The others take over the fences at once, in order of rank. Without the table they act as before, once the claim has lasted its time.

Tests: unanswered_orders::a_box_whose_order_has_no_outcome_leaves_the_duty_to_the_others and ::a_box_acts_at_once_after_the_holder_of_the_duty_resigned (they don't compile before), and with real boxes late_orders::another_box_promotes_where_the_first_one_does_not_reach_the_api, which holds before too.

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -28,6 +28,9 @@
     pub holder: Arc<str>,
     /// Least generation of the holder's orders.
     pub generation: u64,
+    /// Whether the holder couldn't promote a member and leaves the duty to the other boxes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub resigned: bool,
     /// Revision of the row, which the next claim must name.
     #[serde(skip)]
     pub revision: Revision,
@@ -98,6 +101,7 @@
     Duty {
         holder: holder.clone(),
         generation: ballot.generation(holder).max(after),
+        resigned: false,
         revision: known.map_or(Revision::NONE, |known| known.revision),
     }
 }
--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -119,6 +119,8 @@
     ProbeMembers,
     /// Claim the duty.
     Claim,
+    /// Leave the duty to the other boxes.
+    Resign,
     Fence {
         member: usize,
         term: u64,
@@ -259,6 +261,10 @@
     demoted: bool,
     /// When another box was last seen to claim the duty.
     rival_claimed: Option<Duration>,
+    /// When the holder of the duty resigned, unless a box has claimed it since.
+    resigned_at: Option<Duration>,
+    /// When this box last resigned.
+    yielded_at: Option<Duration>,
 }
 
 impl Failover {
@@ -287,6 +293,8 @@
             deposed: BTreeSet::new(),
             demoted: false,
             rival_claimed: None,
+            resigned_at: None,
+            yielded_at: None,
         }
     }
 
@@ -454,6 +462,7 @@
         self.demoted = false;
         self.rival_claimed = None;
         self.rival_fenced = None;
+        self.resigned_at = None;
         self.set_acceptors();
         true
     }
--- a/src/decisions/failover/ballot.rs
+++ b/src/decisions/failover/ballot.rs
@@ -234,7 +234,11 @@
             self.has_order_outstanding = true;
         }
         let Ok(status) = answer else {
-            return self.fail_ballot(term, now);
+            let mut steps = self.fail_ballot(term, now);
+            if let Err(MemberError::Unsent(_) | MemberError::Unresolved(_)) = answer {
+                steps.extend(self.resign(now));
+            }
+            return steps;
         };
         // Where a promotion clears fences, the new primary's term follows the old primary's
         // and may be lower than the ballot's.
--- a/src/decisions/failover/orphaned.rs
+++ b/src/decisions/failover/orphaned.rs
@@ -98,22 +98,28 @@
         });
     }
 
-    /// Time after a fence by which another box should have promoted a member.
-    pub(super) fn abandon_delay(&self) -> Duration {
-        self.settings.abandon_timeout + self.settings.stagger * self.rank
+    /// When another box should have promoted a member, and it is this box's turn.
+    fn abandoned_at(&self, orphaned: &OrphanedFences) -> Duration {
+        let timeout = self.settings.abandon_timeout;
+        let first_seen = orphaned.first_seen;
+        let resigned = self.resigned_at.map(|resigned| resigned.max(first_seen));
+        let by_others = resigned.unwrap_or(first_seen + timeout);
+        let by_this = self.yielded_at.map(|yielded| yielded + timeout);
+        by_this.map_or(by_others, |by_this| by_others.max(by_this))
+            + self.settings.stagger * self.rank
     }
 
     /// Whether a promised term was abandoned and its fences can't be released.
     pub(super) fn has_abandoned_promise(&self, now: Duration) -> bool {
         let orphaned = self.orphaned.as_ref();
         let orphaned = orphaned.filter(|orphaned| !self.is_releasable(orphaned));
-        orphaned.is_some_and(|orphaned| now >= orphaned.first_seen + self.abandon_delay())
+        orphaned.is_some_and(|orphaned| now >= self.abandoned_at(orphaned))
     }
 
     /// Returns when orphaned fences need an action.
     pub(super) fn orphaned_due(&self) -> Option<Duration> {
         let orphaned = self.orphaned.as_ref()?;
-        let abandoned_at = orphaned.first_seen + self.abandon_delay();
+        let abandoned_at = self.abandoned_at(orphaned);
         let may_release = self.settings.promotion_clears_fences
             && (self.is_releasable(orphaned) || !orphaned.probed);
         match may_release {
--- a/src/decisions/failover/suspicion.rs
+++ b/src/decisions/failover/suspicion.rs
@@ -111,16 +111,41 @@
         let claim_lasts = self.settings.abandon_timeout;
         let fence_lasts = self.settings.rival_backoff;
         let within = |since: Option<Duration>, lasts| since.is_some_and(|s| now < s + lasts);
-        within(self.rival_claimed, claim_lasts) || within(self.rival_fenced, fence_lasts)
+        within(self.rival_claimed, claim_lasts)
+            || within(self.rival_fenced, fence_lasts)
+            || within(self.yielded_at, claim_lasts)
     }
 
     /// Records that another box has claimed the duty.
     pub fn record_rival_claim(&mut self, now: Duration) {
         if !self.is_deposing() {
             self.rival_claimed = Some(now);
+            self.resigned_at = None;
         }
     }
 
+    /// Records that the box that claimed the duty couldn't promote a member. The others needn't
+    /// wait for its ballot any longer.
+    pub fn record_resignation(&mut self, now: Duration) -> Vec<Step> {
+        if self.is_deposing() {
+            return Vec::new();
+        }
+        self.rival_claimed = None;
+        self.rival_fenced = None;
+        self.resigned_at = Some(now);
+        vec![Step::ProbeMembers]
+    }
+
+    /// Leaves the duty to the other boxes: they may reach the platform where this one doesn't.
+    /// This box holds back meanwhile, so that two boxes don't order in turn.
+    pub(super) fn resign(&mut self, now: Duration) -> Vec<Step> {
+        if !self.settings.requires_claim {
+            return Vec::new();
+        }
+        self.yielded_at = Some(now);
+        vec![Step::Resign]
+    }
+
     /// Returns the boxes that have answered that they don't suspect the primary.
     pub fn peers_reaching_primary(&self) -> impl Iterator<Item = &Arc<str>> {
         let peers = match &self.phase {
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -452,6 +452,10 @@
                 self.apply_steps(steps, now, &mut out);
             }
             Event::DutyTakenElsewhere => self.failover.record_rival_claim(now),
+            Event::DutyResigned => {
+                let steps = self.failover.record_resignation(now);
+                self.apply_steps(steps, now, &mut out);
+            }
             Event::RevokeLease => self.revoke_lease(now),
             Event::LeasesRevoked { term } => {
                 let steps = self.failover.handle_revoked(term, now);
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -190,6 +190,8 @@
     DutyClaimed { won: bool },
     /// Another box has taken the duty.
     DutyTakenElsewhere,
+    /// The box that has the duty leaves it to the others.
+    DutyResigned,
     /// Another box has fenced a majority: this box must give up its lease.
     RevokeLease,
     /// All other boxes have given up their leases for the ballot of this term.
@@ -239,6 +241,8 @@
     Probe { member: usize },
     /// Claim the duty.
     ClaimDuty,
+    /// Record that this box leaves the duty to the others.
+    ResignDuty,
     /// Ask the other boxes to give up their leases. Once all have, [`Event::LeasesRevoked`]
     /// returns the ballot's term.
     RevokeLeases { term: u64 },
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -73,6 +73,12 @@
                     context.send_event(&group, incarnation, Event::DutyClaimed { won });
                 });
             }
+            Action::ResignDuty => {
+                if let Some(claim) = owned.claim.clone() {
+                    let resigned = duty::resign(self.context.clone(), id.clone(), claim);
+                    tokio::task::spawn_local(resigned);
+                }
+            }
             Action::Fence { member, term } => {
                 let fence = owned.group.fence_request(term);
                 let border = owned.members[member].border.clone();
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Informs groups whose duty another box has claimed.
+    /// Informs groups whose duty another box has claimed or resigned.
     pub(super) fn report_taken_duties(&mut self, before: &Snapshot) {
         if before.revision == Revision::NONE {
             // Claims from before this box started are of no interest.
@@ -242,9 +242,14 @@
         };
         let duties = self.snapshot.duties.iter();
         let taken = duties.filter(|(group, duty)| claimed_elsewhere(group, duty));
-        let taken: Vec<Arc<str>> = taken.map(|(group, _)| group.clone()).collect();
-        for group in taken {
-            self.handle_event(&group, Event::DutyTakenElsewhere);
+        let event = |duty: &Duty| match duty.resigned {
+            true => Event::DutyResigned,
+            false => Event::DutyTakenElsewhere,
+        };
+        let taken = taken.map(|(group, duty)| (group.clone(), event(duty)));
+        let taken: Vec<(Arc<str>, Event)> = taken.collect();
+        for (group, event) in taken {
+            self.handle_event(&group, event);
         }
     }
 
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -1,5 +1,6 @@
 //! Claims the duty in the table before a promotion is ordered.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +50,29 @@
     })
 }
 
+/// Records in the table that this box leaves the duty of a claim to the other boxes. Without the
+/// record, they act once the claim has lasted long enough.
+pub async fn resign(context: Rc<Context>, group: Arc<str>, claim: Claim) {
+    let duty = Duty {
+        resigned: true,
+        ..claim.duty
+    };
+    let change = build_commit(&group, &duty);
+    let committed = tokio::time::timeout(TABLE_TIMEOUT, context.table.commit(&change)).await;
+    let outcome = match committed {
+        Ok(Ok(Verdict::Done(_))) => "recorded".to_owned(),
+        Ok(Ok(Verdict::Conflict { .. })) => "another box has claimed the duty".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    let fields: [(_, &dyn std::fmt::Display); 3] = [
+        ("group", &group),
+        ("generation", &duty.generation),
+        ("outcome", &outcome),
+    ];
+    events::emit(&context.log, &events::DUTY_RESIGNED, &fields);
+}
+
 /// Whether an order under `claim` may still be sent, as far as this box knows the table.
 pub fn is_current(context: &Context, group: &Arc<str>, claim: &Claim) -> bool {
     let snapshot = context.snapshot.borrow();
--- a/tests/platform/late_orders.rs
+++ b/tests/platform/late_orders.rs
@@ -115,3 +115,36 @@
     let late: Vec<&u64> = arrived.intersection(&given_up_before).collect();
     expect_that!(late, is_empty());
 }
+
+/// Guards against a group that stays without a primary because the box that acts first can't reach
+/// the API for promotions.
+#[gtest]
+#[tokio::test]
+async fn another_box_promotes_where_the_first_one_does_not_reach_the_api() {
+    for cut_off in 0..2 {
+        let mut world = World::without_boxes().await;
+        let api = Proxy::start(world.store_address).await;
+        for i in 0..2 {
+            let zone = format!("zone-{i}");
+            let settings = Settings::new(&format!("box-{i}"), &zone, world.store_address);
+            let cloud_api = match i == cut_off {
+                true => api.address,
+                false => world.store_address,
+            };
+            world.boxes.push(Process::start(Settings {
+                cloud_api,
+                ..settings
+            }));
+        }
+        for process in &world.boxes {
+            process.wait_ready().await;
+        }
+        world.wait_for_primary().await;
+        api.set_impairment(Impairment::Silent);
+        world.crash_member("i-0");
+        let mut client = world.client(1 - cut_off, STRICT, "a").await;
+        let served = world.write_until_acknowledged(&mut client, "WRITE farm after");
+        let served = tokio::time::timeout(Duration::from_secs(20), served).await;
+        expect_that!(served, ok(anything()));
+    }
+}
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -565,7 +565,10 @@
                 self.call(owner, member, Call::Follow(term, primary));
             }
             // These members keep their fences and need no claim.
-            Action::ReleaseFence { .. } | Action::ClaimDuty | Action::RevokeLeases { .. } => {}
+            Action::ReleaseFence { .. }
+            | Action::ClaimDuty
+            | Action::ResignDuty
+            | Action::RevokeLeases { .. } => {}
             Action::AskOpinions => self.ask_peers(owner),
             Action::RecordPrimary { .. } => self.counts.failovers += 1,
             Action::RecordMembers { .. } | Action::ConfirmLosses { .. } | Action::Log(_) => {}
--- a/tests/unit/unanswered_orders.rs
+++ b/tests/unit/unanswered_orders.rs
@@ -147,3 +147,36 @@
     report_fences(&mut fixture, term, 60);
     expect_that!(releases(&fixture), eq(0));
 }
+
+/// Guards against a box that can't reach the platform, but holds on to the duty.
+#[gtest]
+fn a_box_whose_order_has_no_outcome_leaves_the_duty_to_the_others() {
+    let unsent = MemberError::Unsent("connection refused".to_owned());
+    for error in [unresolved(), unsent] {
+        let mut fixture = Fixture::new(0);
+        fail_promotion(&mut fixture, error);
+        expect_that!(fixture.actions, contains(eq(&Action::ResignDuty)));
+        let before = claims(&fixture);
+        // Also when the others fail in turn: two boxes must not order alternately.
+        fixture.handle(Event::DutyResigned);
+        fixture.handle(Event::ConnectionLost { member: 0 });
+        for _ in 0..60 {
+            fixture.now += ms(50);
+            fixture.report(1, status(Role::Replica, 1, 1, 10));
+            fixture.report(2, status(Role::Replica, 1, 1, 10));
+        }
+        expect_that!(claims(&fixture), eq(before));
+    }
+}
+
+/// Guards against boxes that wait for the ballot of a box that has given it up.
+#[gtest]
+fn a_box_acts_at_once_after_the_holder_of_the_duty_resigned() {
+    let mut fixture = Fixture::new(1);
+    fixture.handle(Event::DutyTakenElsewhere);
+    report_fences(&mut fixture, 9, 10);
+    expect_that!(claims(&fixture), eq(0));
+    fixture.handle(Event::DutyResigned);
+    report_fences(&mut fixture, 9, 10);
+    expect_that!(claims(&fixture), gt(0));
+}
