fix(failover): boxes promote the same of two members with equal logs

A box that finishes another box's promotion could name another member than the order that had no answer. If that order is carried out after all, it replaces the new primary, whose acknowledged writes are lost.

Cause: of equal logs the lower index won, and boxes that saw the members join in different orders have different indexes. Now the name decides. Ruled out as a mend: a mark at the ordered member (a higher fence), since a ballot that overlaps with the first one overwrites it.

--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -221,6 +221,8 @@
     acceptors: BTreeSet<usize>,
     /// All present members.
     members: BTreeSet<usize>,
+    /// Names by index. Boxes may know the same members under different indexes.
+    names: Vec<Arc<str>>,
     /// Number of recorded members that aren't known otherwise. They count towards the size of a
     /// majority, and each may lead a later term.
     absent: usize,
@@ -273,6 +275,7 @@
             settings,
             acceptors: (0..members).collect(),
             members: (0..members).collect(),
+            names: Vec::new(),
             absent: 0,
             rank,
             term: 0,
@@ -310,6 +313,11 @@
         self.set_acceptors();
     }
 
+    /// Sets the names of the members, by index.
+    pub fn set_names(&mut self, names: Vec<Arc<str>>) {
+        self.names = names;
+    }
+
     /// Sets the number of recorded members that aren't known otherwise.
     pub fn set_absent(&mut self, absent: usize) {
         self.absent = absent;
--- a/src/decisions/failover/ballot.rs
+++ b/src/decisions/failover/ballot.rs
@@ -1,5 +1,6 @@
 //! The ballot: a box fences members under a new term and promotes one of those that grant it.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -186,7 +187,7 @@
             false => self.majority(),
         };
         let granted = self.eligible(granted);
-        let winner = winner(&granted, &avoid, majority);
+        let winner = self.winner(&granted, &avoid, majority);
         self.phase = Phase::Promoting {
             term,
             winner,
@@ -263,19 +264,28 @@
         }
         vec![Step::Lost { term }]
     }
-}
 
-/// Returns the granting member with the greatest log.
-///
-/// The greatest log of any majority holds every acknowledged write, so the members in
-/// `avoid` are passed over where at least `majority` others have granted.
-fn winner(granted: &BTreeMap<usize, Status>, avoid: &BTreeSet<usize>, majority: usize) -> usize {
-    let others = granted
-        .keys()
-        .filter(|member| !avoid.contains(member))
-        .count();
-    let eligible = |member: &usize| others < majority || !avoid.contains(member);
-    let candidates = granted.iter().filter(|(member, _)| eligible(member));
-    let best = candidates.max_by_key(|(member, status)| (status.log, std::cmp::Reverse(**member)));
-    *best.expect("a majority granted").0
+    /// Returns the granting member with the greatest log. Of equal logs, the name decides: the order
+    /// of another box that had no answer may still be carried out, and does no harm if it names
+    /// the same member.
+    ///
+    /// The greatest log of any majority holds every acknowledged write, so the members in
+    /// `avoid` are passed over where at least `majority` others have granted.
+    fn winner(
+        &self,
+        granted: &BTreeMap<usize, Status>,
+        avoid: &BTreeSet<usize>,
+        majority: usize,
+    ) -> usize {
+        let others = granted
+            .keys()
+            .filter(|member| !avoid.contains(member))
+            .count();
+        let eligible = |member: &usize| others < majority || !avoid.contains(member);
+        let candidates = granted.iter().filter(|(member, _)| eligible(member));
+        let best = candidates.max_by_key(|(member, status)| {
+            (status.log, Reverse((self.names.get(**member), **member)))
+        });
+        *best.expect("a majority granted").0
+    }
 }
--- a/src/decisions/group/membership.rs
+++ b/src/decisions/group/membership.rs
@@ -172,6 +172,8 @@
         let primary_only = self.plan.group.durability == Durability::Primary;
         self.failover
             .set_prefer_staying(promotion_clears_fences && primary_only);
+        let names = self.members.iter().map(|member| member.spec.name.clone());
+        self.failover.set_names(names.collect());
         let leaving = self.present().filter(|i| self.members[*i].spec.leaving);
         self.failover
             .set_members(self.present().collect(), leaving.collect());
--- a/tests/unit/unanswered_orders.rs
+++ b/tests/unit/unanswered_orders.rs
@@ -7,7 +7,7 @@
 use larkfall::decisions::group::{Action, Event};
 
 use super::fake::ms;
-use super::lease::{Fixture, status};
+use super::lease::{Fixture, member, plan, status};
 
 /// Runs a ballot up to its order, for which the box gets this answer.
 fn fail_promotion(fixture: &mut Fixture, error: MemberError) {
@@ -180,3 +180,30 @@
     report_fences(&mut fixture, 9, 10);
     expect_that!(claims(&fixture), gt(0));
 }
+
+/// Guards against a box that finishes another box's promotion with another member: the first box's
+/// order, which had no answer, would then replace the new primary.
+#[gtest]
+fn boxes_promote_the_same_of_two_members_with_equal_logs() {
+    let mut in_order = Fixture::new(0);
+    let mut joined_later =
+        Fixture::with_plan(plan(vec![member(0, false), member(2, false)]), 0, ms(0));
+    let members = (0..3).map(|i| member(i, false)).collect();
+    let now = joined_later.now;
+    joined_later.group.set_plan(plan(members), now);
+    joined_later.report_all();
+    for fixture in [&mut in_order, &mut joined_later] {
+        fixture.start_ballot();
+        fixture.grant_fence(1, 10);
+        fixture.grant_fence(2, 10);
+        let term = fixture.ballot_term();
+        fixture.handle(Event::LeasesRevoked { term });
+        let promoted = fixture.actions.iter().find_map(|action| match action {
+            Action::Promote { member, .. } => Some(*member),
+            _ => None,
+        });
+        let promoted = promoted.expect("a member is promoted");
+        let name = &fixture.group.plan.members[promoted].name;
+        expect_that!(**name, eq("m1"));
+    }
+}
