fix(group): a member that restarted doesn't renew the lease while another one is fenced

The old primary's writes would have been acknowledged beside the new one's.

Now the time limit doesn't apply while a fence is in sight, and a restarted member doesn't count among the unfenced majority under which fences are released. The promotion is finished by another ballot.

Test, red before: restarted::a_restarted_member_does_not_renew_the_lease_while_another_is_fenced.

--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -243,6 +243,8 @@
     highest_seen: u64,
     /// Fences above the current term for which no primary has appeared yet.
     orphaned: Option<OrphanedFences>,
+    /// Members that restarted in the current term, and may have forgotten a fence.
+    restarted: BTreeSet<usize>,
     /// Terms of this box's ballots against the current term, unless another box had fenced
     /// members before.
     own_ballots: BTreeSet<u64>,
@@ -287,6 +289,7 @@
             rival_fenced: None,
             highest_seen: 0,
             orphaned: None,
+            restarted: BTreeSet::new(),
             own_ballots: BTreeSet::new(),
             has_order_outstanding: false,
             phase: Phase::Steady,
@@ -390,6 +393,11 @@
         self.phase == Phase::Steady
     }
 
+    /// Whether members are fenced without a primary that has appeared.
+    pub fn has_orphaned_fences(&self) -> bool {
+        self.orphaned.is_some()
+    }
+
     /// Whether this box has a ballot under way.
     pub fn is_deposing(&self) -> bool {
         matches!(
@@ -462,6 +470,7 @@
         };
         self.highest_seen = self.highest_promise;
         self.orphaned = None;
+        self.restarted.clear();
         self.own_ballots.clear();
         self.has_order_outstanding = false;
         self.record_orphaned(now);
--- a/src/decisions/failover/orphaned.rs
+++ b/src/decisions/failover/orphaned.rs
@@ -6,8 +6,8 @@
 //! ballot. Fences are released where no order can rely on them:
 //!
 //! - All of them are of this box's own ballots, and this box has no order outstanding.
-//! - A majority of the members is without a fence. An order is sent only while a majority keeps
-//!   its fences.
+//! - A majority of the members is without a fence, and none of it restarted. An order is sent only
+//!   while a majority keeps its fences.
 //!
 //! In both cases the box must have seen every member. An unreachable member may be the new
 //! primary, beyond a network partition.
@@ -168,8 +168,10 @@
             return true;
         }
         let reports = orphaned.reports.iter();
-        let unfenced = reports
-            .filter(|(member, report)| self.acceptors.contains(member) && is_unfenced(report));
+        let unfenced = reports.filter(|(member, report)| {
+            let may_have_forgotten = self.restarted.contains(member);
+            self.acceptors.contains(member) && is_unfenced(report) && !may_have_forgotten
+        });
         let settled = orphaned.newest_seen + self.settings.settle_time;
         unfenced.count() >= self.majority() && orphaned.has_seen_all(settled)
     }
--- a/src/decisions/failover/restarting.rs
+++ b/src/decisions/failover/restarting.rs
@@ -16,6 +16,8 @@
                 indexes.insert(member);
             }
         }
+        self.restarted.remove(&earlier);
+        self.restarted.insert(member);
         if let Some(orphaned) = &mut self.orphaned {
             orphaned.move_member(earlier, member);
         }
--- a/src/decisions/group/restart.rs
+++ b/src/decisions/group/restart.rs
@@ -75,12 +75,14 @@
     /// the fence on which another box's promotion relies. It counts once such a promotion
     /// would have become visible, or once every other member was seen after the restart
     /// neither leading a later term nor fenced for one. The time limit lets a group go on
-    /// while another member is away: it would not be served at all meanwhile.
+    /// while another member is away: it would not be served at all meanwhile. It doesn't apply
+    /// while a fence is in sight, whose promotion has to be finished.
     pub(super) fn counts_for_lease(&self, member: usize, now: Duration) -> bool {
         let Some(earlier) = self.members[member].earlier_start else {
             return true;
         };
-        if now >= earlier.restart_seen + self.settings.failover.settle_time {
+        let settled = now >= earlier.restart_seen + self.settings.failover.settle_time;
+        if settled && !self.failover.has_orphaned_fences() {
             return true;
         }
         let seen = |other: usize| {
--- a/tests/unit/restarted.rs
+++ b/tests/unit/restarted.rs
@@ -203,3 +203,28 @@
     });
     expect_that!(promoted, some(eq(2)));
 }
+
+/// Guards against a lease that is renewed by a member that forgot its fence while the other replica
+/// keeps the fence under which it may still be promoted.
+#[gtest]
+fn a_restarted_member_does_not_renew_the_lease_while_another_is_fenced() {
+    let mut fixture = probed_group();
+    fixture.report(2, status(Role::Replica, 1, 9, 10));
+    fixture.report(1, status(Role::Replica, 1, 9, 10));
+    apply_list(&mut fixture, [1, 2, 1]);
+    let replica = index_of(&fixture, 1);
+    for _ in 0..90 {
+        fixture.now += ms(50);
+        fixture.report(0, status(Role::Primary, 1, 1, 10));
+        fixture.report(replica, status(Role::Replica, 1, 1, 10));
+        fixture.report(2, status(Role::Replica, 1, 9, 10));
+    }
+    fixture.record_write(1);
+    replicate(&mut fixture, replica, 12);
+    expect_that!(fixture.outcome(1), not(some(eq(Outcome::Confirmed))));
+    let releases = fixture.count_actions(|a| matches!(a, Action::ReleaseFence { .. }));
+    expect_that!(releases, eq(0));
+    // The promotion is finished by another ballot.
+    let claims = fixture.count_actions(|a| *a == Action::ClaimDuty);
+    expect_that!(claims, gt(0));
+}
