fix(failover): a box that takes over promotes the member that the unanswered order names

A box that resigned after an order without an answer could be followed by one with other grants, which named another member. With an API that answers after more than 0.8 s both orders are carried out, and what the first new primary acknowledged is lost.

The row in which a box resigns now names the ordered member, and whoever takes over promotes it if it grants the ballot: before a greater log where entries may be lost, and else of equal logs.

Test: unanswered_orders::a_box_that_takes_over_promotes_the_member_that_was_ordered (new in its event, so it doesn't compile before).

--- a/src/decisions/duty.rs
+++ b/src/decisions/duty.rs
@@ -31,6 +31,9 @@
     /// Whether the holder couldn't promote a member and leaves the duty to the other boxes.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub resigned: bool,
+    /// Member that an order of the resigned holder names, if the order had no answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ordered: Option<Arc<str>>,
     /// Revision of the row, which the next claim must name.
     #[serde(skip)]
     pub revision: Revision,
@@ -102,6 +105,7 @@
         holder: holder.clone(),
         generation: ballot.generation(holder).max(after),
         resigned: false,
+        ordered: None,
         revision: known.map_or(Revision::NONE, |known| known.revision),
     }
 }
--- a/src/decisions/failover.rs
+++ b/src/decisions/failover.rs
@@ -120,7 +120,10 @@
     /// Claim the duty.
     Claim,
     /// Leave the duty to the other boxes.
-    Resign,
+    Resign {
+        /// Member that this box's order names, if it had no answer.
+        ordered: Option<usize>,
+    },
     Fence {
         member: usize,
         term: u64,
@@ -251,6 +254,8 @@
     /// Whether an order of this box to replace the current primary got no answer, and may still
     /// be carried out.
     has_order_outstanding: bool,
+    /// Member that an order without an answer names, of this box or of one that resigned.
+    ordered: Option<Arc<str>>,
     phase: Phase,
     /// When the latest new primary was adopted.
     last_failover: Option<Duration>,
@@ -292,6 +297,7 @@
             restarted: BTreeSet::new(),
             own_ballots: BTreeSet::new(),
             has_order_outstanding: false,
+            ordered: None,
             phase: Phase::Steady,
             last_failover: None,
             suspected_since: None,
@@ -473,6 +479,7 @@
         self.restarted.clear();
         self.own_ballots.clear();
         self.has_order_outstanding = false;
+        self.ordered = None;
         self.record_orphaned(now);
         self.phase = Phase::Steady;
         self.suspected_since = None;
@@ -534,19 +541,6 @@
         }
     }
 
-    /// Records another box's answer on whether it suspects the primary.
-    pub fn record_opinion(&mut self, from: Arc<str>, same_domain: bool, suspects: bool) {
-        if let Phase::Suspecting { peers, .. } = &mut self.phase {
-            peers.insert(
-                from,
-                Opinion {
-                    same_domain,
-                    suspects,
-                },
-            );
-        }
-    }
-
     /// Advances the failover to `now`.
     pub fn tick(&mut self, trigger: Trigger, now: Duration) -> Vec<Step> {
         let abandoned = self.has_abandoned_promise(now);
--- a/src/decisions/failover/ballot.rs
+++ b/src/decisions/failover/ballot.rs
@@ -231,15 +231,9 @@
         if let Err(MemberError::Fenced { promised }) = answer {
             self.record_promise(*promised, now);
         }
-        if let Err(MemberError::Unresolved(_)) = answer {
-            self.has_order_outstanding = true;
-        }
-        let Ok(status) = answer else {
-            let mut steps = self.fail_ballot(term, now);
-            if let Err(MemberError::Unsent(_) | MemberError::Unresolved(_)) = answer {
-                steps.extend(self.resign(now));
-            }
-            return steps;
+        let status = match answer {
+            Ok(status) => status,
+            Err(error) => return self.fail_promotion(term, winner, error, now),
         };
         // Where a promotion clears fences, the new primary's term follows the old primary's
         // and may be lower than the ballot's.
@@ -254,6 +248,28 @@
         }]
     }
 
+    /// Ends a ballot whose promotion failed. Another box takes over if this one's order was not sent
+    /// or not answered.
+    fn fail_promotion(
+        &mut self,
+        term: u64,
+        winner: usize,
+        error: &MemberError,
+        now: Duration,
+    ) -> Vec<Step> {
+        let mut steps = self.fail_ballot(term, now);
+        match error {
+            MemberError::Unresolved(_) => {
+                self.has_order_outstanding = true;
+                self.ordered = self.names.get(winner).cloned();
+                steps.extend(self.resign(Some(winner), now));
+            }
+            MemberError::Unsent(_) => steps.extend(self.resign(None, now)),
+            _ => {}
+        }
+        steps
+    }
+
     /// Ends the ballot and backs off, longer for higher ranks.
     pub(super) fn fail_ballot(&mut self, term: u64, now: Duration) -> Vec<Step> {
         let until = now + self.settings.poll_interval * (1 + 2 * self.rank);
@@ -265,9 +281,10 @@
         vec![Step::Lost { term }]
     }
 
-    /// Returns the granting member with the greatest log. Of equal logs, the name decides: the order
-    /// of another box that had no answer may still be carried out, and does no harm if it names
-    /// the same member.
+    /// Returns the granting member with the greatest log. An order of another box that had no answer
+    /// may still be carried out, and does no harm if it names the same member. So of equal logs
+    /// that member is taken, or else the first one by name, and also before a greater log where
+    /// entries may be lost.
     ///
     /// The greatest log of any majority holds every acknowledged write, so the members in
     /// `avoid` are passed over where at least `majority` others have granted.
@@ -284,7 +301,11 @@
         let eligible = |member: &usize| others < majority || !avoid.contains(member);
         let candidates = granted.iter().filter(|(member, _)| eligible(member));
         let best = candidates.max_by_key(|(member, status)| {
-            (status.log, Reverse((self.names.get(**member), **member)))
+            let name = self.names.get(**member);
+            let is_ordered = self.ordered.is_some() && name == self.ordered.as_ref();
+            let comes_first = is_ordered && self.settings.prefer_staying;
+            let by_name = Reverse((name, **member));
+            (comes_first, status.log, is_ordered, by_name)
         });
         *best.expect("a majority granted").0
     }
--- a/src/decisions/failover/suspicion.rs
+++ b/src/decisions/failover/suspicion.rs
@@ -116,6 +116,19 @@
             || within(self.yielded_at, claim_lasts)
     }
 
+    /// Records another box's answer on whether it suspects the primary.
+    pub fn record_opinion(&mut self, from: Arc<str>, same_domain: bool, suspects: bool) {
+        if let Phase::Suspecting { peers, .. } = &mut self.phase {
+            peers.insert(
+                from,
+                Opinion {
+                    same_domain,
+                    suspects,
+                },
+            );
+        }
+    }
+
     /// Records that another box has claimed the duty.
     pub fn record_rival_claim(&mut self, now: Duration) {
         if !self.is_deposing() {
@@ -126,7 +139,8 @@
 
     /// Records that the box that claimed the duty couldn't promote a member. The others needn't
     /// wait for its ballot any longer.
-    pub fn record_resignation(&mut self, now: Duration) -> Vec<Step> {
+    pub fn record_resignation(&mut self, ordered: Option<Arc<str>>, now: Duration) -> Vec<Step> {
+        self.ordered = ordered.or(self.ordered.take());
         if self.is_deposing() {
             return Vec::new();
         }
@@ -138,12 +152,12 @@
 
     /// Leaves the duty to the other boxes: they may reach the platform where this one doesn't.
     /// This box holds back meanwhile, so that two boxes don't order in turn.
-    pub(super) fn resign(&mut self, now: Duration) -> Vec<Step> {
+    pub(super) fn resign(&mut self, ordered: Option<usize>, now: Duration) -> Vec<Step> {
         if !self.settings.requires_claim {
             return Vec::new();
         }
         self.yielded_at = Some(now);
-        vec![Step::Resign]
+        vec![Step::Resign { ordered }]
     }
 
     /// Returns the boxes that have answered that they don't suspect the primary.
--- a/src/decisions/group.rs
+++ b/src/decisions/group.rs
@@ -452,8 +452,8 @@
                 self.apply_steps(steps, now, &mut out);
             }
             Event::DutyTakenElsewhere => self.failover.record_rival_claim(now),
-            Event::DutyResigned => {
-                let steps = self.failover.record_resignation(now);
+            Event::DutyResigned { ordered } => {
+                let steps = self.failover.record_resignation(ordered, now);
                 self.apply_steps(steps, now, &mut out);
             }
             Event::RevokeLease => self.revoke_lease(now),
--- a/src/decisions/group/message.rs
+++ b/src/decisions/group/message.rs
@@ -191,7 +191,10 @@
     /// Another box has taken the duty.
     DutyTakenElsewhere,
     /// The box that has the duty leaves it to the others.
-    DutyResigned,
+    DutyResigned {
+        /// Member that an order of that box names, if it had no answer.
+        ordered: Option<Arc<str>>,
+    },
     /// Another box has fenced a majority: this box must give up its lease.
     RevokeLease,
     /// All other boxes have given up their leases for the ballot of this term.
@@ -242,7 +245,10 @@
     /// Claim the duty.
     ClaimDuty,
     /// Record that this box leaves the duty to the others.
-    ResignDuty,
+    ResignDuty {
+        /// Member that an order of this box names, if it had no answer.
+        ordered: Option<usize>,
+    },
     /// Ask the other boxes to give up their leases. Once all have, [`Event::LeasesRevoked`]
     /// returns the ballot's term.
     RevokeLeases { term: u64 },
--- a/src/decisions/group/timers.rs
+++ b/src/decisions/group/timers.rs
@@ -116,7 +116,7 @@
                 Step::AskPeers => out.push(Action::AskOpinions),
                 Step::ProbeMembers => self.request_probes(),
                 Step::Claim => out.push(Action::ClaimDuty),
-                Step::Resign => out.push(Action::ResignDuty),
+                Step::Resign { ordered } => out.push(Action::ResignDuty { ordered }),
                 Step::Revoke { term } => {
                     self.revoke_lease(now);
                     out.push(Action::RevokeLeases { term });
--- a/src/node/driver/actions.rs
+++ b/src/node/driver/actions.rs
@@ -73,9 +73,10 @@
                     context.send_event(&group, incarnation, Event::DutyClaimed { won });
                 });
             }
-            Action::ResignDuty => {
+            Action::ResignDuty { ordered } => {
                 if let Some(claim) = owned.claim.clone() {
-                    let resigned = duty::resign(self.context.clone(), id.clone(), claim);
+                    let ordered = ordered.map(|i| owned.group.plan.members[i].name.clone());
+                    let resigned = duty::resign(self.context.clone(), id.clone(), claim, ordered);
                     tokio::task::spawn_local(resigned);
                 }
             }
--- a/src/node/driver/ownership.rs
+++ b/src/node/driver/ownership.rs
@@ -243,7 +243,9 @@
         let duties = self.snapshot.duties.iter();
         let taken = duties.filter(|(group, duty)| claimed_elsewhere(group, duty));
         let event = |duty: &Duty| match duty.resigned {
-            true => Event::DutyResigned,
+            true => Event::DutyResigned {
+                ordered: duty.ordered.clone(),
+            },
             false => Event::DutyTakenElsewhere,
         };
         let taken = taken.map(|(group, duty)| (group.clone(), event(duty)));
--- a/src/node/duty.rs
+++ b/src/node/duty.rs
@@ -52,9 +52,15 @@
 
 /// Records in the table that this box leaves the duty of a claim to the other boxes. Without the
 /// record, they act once the claim has lasted long enough.
-pub async fn resign(context: Rc<Context>, group: Arc<str>, claim: Claim) {
+pub async fn resign(
+    context: Rc<Context>,
+    group: Arc<str>,
+    claim: Claim,
+    ordered: Option<Arc<str>>,
+) {
     let duty = Duty {
         resigned: true,
+        ordered,
         ..claim.duty
     };
     let change = build_commit(&group, &duty);
--- a/tests/unit/fake.rs
+++ b/tests/unit/fake.rs
@@ -567,7 +567,7 @@
             // These members keep their fences and need no claim.
             Action::ReleaseFence { .. }
             | Action::ClaimDuty
-            | Action::ResignDuty
+            | Action::ResignDuty { .. }
             | Action::RevokeLeases { .. } => {}
             Action::AskOpinions => self.ask_peers(owner),
             Action::RecordPrimary { .. } => self.counts.failovers += 1,
--- a/tests/unit/unanswered_orders.rs
+++ b/tests/unit/unanswered_orders.rs
@@ -154,11 +154,15 @@
     let unsent = MemberError::Unsent("connection refused".to_owned());
     for error in [unresolved(), unsent] {
         let mut fixture = Fixture::new(0);
+        let ordered = matches!(error, MemberError::Unresolved(_)).then_some(1);
         fail_promotion(&mut fixture, error);
-        expect_that!(fixture.actions, contains(eq(&Action::ResignDuty)));
+        expect_that!(
+            fixture.actions,
+            contains(eq(&Action::ResignDuty { ordered }))
+        );
         let before = claims(&fixture);
         // Also when the others fail in turn: two boxes must not order alternately.
-        fixture.handle(Event::DutyResigned);
+        fixture.handle(Event::DutyResigned { ordered: None });
         fixture.handle(Event::ConnectionLost { member: 0 });
         for _ in 0..60 {
             fixture.now += ms(50);
@@ -176,7 +180,7 @@
     fixture.handle(Event::DutyTakenElsewhere);
     report_fences(&mut fixture, 9, 10);
     expect_that!(claims(&fixture), eq(0));
-    fixture.handle(Event::DutyResigned);
+    fixture.handle(Event::DutyResigned { ordered: None });
     report_fences(&mut fixture, 9, 10);
     expect_that!(claims(&fixture), gt(0));
 }
@@ -207,3 +211,26 @@
         expect_that!(**name, eq("m1"));
     }
 }
+
+/// Guards against a box that takes over from one that resigned, and promotes another member than the
+/// unanswered order names.
+#[gtest]
+fn a_box_that_takes_over_promotes_the_member_that_was_ordered() {
+    // Entries that only the other member has received may be lost.
+    for received in [10, 12] {
+        let mut fixture = Fixture::new(1);
+        report_fences(&mut fixture, 9, 2);
+        let ordered = Some("m2".into());
+        fixture.handle(Event::DutyResigned { ordered });
+        report_fences_until_claim(&mut fixture, 9, 0);
+        fixture.handle(Event::DutyClaimed { won: true });
+        fixture.grant_fence(1, received);
+        fixture.grant_fence(2, 10);
+        let term = fixture.ballot_term();
+        fixture.handle(Event::LeasesRevoked { term });
+        expect_that!(
+            fixture.actions,
+            contains(eq(&Action::Promote { member: 2, term }))
+        );
+    }
+}
