feat(platform): unexpected input from members and refused lines of callers are logged

A connection to a member on which input arrives that answers no statement was closed in silence, and a caller's line that is no message was refused without a log line. Neither a line that was cut nor an answer that was repeated could be seen in the logs.

Event 323 names the member and shows the start of the input, larkfall_unexpected_input counts it; one line a connection, which is closed then. Event 401 shows the start of the refused line; one line a connection too.

--- a/src/events.rs
+++ b/src/events.rs
@@ -67,6 +67,7 @@
     MEMBERS_NOT_RECORDED = 320, Info, "members of the group not recorded; retried if still needed";
     PROMOTION_FAILED = 321, Warning, "promotion without a new primary";
     DUTY_RESIGNED = 322, Warning, "promotion left to the other boxes";
+    UNEXPECTED_INPUT = 323, Warning, "member sent more than its answers; the connection is closed";
     CALLER_REFUSED = 400, Info, "caller refused at start-up";
     CALLER_PROTOCOL = 401, Info, "caller violated the protocol";
     UNKNOWN_OUTCOME = 402, Warning, "outcome of a write is unknown";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,8 @@
     pub probes: Counter<u64>,
     /// Alerts of a partition that were sent to boxes of the same failure domain.
     pub partition_alerts: Counter<u64>,
+    /// Connections to members that were closed because of input that answers no statement.
+    pub unexpected_input: Counter<u64>,
     /// Calls to the platform's store, by table and cause.
     store_calls: Counter<u64>,
     settings_reads: Counter<u64>,
@@ -83,6 +85,7 @@
             replacements: counter("larkfall_replacements"),
             probes: counter("larkfall_probes"),
             partition_alerts: counter("larkfall_cut_warnings"),
+            unexpected_input: counter("larkfall_unexpected_input"),
             store_calls: counter("larkfall_store_calls"),
             settings_reads: counter("larkfall_settings_reads"),
             active_declarations: gauge("larkfall_active_declarations"),
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::failure::{self, code};
-use super::line::{Channel, LineError};
+use super::line::{Channel, LineError, excerpt};
 use super::protocol::{Mode, Statement, format_position, split_word};
 use crate::borders::upstream::{Begin, Opening, Prepared, Setup, Status, Values};
 use crate::decisions::position::Position;
@@ -214,6 +214,9 @@
                 "QUIT" => return Ok(()),
                 _ => {
                     let text = "expected QUERY or QUIT";
+                    let fields: [(_, &dyn std::fmt::Display); 2] =
+                        [("error", &text), ("line", &excerpt(line.as_bytes()))];
+                    events::emit(&self.context.log, &events::CALLER_PROTOCOL, &fields);
                     return refuse(&mut self.channel, code::MALFORMED, text).await;
                 }
             }
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -11,6 +11,15 @@
 /// Buffer capacity reserved before each read. Idle connections keep no buffer.
 const READ_RESERVE_BYTES: usize = 2 * 1024;
 
+/// Longest excerpt of a message in a log line, in bytes.
+const MAX_EXCERPT_BYTES: usize = 80;
+
+/// Returns the beginning of a message for a log line, with control characters escaped.
+pub fn excerpt(message: &[u8]) -> String {
+    let shown = &message[..message.len().min(MAX_EXCERPT_BYTES)];
+    shown.escape_ascii().to_string()
+}
+
 /// Why a channel can no longer be used.
 #[derive(Debug, thiserror::Error)]
 pub enum LineError {
@@ -111,6 +120,11 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns the input that has arrived and was not read, if any.
+    pub fn unread(&self) -> Option<&[u8]> {
+        (!self.input.is_empty()).then_some(&self.input[..])
+    }
+
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), LineError> {
         self.stream.write_all(bytes).await?;
         Ok(())
--- a/src/platform/ports.rs
+++ b/src/platform/ports.rs
@@ -35,6 +35,8 @@
     let dialer = LineDialer {
         from: file.ip,
         connect_timeout: run.connect_timeout,
+        metrics: metrics.clone(),
+        log: log.clone(),
     };
     let (cloud_api, from) = (file.cloud_api.address.clone(), file.ip);
     let controls = move |pool: &Rc<_>| -> Rc<dyn crate::borders::member::Members> {
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -1,12 +1,15 @@
 //! Connections to members over the line protocol.
 
 use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use slog::Logger;
 
-use super::line::{Channel, LineError};
+use super::line::{Channel, LineError, excerpt};
 use super::protocol::{format_position, parse_position, split_word};
 use crate::borders::upstream::{
     Answer, Begin, ConnectError, Dialer, Keyed, Rejection, Status, Task, Upstream, UpstreamError,
@@ -16,6 +19,8 @@
 use crate::decisions::setup::{State, Step};
 use crate::declarations::resource::Member;
 use crate::dial::dial;
+use crate::events;
+use crate::metrics::Metrics;
 
 /// Workspace name sent to members for connections that belong to no workspace.
 const NO_WORKSPACE: &str = "larkfall";
@@ -26,6 +31,8 @@
 pub struct LineDialer {
     pub from: IpAddr,
     pub connect_timeout: Duration,
+    pub metrics: Rc<Metrics>,
+    pub log: Logger,
 }
 
 #[async_trait(?Send)]
@@ -35,14 +42,42 @@
         member: &Member,
         workspace: Option<&str>,
     ) -> Result<Box<dyn Upstream>, ConnectError> {
-        let opened = Connection::open(self.from, member, workspace.unwrap_or(NO_WORKSPACE));
+        let report = Report {
+            group: member.group.clone(),
+            member: member.name.clone(),
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
+        };
+        let workspace = workspace.unwrap_or(NO_WORKSPACE);
+        let opened = Connection::open(self.from, member, workspace, report);
         let opened = tokio::time::timeout(self.connect_timeout, opened).await;
         Ok(Box::new(opened.map_err(|_| ConnectError::TimedOut)??))
     }
 }
 
+/// Reports what a member sends beyond its answers.
+struct Report {
+    group: Arc<str>,
+    member: Arc<str>,
+    metrics: Rc<Metrics>,
+    log: Logger,
+}
+
+impl Report {
+    fn unexpected_input(&self, input: &[u8]) {
+        self.metrics.unexpected_input.add(1, &[]);
+        let fields: [(_, &dyn std::fmt::Display); 3] = [
+            ("group", &self.group),
+            ("member", &self.member),
+            ("input", &excerpt(input)),
+        ];
+        events::emit(&self.log, &events::UNEXPECTED_INPUT, &fields);
+    }
+}
+
 /// An open connection and the state left on it by earlier statements.
 struct Connection {
+    report: Report,
     channel: Channel,
     position: Option<Position>,
     status: Status,
@@ -62,10 +97,16 @@
 }
 
 impl Connection {
-    async fn open(from: IpAddr, member: &Member, workspace: &str) -> Result<Self, ConnectError> {
+    async fn open(
+        from: IpAddr,
+        member: &Member,
+        workspace: &str,
+        report: Report,
+    ) -> Result<Self, ConnectError> {
         let lost = |error: &dyn std::fmt::Display| ConnectError::Lost(error.to_string());
         let stream = dial(from, &member.address.sql).await;
         let mut connection = Self {
+            report,
             channel: Channel::new(stream.map_err(|error| lost(&error))?),
             position: None,
             status: Status::Idle,
@@ -263,6 +304,13 @@
     }
 
     fn is_reusable(&mut self) -> bool {
-        !self.out_of_sync && self.status == Status::Idle && self.channel.is_quiet()
+        if self.out_of_sync || self.status != Status::Idle {
+            return false;
+        }
+        let quiet = self.channel.is_quiet();
+        if let Some(input) = self.channel.unread() {
+            self.report.unexpected_input(input);
+        }
+        quiet
     }
 }
