test(platform): the stand-ins frame lines by the page and record their answers

Cause: the member and the caller of the tests ended lines at any LF, as the code under test does, so that no test could see a statement cut at a bare LF. Digests were the same for all reads, writes and commits of a member, so that no test could tell one answer from another.

Change: `framing` reads and writes lines that end at CR LF and nowhere else, whole or in random pieces, and shares no code with src. The member gives each read, write and commit a digest of its own and records all statements of callers and all answers. A new fault sends chosen kinds of answers a second time, after a random delay or right before the answer to a later statement of the connection. Statements can be refused with a code, and reads can return further rows. The tests that compared a digest with a constant compare kind, digest and rows with the member's record for that statement.

--- a/tests/platform/client.rs
+++ b/tests/platform/client.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::framing::{self, Lines, frame};
+
 /// Longer than any answer of a box takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -24,11 +27,13 @@
 
 /// A connection to a box.
 pub struct Client {
-    lines: Lines<BufReader<OwnedReadHalf>>,
+    lines: Lines<OwnedReadHalf>,
     write: OwnedWriteHalf,
     /// Number of the last statement.
     last_id: u64,
     name: &'static str,
+    /// Splits what is sent into random pieces.
+    split: Option<SmallRng>,
 }
 
 impl Client {
@@ -49,24 +54,34 @@
     /// Opens a connection and sends nothing.
     pub async fn connect_raw(address: SocketAddr, name: &'static str) -> Result<Self, String> {
         let stream = TcpStream::connect(address).await;
-        let (read, write) = stream.map_err(|error| error.to_string())?.into_split();
+        let stream = stream.map_err(|error| error.to_string())?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| error.to_string())?;
+        let (read, write) = stream.into_split();
         Ok(Self {
-            lines: BufReader::new(read).lines(),
+            lines: Lines::new(read),
             write,
             last_id: 0,
             name,
+            split: None,
         })
     }
 
+    /// Sends from now on in random pieces.
+    pub fn split_writes(&mut self, seed: u64) {
+        self.split = Some(SmallRng::seed_from_u64(seed));
+    }
+
     /// Sends a line.
     pub async fn send(&mut self, line: &str) -> Result<(), String> {
-        let sent = self.write.write_all(format!("{line}\r\n").as_bytes()).await;
+        let sent = framing::write(&mut self.write, &frame(line), self.split.as_mut()).await;
         sent.map_err(|error| error.to_string())
     }
 
     /// Reads a line.
     pub async fn read_line(&mut self) -> Result<String, String> {
-        let line = tokio::time::timeout(ANSWER_TIMEOUT, self.lines.next_line()).await;
+        let line = tokio::time::timeout(ANSWER_TIMEOUT, self.lines.next()).await;
         let line = line.map_err(|_| "no answer".to_owned())?;
         let line = line.map_err(|error| error.to_string())?;
         line.ok_or_else(|| "closed".to_owned())
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,10 +5,12 @@
 mod boxes;
 mod client;
 mod domain_restart;
+mod framing;
 mod group;
 mod member;
 mod member_entries;
 mod proxy;
+mod replies;
 mod store;
 mod world;
 
--- a/tests/platform/member.rs
+++ b/tests/platform/member.rs
@@ -6,12 +6,21 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 
+use super::framing::{Lines, frame};
 use super::group::Group;
+use super::replies::{Duplication, Kind, Sent, Writer};
+
+/// A statement with a caller's id, as a member received it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerStatement {
+    /// Name in the connection's CONNECT line.
+    pub workspace: String,
+    pub id: String,
+    pub text: String,
+}
 
 /// Faults to inject into a member and records of its work, shared with the test.
 #[derive(Clone)]
@@ -22,6 +31,15 @@
     pub lose_answers: Arc<AtomicU64>,
     /// Number of the next answers with rows that are cut off within the first row.
     pub truncate_rows: Arc<AtomicU64>,
+    /// Error codes with which the next statements of callers are refused, without being run; the
+    /// last one first.
+    pub refuse: Arc<Mutex<Vec<&'static str>>>,
+    /// The fault that answers are sent twice.
+    pub duplication: Arc<Mutex<Option<Duplication>>>,
+    /// Whether answers are written in random pieces.
+    pub split_answers: Arc<AtomicBool>,
+    /// Rows that each read returns after its own.
+    pub extra_rows: Arc<Mutex<Vec<String>>>,
     /// Time between receiving and applying an entry.
     pub lag_ms: Arc<AtomicU64>,
     /// Connections that are open now.
@@ -32,8 +50,14 @@
     pub reads: Arc<AtomicU64>,
     /// Texts of all statements, in the order in which they arrived.
     pub statements: Arc<Mutex<Vec<String>>>,
-    /// Name in the connection's CONNECT line and statement id, for all statements of callers.
-    pub caller_statements: Arc<Mutex<Vec<(String, String)>>>,
+    /// All statements of callers, in the order in which they arrived.
+    pub caller_statements: Arc<Mutex<Vec<CallerStatement>>>,
+    /// All answers and their duplicates, in the order in which they were sent.
+    pub sent: Arc<Mutex<Vec<Sent>>>,
+    /// Number of digests given out.
+    digests: Arc<AtomicU64>,
+    /// Number of connections that were ever opened.
+    opened: Arc<AtomicU64>,
     stop: Arc<Notify>,
     slots: Arc<Semaphore>,
 }
@@ -44,12 +68,19 @@
             frozen: Arc::default(),
             lose_answers: Arc::default(),
             truncate_rows: Arc::default(),
+            refuse: Arc::default(),
+            duplication: Arc::default(),
+            split_answers: Arc::default(),
+            extra_rows: Arc::default(),
             lag_ms: Arc::new(AtomicU64::new(5)),
             open_connections: Arc::default(),
             peak_connections: Arc::default(),
             reads: Arc::default(),
             statements: Arc::default(),
             caller_statements: Arc::default(),
+            sent: Arc::default(),
+            digests: Arc::default(),
+            opened: Arc::default(),
             stop: Arc::default(),
             slots: Arc::new(Semaphore::new(3)),
         }
@@ -69,8 +100,67 @@
         counter.fetch_update(order, order, decrement).is_ok()
     }
 
+    /// Sets or, with `None`, ends the fault that answers are sent twice.
+    pub fn duplicate_answers(&self, fault: Option<Duplication>) {
+        *self.duplication.lock().expect("no panic under the lock") = fault;
+    }
+
+    /// Forgets the callers' statements and the answers, so that ids may be used again.
+    pub fn forget_records(&self) {
+        let mut statements = self.caller_statements.lock().expect("no panic");
+        statements.clear();
+        self.sent.lock().expect("no panic under the lock").clear();
+    }
+
+    /// Returns copies of the answers that were sent so far, duplicates included.
+    pub fn sent(&self) -> Vec<Sent> {
+        self.sent.lock().expect("no panic under the lock").clone()
+    }
+
+    /// Returns the first answers, without duplicates, to the statements with an id.
+    pub fn answers(&self, id: &str) -> Vec<Sent> {
+        let answers = self.sent().into_iter();
+        answers
+            .filter(|answer| answer.id == id && !answer.duplicate)
+            .collect()
+    }
+
+    /// Records a statement that has arrived.
+    fn record_statement(&self, workspace: &str, id: &str, text: &str) {
+        let mut statements = self.statements.lock().expect("no panic under the lock");
+        statements.push(text.to_owned());
+        if id == "-" {
+            return;
+        }
+        let mut statements = self.caller_statements.lock().expect("no panic");
+        statements.push(CallerStatement {
+            workspace: workspace.to_owned(),
+            id: id.to_owned(),
+            text: text.to_owned(),
+        });
+    }
+
+    /// Records an answer that is about to be sent, and returns its number.
+    pub fn record_answer(&self, answer: Sent) -> u64 {
+        let mut sent = self.sent.lock().expect("no panic under the lock");
+        sent.push(answer);
+        sent.len() as u64
+    }
+
+    /// Returns the code with which to refuse a statement, if the fault is set.
+    fn refusal(&self, id: &str) -> Option<&'static str> {
+        let mut codes = self.refuse.lock().expect("no panic under the lock");
+        (id != "-").then(|| codes.pop())?
+    }
+
+    /// Returns a digest that no other answer has.
+    fn digest(&self, effect: &str, member: &str) -> String {
+        let number = self.digests.fetch_add(1, Ordering::SeqCst);
+        format!("{effect}.{member}.{number}")
+    }
+
     /// Waits while the member is frozen.
-    async fn wait_while_frozen(&self) {
+    pub async fn wait_while_frozen(&self) {
         while self.frozen.load(Ordering::SeqCst) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -149,10 +239,12 @@
     stream: TcpStream,
     full: bool,
 ) -> std::io::Result<()> {
-    let (read, mut write): (OwnedReadHalf, OwnedWriteHalf) = stream.into_split();
-    let mut lines = BufReader::new(read).lines();
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let mut lines = Lines::new(read);
+    let mut writer = Writer::new(handle.clone(), write);
     handle.wait_while_frozen().await;
-    let Some(connect) = lines.next_line().await? else {
+    let Some(connect) = lines.next().await? else {
         return Ok(());
     };
     handle.wait_while_frozen().await;
@@ -160,54 +252,88 @@
     let wrong_node =
         words.get(1) != Some(&&*group.name) || words.get(3).is_some_and(|w| **w != *id);
     if wrong_node {
-        return write.write_all(b"ERROR WRONGNODE another\r\n").await;
+        return writer.write(&frame("ERROR WRONGNODE another")).await;
     }
     if full {
-        return write.write_all(b"ERROR OVERLOAD full\r\n").await;
+        return writer.write(&frame("ERROR OVERLOAD full")).await;
     }
-    write.write_all(b"READY I -\r\n").await?;
-    let caller = words.get(2).copied().unwrap_or_default().to_owned();
+    let connection = handle.opened.fetch_add(1, Ordering::SeqCst);
+    let ready = Sent {
+        connection,
+        id: "-".to_owned(),
+        kind: Kind::Connect,
+        rows: Vec::new(),
+        end: None,
+        ready: "READY I -".to_owned(),
+        duplicate: false,
+    };
+    writer.send(ready).await?;
+    let workspace = words.get(2).copied().unwrap_or_default().to_owned();
     let member = Member { group, id, handle };
     let mut session = Session::default();
-    while let Some(line) = lines.next_line().await? {
+    while let Some(line) = lines.next().await? {
         member.handle.wait_while_frozen().await;
         let Some(query) = line.strip_prefix("QUERY ") else {
             return Ok(());
         };
         let (query_id, text) = query.split_once(' ').unwrap_or((query, ""));
-        let statements = &member.handle.statements;
-        statements
-            .lock()
-            .expect("no panic under the lock")
-            .push(text.to_owned());
-        if query_id != "-" {
-            let statement = (caller.clone(), query_id.to_owned());
-            let caller_statements = &member.handle.caller_statements;
-            caller_statements
-                .lock()
-                .expect("no panic under the lock")
-                .push(statement);
-        }
-        let answer = {
+        member.handle.record_statement(&workspace, query_id, text);
+        let reply = {
             let _slot = member.handle.slots.acquire().await.expect("never closed");
-            member.run(&mut session, query_id, text)
+            match member.handle.refusal(query_id) {
+                Some(code) => Reply::error(code, "not run"),
+                None => member.run(&mut session, query_id, text),
+            }
         };
         member.handle.wait_while_frozen().await;
         if query_id != "-" && member.handle.consume(&member.handle.lose_answers) {
             return Ok(());
         }
-        if answer.starts_with("DATA") && member.handle.consume(&member.handle.truncate_rows) {
-            return write.write_all(&answer.as_bytes()[..4]).await;
+        let has_rows = !reply.rows.is_empty();
+        let answer = Sent {
+            connection,
+            id: query_id.to_owned(),
+            kind: Kind::of(text, &reply.end),
+            rows: reply.rows,
+            end: Some(reply.end),
+            ready: member.ready_line(&session),
+            duplicate: false,
+        };
+        if has_rows && member.handle.consume(&member.handle.truncate_rows) {
+            return writer.write(&answer.bytes()[..4]).await;
         }
-        let ready = member.ready_line(&session);
-        write
-            .write_all(format!("{answer}{ready}").as_bytes())
-            .await?;
+        writer.send(answer).await?;
     }
     Ok(())
 }
 
-const DONE: &str = "COMPLETE -\r\n";
+/// The result of a statement.
+struct Reply {
+    rows: Vec<String>,
+    /// The line with COMPLETE or ERROR.
+    end: String,
+}
+
+impl Reply {
+    /// Completed without a digest or rows.
+    fn done() -> Self {
+        Self::complete("-")
+    }
+
+    fn complete(digest: &str) -> Self {
+        Self {
+            rows: Vec::new(),
+            end: format!("COMPLETE {digest}"),
+        }
+    }
+
+    fn error(code: &str, text: &str) -> Self {
+        Self {
+            rows: Vec::new(),
+            end: format!("ERROR {code} {text}"),
+        }
+    }
+}
 
 impl Member {
     fn lag(&self) -> Duration {
@@ -224,11 +350,11 @@
             (None, _) => 'I',
         };
         let position = state.position(state.applied(self.lag()));
-        format!("READY {letter} {position}\r\n")
+        format!("READY {letter} {position}")
     }
 
     /// Runs a statement and returns its answer.
-    fn run(&self, session: &mut Session, id: &str, text: &str) -> String {
+    fn run(&self, session: &mut Session, id: &str, text: &str) -> Reply {
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         let (first, tail) = rest.split_once(' ').unwrap_or((rest, ""));
         match verb {
@@ -243,29 +369,29 @@
             "RESET" => {
                 session.values.clear();
                 session.prepared.clear();
-                DONE.to_owned()
+                Reply::done()
             }
             "SET" => {
                 session.values.insert(first.to_owned(), tail.to_owned());
-                DONE.to_owned()
+                Reply::done()
             }
             "PREPARE" => {
                 let (mode, prefix) = tail.split_once(' ').unwrap_or((tail, ""));
                 let statement = (mode.to_owned(), prefix.to_owned());
                 session.prepared.insert(first.to_owned(), statement);
-                DONE.to_owned()
+                Reply::done()
             }
             "EXECUTE" => self.execute(session, id, first, tail),
             "BEGIN" => self.begin(session, rest == "READ"),
             "ROLLBACK" => {
                 session.transaction = None;
                 session.failed = false;
-                DONE.to_owned()
+                Reply::done()
             }
             "COMMIT" => self.commit(session),
             "READ" => self.read(session, first),
             "WRITE" => self.write(session, id, first, tail),
-            _ => "ERROR MALFORMED unknown\r\n".to_owned(),
+            _ => Reply::error("MALFORMED", "unknown"),
         }
     }
 
@@ -276,7 +402,7 @@
     }
 
     /// Runs a statement if the member has applied the position `floor`.
-    fn after(&self, session: &mut Session, id: &str, floor: &str, text: &str) -> String {
+    fn after(&self, session: &mut Session, id: &str, floor: &str, text: &str) -> Reply {
         let index: usize = floor
             .split_once('.')
             .and_then(|(_, index)| index.parse().ok())
@@ -284,24 +410,26 @@
         let lag = self.lag();
         match self.with_state(|state| state.applied(lag) >= index) {
             true => self.run(session, id, text),
-            false => "ERROR LAGGING behind\r\n".to_owned(),
+            false => Reply::error("LAGGING", "behind"),
         }
     }
 
-    fn status(&self) -> String {
+    fn status(&self) -> Reply {
         let open = self.handle.open_connections.load(Ordering::SeqCst);
         self.with_state(|state| {
             let role = if state.primary { "primary" } else { "replica" };
             let position = state.position(state.log.len());
-            format!(
-                "DATA {role} {} {position} {} 0 0 {open}\r\n{DONE}",
-                state.term, state.fence_term
-            )
+            let (term, fence_term) = (state.term, state.fence_term);
+            let row = format!("{role} {term} {position} {fence_term} 0 0 {open}");
+            Reply {
+                rows: vec![row],
+                ..Reply::done()
+            }
         })
     }
 
     /// Fences a replica under a term newer than its own.
-    fn pause(&self, term: u64) -> String {
+    fn pause(&self, term: u64) -> Reply {
         let accepted = self.with_state(|state| {
             let accepted = !state.primary && term > state.term;
             if accepted {
@@ -311,32 +439,32 @@
         });
         match accepted {
             true => self.status(),
-            false => "ERROR MALFORMED not above the newest\r\n".to_owned(),
+            false => Reply::error("MALFORMED", "not above the newest"),
         }
     }
 
     /// Makes a primary of a term before this one a replica.
-    fn step_down(&self, term: u64) -> String {
+    fn step_down(&self, term: u64) -> Reply {
         self.with_state(|state| state.primary &= term <= state.term);
         self.status()
     }
 
-    fn begin(&self, session: &mut Session, read_only: bool) -> String {
+    fn begin(&self, session: &mut Session, read_only: bool) -> Reply {
         if !read_only && !self.with_state(|state| state.primary) {
-            return format!("ERROR READONLY {}\r\n", self.id);
+            return Reply::error("READONLY", &self.id);
         }
         session.transaction = Some(Vec::new());
         session.read_only = read_only;
-        DONE.to_owned()
+        Reply::done()
     }
 
-    fn commit(&self, session: &mut Session) -> String {
+    fn commit(&self, session: &mut Session) -> Reply {
         let writes = session.transaction.take().unwrap_or_default();
         if std::mem::take(&mut session.failed) {
-            return "ERROR ABORTED it had failed\r\n".to_owned();
+            return Reply::error("ABORTED", "it had failed");
         }
         if !writes.is_empty() && !self.with_state(|state| state.primary) {
-            return format!("ERROR READONLY {}\r\n", self.id);
+            return Reply::error("READONLY", &self.id);
         }
         self.with_state(|state| {
             for (id, key, value) in &writes {
@@ -344,10 +472,10 @@
             }
         });
         self.group.replicate();
-        format!("COMPLETE commit.{}\r\n", self.id)
+        Reply::complete(&self.handle.digest("commit", &self.id))
     }
 
-    fn read(&self, session: &Session, key: &str) -> String {
+    fn read(&self, session: &Session, key: &str) -> Reply {
         self.handle.reads.fetch_add(1, Ordering::SeqCst);
         let lag = self.lag();
         let value = self.with_state(|state| state.value(key, state.applied(lag)));
@@ -362,15 +490,19 @@
             .collect();
         values.sort();
         let values = values.join(",");
-        format!("DATA {value} [{values}]\r\nCOMPLETE read.{}\r\n", self.id)
+        let extra_rows = self.handle.extra_rows.lock().expect("no panic");
+        let mut reply = Reply::complete(&self.handle.digest("read", &self.id));
+        reply.rows.push(format!("{value} [{values}]"));
+        reply.rows.extend(extra_rows.iter().cloned());
+        reply
     }
 
-    fn write(&self, session: &mut Session, id: &str, key: &str, value: &str) -> String {
+    fn write(&self, session: &mut Session, id: &str, key: &str, value: &str) -> Reply {
         if session.read_only && session.transaction.is_some()
             || !self.with_state(|state| state.primary)
         {
             session.failed = session.transaction.is_some();
-            return format!("ERROR READONLY {}\r\n", self.id);
+            return Reply::error("READONLY", &self.id);
         }
         match &mut session.transaction {
             Some(writes) => writes.push((id.to_owned(), key.to_owned(), value.to_owned())),
@@ -379,12 +511,12 @@
                 self.group.replicate();
             }
         }
-        format!("COMPLETE write.{}\r\n", self.id)
+        Reply::complete(&self.handle.digest("write", &self.id))
     }
 
-    fn execute(&self, session: &mut Session, id: &str, name: &str, arguments: &str) -> String {
+    fn execute(&self, session: &mut Session, id: &str, name: &str, arguments: &str) -> Reply {
         let Some((mode, prefix)) = session.prepared.get(name).cloned() else {
-            return "ERROR NOSTMT unknown\r\n".to_owned();
+            return Reply::error("NOSTMT", "unknown");
         };
         let (key, value) = arguments.split_once(' ').unwrap_or((arguments, ""));
         match &*mode {
--- a/tests/platform/restarts.rs
+++ b/tests/platform/restarts.rs
@@ -11,6 +11,7 @@
 
 use super::boxes::{Process, Settings};
 use super::client::{Answer, Client};
+use super::replies::Kind;
 use super::store::Fault;
 use super::world::{STRICT, World, manifest};
 
@@ -83,7 +84,7 @@
     let mut late = world.client(0, STRICT, "c").await;
     expect_that!(late.run("READ farm").await.unwrap().error, none());
     let done = client.run("COMMIT").await.unwrap();
-    expect_that!(done.digest, some(eq("commit.i-0")));
+    world.expect_answer_from("i-0", Kind::Commit, &client, &done);
     let _open = late.run("BEGIN").await;
     expect_that!(idle.read_line().await.err(), some(eq("closed")));
     // New callers are refused, not accepted and closed.
@@ -111,7 +112,7 @@
     }
     tokio::time::sleep(Duration::from_millis(600)).await;
     let done = late.run("COMMIT").await.unwrap();
-    expect_that!(done.digest, some(eq("commit.i-0")));
+    world.expect_answer_from("i-0", Kind::Commit, &late, &done);
     drop(late);
     while world.boxes[0].is_running() {
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -6,6 +6,7 @@
 use googletest::prelude::*;
 
 use super::client::Client;
+use super::replies::Kind;
 use super::world::{BOUNDED, OWN_WRITES, STRICT, World, manifest};
 
 #[gtest]
@@ -14,7 +15,7 @@
     let world = World::start(1).await;
     let mut client = world.client(0, STRICT, "a").await;
     let wrote = client.run("WRITE farm two  blanks").await.unwrap();
-    expect_that!(wrote.digest, some(eq("write.i-0")));
+    world.expect_answer_from("i-0", Kind::Write, &client, &wrote);
     expect_that!(wrote.state, eq("I"));
     let read = client.run("READ farm").await.unwrap();
     expect_that!(read.rows, elements_are![eq("two  blanks []")]);
@@ -80,7 +81,7 @@
         first.run(text).await.unwrap();
     }
     let done = first.run("COMMIT").await.unwrap();
-    expect_that!(done.digest, some(eq("commit.i-0")));
+    world.expect_answer_from("i-0", Kind::Commit, &first, &done);
     expect_that!(
         second.run("READ farm").await.unwrap().rows,
         elements_are![eq("kept []")]
@@ -94,7 +95,7 @@
     let mut client = world.client(0, STRICT, "a").await;
     client.run("BEGIN").await.unwrap();
     let done = client.run("COMMIT").await.unwrap();
-    expect_that!(done.digest, some(eq("commit.i-0")));
+    world.expect_answer_from("i-0", Kind::Commit, &client, &done);
     expect_that!(done.state, eq("I"));
 }
 
@@ -113,7 +114,7 @@
             .run(&format!("EXECUTE s1 farm {round}"))
             .await
             .unwrap();
-        expect_that!(wrote.digest, some(eq("write.i-0")));
+        world.expect_answer_from("i-0", Kind::Write, &first, &wrote);
         let read = second.run("EXECUTE s1 farm").await.unwrap();
         expect_that!(
             read.rows,
--- a/tests/platform/workspaces.rs
+++ b/tests/platform/workspaces.rs
@@ -60,7 +60,9 @@
     let members = world.members.iter();
     let statements =
         members.flat_map(|(_, _, handle)| handle.caller_statements.lock().unwrap().clone());
-    statements.collect()
+    statements
+        .map(|statement| (statement.workspace, statement.id))
+        .collect()
 }
 
 #[gtest]
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use googletest::prelude::*;
 use serde_json::{Value, json};
 
 use super::boxes::{Process, Settings};
-use super::client::Client;
+use super::client::{Answer, Client};
 use super::group::Group;
 use super::member::{self, Handle};
 use super::proxy::Proxy;
+use super::replies::Kind;
 use super::store::Store;
 
 // Databases that callers connect to, one for each type of route.
@@ -192,6 +194,20 @@
         &member.expect("a member").2
     }
 
+    /// Checks that the answer to the caller's last statement is the one that the member sent.
+    pub fn expect_answer_from(&self, member: &str, kind: Kind, client: &Client, answer: &Answer) {
+        let sent = self.member(member).answers(&client.last_id());
+        expect_that!(sent.len(), eq(1));
+        for sent in sent {
+            expect_that!(sent.kind, eq(kind));
+            expect_that!(
+                answer.digest.as_deref(),
+                some(eq(sent.digest().unwrap_or_default()))
+            );
+            expect_that!(answer.rows, eq(&sent.rows));
+        }
+    }
+
     /// Crashes a member: its listener and connections end, and it replicates nothing.
     pub fn crash_member(&self, id: &str) {
         self.group.set_running(id, false);
