test(platform): statements and rows with line feeds pass unchanged

Cause: lines end at CR LF only, but boxes end them at any LF, so that a member ran the beginning of a statement and rows were cut. An EXECUTE without operands got a trailing blank.

Change: tests compare what the member ran with what the caller sent, and the rows that the caller got with the member's record, byte for byte: line feeds, carriage returns, blanks, values and shapes, and random fields in random pieces in both directions.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -19,6 +19,7 @@
 mod large_manifests;
 mod late_orders;
 mod leaving;
+mod line_feeds;
 mod malformed_input;
 mod reload;
 mod replacement;
