test(platform): answers that are sent twice mix with no others

Cause: a member may send an answer a second time, late. Boxes take it for the answer to the next statement on the connection and stay one answer behind.

Change: for each kind of answer, the stand-in sends it again right before the answer to a later statement, both together with that answer and 20 ms before it. The callers must get their own digests and rows or a truthful code, no write may run twice or be kept after a promise that it isn't, and boxes must serve afterwards. The stand-in's record shows that the duplicate was sent before the later answer. Further tests repeat answers at random moments and during the replacement of a primary.

--- a/tests/platform/client.rs
+++ b/tests/platform/client.rs
@@ -13,6 +13,16 @@
 /// Longer than any answer of a box takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Error codes which guarantee that the statement had no effect.
+pub const NO_EFFECT_CODES: [&str; 6] = [
+    "RETRY",
+    "ABORTED",
+    "LAGGING",
+    "READONLY",
+    "WRONGNODE",
+    "OVERLOAD",
+];
+
 /// The whole answer to a statement.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod line_feeds;
 mod malformed_input;
 mod reload;
+mod repeated_answers;
 mod replacement;
 mod restarts;
 mod sessions;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::boxes::Process;
-use super::client::Client;
+use super::client::{Client, NO_EFFECT_CODES};
 use super::group::Group;
 use super::proxy::{Impairment, Proxy};
 use super::store::Fault;
@@ -31,15 +31,6 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Lines of each box's log that the report of a violation holds.
 const REPORTED_LOG_LINES: usize = 12;
-/// Error codes which guarantee that the statement had no effect.
-const NO_EFFECT_CODES: [&str; 6] = [
-    "RETRY",
-    "ABORTED",
-    "LAGGING",
-    "READONLY",
-    "WRONGNODE",
-    "OVERLOAD",
-];
 
 /// Counts of violations and, after them, of events that show how much the soak did.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
