test(soak): members repeat answers, and values hold line feeds

Cause: the soak's members answered once, its values held no line feed, and it compared neither digests nor the texts that members ran.

Change: as one more random fault, a member sends a random share of its answers again, up to 2 s late. Values end in line feeds and carriage returns at random. `mixed` also counts answers whose digest and rows no member sent for their statement, and `unasked` counts statements that members received with another text than the caller's, up to the prepared name. All earlier checks and bounds stay.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -4,6 +4,8 @@
 //! `SOAK_SEEDS=100-149 SOAK_SECONDS=8 cargo test --release --test platform soak::by_hand
 //! -- --ignored --nocapture` runs a range of seeds and prints a line for each.
 
+mod records;
+
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,10 +16,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use self::records::Records;
 use super::boxes::Process;
-use super::client::{Client, NO_EFFECT_CODES};
+use super::client::{Answer, Client, NO_EFFECT_CODES};
 use super::group::Group;
 use super::proxy::{Impairment, Proxy};
+use super::replies::{Duplication, Timing};
 use super::store::Fault;
 use super::world::{BOUNDED, OWN_WRITES, STRICT, World};
 
@@ -29,6 +33,10 @@
 const REPLACEMENT_DEADLINE: Duration = Duration::from_secs(11);
 /// Time that boxes have for recovery after the last fault.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
+/// Longest time after which a member sends an answer again.
+const DUPLICATE_DELAY: Duration = Duration::from_secs(2);
+/// Ends of the values that callers write.
+const VALUE_ENDS: [&str; 6] = ["", "", "\n", "\nx", "a\rb", "\r\r"];
 /// Lines of each box's log that the report of a violation holds.
 const REPORTED_LOG_LINES: usize = 12;
 
@@ -39,8 +47,11 @@
     refused_kept: usize,
     /// Statements whose write is in the log more than once.
     twice: usize,
-    /// Reads that returned the value of another caller's key.
+    /// Reads that returned the value of another caller's key, and answers that no member gave to
+    /// their statement.
     mixed: usize,
+    /// Statements that members received under a caller's id, but not with the caller's text.
+    unasked: usize,
     /// Reads that returned an older value than the session's own last write, without a promotion
     /// in between.
     stale_own: usize,
@@ -64,6 +75,7 @@
         self.refused_kept
             + self.twice
             + self.mixed
+            + self.unasked
             + self.stale_own
             + self.lost
             + self.behind
@@ -79,6 +91,7 @@
     acknowledged: BTreeMap<String, usize>,
     /// Ids of writes that were answered with a code for no effect.
     refused: Vec<String>,
+    records: Records,
 }
 
 /// The state that the callers of a run share.
@@ -90,6 +103,33 @@
     world: CallerWorld,
 }
 
+impl Run {
+    /// Runs a statement under an id of its own, and records both sides of it.
+    async fn exchange(
+        &self,
+        client: &mut Client,
+        id: &str,
+        text: &str,
+    ) -> std::result::Result<Answer, String> {
+        let history = || self.history.lock().expect("no panic under the lock");
+        history().records.record_text(id, text);
+        client.send(&format!("QUERY {id} {text}")).await?;
+        let answer = client.read_answer().await?;
+        history().records.record_answer(id, &answer);
+        Ok(answer)
+    }
+
+    /// Runs a statement under the next id.
+    async fn run_next(
+        &self,
+        client: &mut Client,
+        text: &str,
+    ) -> std::result::Result<Answer, String> {
+        let number = self.next.fetch_add(1, Ordering::SeqCst);
+        self.exchange(client, &format!("s{number}"), text).await
+    }
+}
+
 /// The parts of [`World`] that callers use.
 struct CallerWorld {
     group: Group,
@@ -144,14 +184,13 @@
             return Ok(());
         }
         if rng.random_bool(0.1) {
-            idle_in_transaction(client, key, rng).await?;
+            idle_in_transaction(run, client, key, rng).await?;
         } else if rng.random_bool(0.4) {
             let number = run.next.fetch_add(1, Ordering::SeqCst);
             let id = format!("w{number}");
-            client
-                .send(&format!("QUERY {id} WRITE {key} {key}:{number}"))
-                .await?;
-            let answer = client.read_answer().await;
+            let end = VALUE_ENDS[rng.random_range(0..VALUE_ENDS.len())];
+            let text = format!("WRITE {key} {key}:{number};{end}");
+            let answer = run.exchange(client, &id, &text).await;
             let promotions = run.world.promotions();
             let mut history = run.history.lock().expect("no panic under the lock");
             match answer.as_ref().map(|answer| answer.error.as_deref()) {
@@ -170,7 +209,7 @@
             answer.map(|_| ())?;
         } else {
             let before = run.world.promotions();
-            let answer = client.run(&format!("READ {key}")).await?;
+            let answer = run.run_next(client, &format!("READ {key}")).await?;
             let after = run.world.promotions();
             let Some(row) = answer.rows.first().filter(|_| answer.error.is_none()) else {
                 continue;
@@ -180,7 +219,8 @@
             history.seen.reads += 1;
             let found: Option<u64> = value
                 .strip_prefix(&format!("{key}:"))
-                .and_then(|number| number.parse().ok());
+                .and_then(|value| value.split_once(';'))
+                .and_then(|(number, _)| number.parse().ok());
             history.seen.mixed += usize::from(found.is_none() && value != "none");
             if let Some((number, promotions)) = last_write
                 && database != BOUNDED
@@ -197,14 +237,15 @@
 
 /// Reads in a transaction and keeps it open, idle, while other statements run.
 async fn idle_in_transaction(
+    run: &Run,
     client: &mut Client,
     key: &str,
     rng: &mut SmallRng,
 ) -> std::result::Result<(), String> {
-    client.run("BEGIN READ").await?;
-    client.run(&format!("READ {key}")).await?;
+    run.run_next(client, "BEGIN READ").await?;
+    run.run_next(client, &format!("READ {key}")).await?;
     tokio::time::sleep(Duration::from_millis(rng.random_range(0..60))).await;
-    let ended = client.run("COMMIT").await?;
+    let ended = run.run_next(client, "COMMIT").await?;
     match ended.state.as_str() {
         "I" => Ok(()),
         state => Err(format!("state {state} after the end of a transaction")),
@@ -217,7 +258,7 @@
     let member = rng.random_range(0..world.members.len());
     let index = rng.random_range(0..world.boxes.len());
     let id = world.members[member].0.clone();
-    match rng.random_range(0..15) {
+    match rng.random_range(0..17) {
         0 => {
             world.boxes[index].kill();
             tokio::time::sleep(duration / 4).await;
@@ -281,6 +322,15 @@
             proxies[member].silence_open_connections();
             format!("open connections to {id} go silent")
         }
+        13 | 14 => {
+            let share = rng.random_range(0.05..0.5);
+            let delays = Timing::Delayed(Duration::ZERO..DUPLICATE_DELAY);
+            let fault = Duplication::new(&[], delays).share(share, rng.random());
+            world.member(&id).duplicate_answers(Some(fault));
+            tokio::time::sleep(duration).await;
+            world.member(&id).duplicate_answers(None);
+            format!("{id} sends {share:.2} of its answers again {duration:?}")
+        }
         10 | 11 => restore_store(world, index, rng).await,
         12 => {
             let count = rng.random_range(100..2_000);
@@ -370,7 +420,7 @@
     let seen = Seen {
         behind,
         leaderless: usize::from(!has_primary_in_time(&world).await),
-        ..check_history(&run)
+        ..check_history(&run, &world)
     };
     if seen.violations() > 0 {
         injected.extend(describe_world(&world));
@@ -423,8 +473,8 @@
         .is_ok()
 }
 
-/// Compares the answers that callers got with the newest primary's log.
-fn check_history(run: &Run) -> Seen {
+/// Compares the answers that callers got with the newest primary's log and the members' records.
+fn check_history(run: &Run, world: &World) -> Seen {
     let history = run.history.lock().expect("no panic under the lock");
     let mut seen = history.seen.clone();
     let members = run.world.group.members();
@@ -436,6 +486,9 @@
         *counts.entry(&entry.id).or_default() += 1;
     }
     let promotions = run.world.promotions();
+    let handles: Vec<_> = world.members.iter().map(|(_, _, m)| m.clone()).collect();
+    seen.mixed += history.records.count_mixed(&handles);
+    seen.unasked = history.records.count_unasked(&handles);
     seen.twice = counts.values().filter(|count| **count > 1).count();
     let kept = history
         .refused
