test(platform): answers repeated some statements later are no others' answers

Cause: the tests repeated answers only before the next statement of a kind.

Change: one more test repeats a read and a write before the fourth later one.

--- a/tests/platform/repeated_answers.rs
+++ b/tests/platform/repeated_answers.rs
@@ -181,6 +181,17 @@
 /// Sends an answer of the kind again before the answer to a later statement of the kinds `before`,
 /// while a caller works, and checks the caller's answers then and afterwards.
 async fn expect_no_mixed_answer(kind: Kind, before: &[Kind], setup: &[&str], work: Work) {
+    expect_no_mixed_answer_after(0, kind, before, setup, work).await;
+}
+
+/// Like [`expect_no_mixed_answer`], with other such statements before the later one.
+async fn expect_no_mixed_answer_after(
+    skip: usize,
+    kind: Kind,
+    before: &[Kind],
+    setup: &[&str],
+    work: Work,
+) {
     let world = World::start(1).await;
     let primary = world.member("i-0");
     for (i, gap) in GAPS.into_iter().enumerate() {
@@ -189,7 +200,13 @@
         let met = async {
             for round in 0.. {
                 // Connections may be closed with their duplicates, so that more are needed.
-                primary.duplicate_answers(Some(held(kind, before, gap)));
+                let hold = Hold {
+                    before: before.to_vec(),
+                    skip,
+                    gap,
+                };
+                let fault = Duplication::new(&[kind], Timing::Held(hold)).times(1);
+                primary.duplicate_answers(Some(fault));
                 for text in setup {
                     // Another value or shape has to be set up anew.
                     let answer = client.run(&format!("{text}{round}")).await;
@@ -245,6 +262,14 @@
     expect_no_mixed_answer(Kind::Write, &[Kind::Read], &[], Work::Transactions).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn an_answer_repeated_some_statements_later_is_not_taken_for_another() {
+    for (kind, work) in [(Kind::Read, READS), (Kind::Write, WRITES)] {
+        expect_no_mixed_answer_after(3, kind, &[kind], &[], work).await;
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_repeated_commit_is_not_the_next_commits_answer() {
