fix(platform): a line ends with CR LF only, so that a statement's line feed reaches the member

What callers saw: a member ran the beginning of a statement, up to a line feed in its last field, and the box took the rest for a message of its own: refused, which closed the session, or run, if it read like a statement. Rows with a line feed were cut alike.

Cause: Channel::take_line ended a line at each line feed and dropped a carriage return before it. Lines end with CR LF; either of the two alone is text.

Why it works: an ending is searched as a whole, also across two reads. What a box writes goes through Frames, which takes no text with a line ending in it, so that no name, value or error text can end a line early; a statement that a box's addition makes longer than a message may be is refused and not sent. An EXECUTE keeps everything behind its name as it came: without arguments, a space had been added.

Cost: none measured; the same pass over the input, no message more.

--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::failure::{self, code};
-use super::line::{Channel, LineError, excerpt};
+use super::line::{Channel, Frames, LineError, excerpt};
 use super::protocol::{Mode, Statement, format_position, split_word};
 use crate::borders::upstream::{Begin, Opening, Prepared, Setup, Status, Values};
 use crate::decisions::position::Position;
@@ -104,16 +104,26 @@
         );
         return refuse(&mut channel, code::RETRY, &text).await;
     }
-    channel.write(b"READY I -\r\n").await?;
+    let mut greeting = Frames::default();
+    push_ready(&mut greeting, 'I', None);
+    channel.write(&greeting).await?;
     Conversation::new(context, owner, channel, database, key)
         .run()
         .await
 }
 
 async fn refuse(channel: &mut Channel, code: &str, text: &str) -> Result<(), LineError> {
-    channel
-        .write(format!("ERROR {code} {text}\r\n").as_bytes())
-        .await
+    let mut frames = Frames::default();
+    frames.push_error(&format!("ERROR {code} {text}"));
+    channel.write(&frames).await
+}
+
+/// Appends the line that ends an answer: the state of the transaction and the position reached.
+fn push_ready(frames: &mut Frames, state: char, position: Option<Position>) {
+    let ready = format!("READY {state} {}", format_position(position));
+    frames
+        .push(&ready)
+        .expect("neither too long nor with line endings");
 }
 
 /// A prepared statement of the session.
@@ -224,19 +234,18 @@
     }
 
     async fn send_outcome(&mut self, outcome: Outcome) -> Result<(), LineError> {
+        let mut frames = Frames::default();
         let mut position = None;
-        let mut text = match outcome {
-            Outcome::Done => "COMPLETE -\r\n".to_owned(),
-            Outcome::Error(code, text) => format!("ERROR {code} {text}\r\n"),
+        match outcome {
+            Outcome::Done => frames.push_received(b"COMPLETE -\r\n"),
+            Outcome::Error(code, text) => frames.push_error(&format!("ERROR {code} {text}")),
             Outcome::Reply(reply) => {
                 position = reply.position;
-                String::from_utf8_lossy(&reply.messages).into_owned()
+                frames.push_received(&reply.messages);
             }
-        };
-        let state = self.transaction_state();
-        let position = format_position(position);
-        text.push_str(&format!("READY {state} {position}\r\n"));
-        self.channel.write(text.as_bytes()).await
+        }
+        push_ready(&mut frames, self.transaction_state(), position);
+        self.channel.write(&frames).await
     }
 
     fn transaction_state(&self) -> char {
@@ -364,7 +373,7 @@
             Mode::Read => Effect::Reads,
             Mode::Write => Effect::Writes,
         };
-        let text = format!("EXECUTE {} {arguments}", named.prepared.name);
+        let text = format!("EXECUTE {}{arguments}", named.prepared.name);
         self.serve_statement(effect, id, &text, Some(named.prepared))
             .await
     }
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -25,6 +25,7 @@
     },
     Execute {
         name: &'a str,
+        /// Everything behind the name, with the space before it.
         arguments: &'a str,
     },
     Close {
@@ -72,7 +73,7 @@
             }),
             "EXECUTE" if has_operand => Some(Statement::Execute {
                 name: first,
-                arguments: tail,
+                arguments: &rest[first.len()..],
             }),
             "CLOSE" if has_operand => Some(Statement::Close { name: first }),
             _ => None,
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use slog::Logger;
 
-use super::line::{Channel, LineError, excerpt};
+use super::failure::code;
+use super::line::{Channel, FrameError, Frames, LineError, excerpt};
 use super::protocol::{format_position, parse_position, split_word};
 use crate::borders::upstream::{
     Answer, Begin, ConnectError, Dialer, Keyed, Rejection, Status, Task, Upstream, UpstreamError,
@@ -96,6 +97,11 @@
     error: Option<String>,
 }
 
+/// Returns the message that runs a statement.
+fn query(id: &str, text: &str) -> Result<Frames, FrameError> {
+    Frames::new(&format!("QUERY {id} {text}"))
+}
+
 impl Connection {
     async fn open(
         from: IpAddr,
@@ -113,8 +119,12 @@
             setup_state: State::default(),
             out_of_sync: false,
         };
-        let hello = format!("CONNECT {} {workspace} {}\r\n", member.group, member.name);
-        let sent = connection.channel.write(hello.as_bytes()).await;
+        let hello = Frames::new(&format!(
+            "CONNECT {} {workspace} {}",
+            member.group, member.name
+        ));
+        let hello = hello.map_err(|error| lost(&error))?;
+        let sent = connection.channel.write(&hello).await;
         sent.map_err(|error| lost(&error))?;
         let line = connection.channel.read().await;
         let line = line.map_err(|error| lost(&error))?;
@@ -145,11 +155,6 @@
         Ok(())
     }
 
-    async fn send_statement(&mut self, id: &str, text: &str) -> Result<(), LineError> {
-        let line = format!("QUERY {id} {text}\r\n");
-        self.channel.write(line.as_bytes()).await
-    }
-
     /// Reads one complete answer.
     async fn read_reply(&mut self) -> Result<RawReply, UpstreamError> {
         let mut reply = RawReply {
@@ -178,12 +183,12 @@
         }
     }
 
-    /// Runs one setup step. Returns the member's reply if the step failed.
+    /// Runs one setup step. Returns the answer to its statement if the step failed.
     async fn run_step(
         &mut self,
         step: &Step,
         floor: &str,
-    ) -> Result<Option<RawReply>, UpstreamError> {
+    ) -> Result<Option<Answer>, UpstreamError> {
         let text = match step {
             Step::Reset => "RESET".to_owned(),
             Step::Set { name, value } => format!("SET {name} {value}"),
@@ -197,10 +202,14 @@
             Step::Open(opening) => &*opening.id,
             _ => INTERNAL_ID,
         };
-        self.send_statement(id, &text).await?;
+        let query = match query(id, &text) {
+            Ok(query) => query,
+            Err(error) => return Ok(Some(self.refuse(&error))),
+        };
+        self.channel.write(&query).await?;
         let reply = self.read_reply().await?;
         if reply.error.is_some() {
-            return Ok(Some(reply));
+            return Ok(Some(self.to_answer(reply)));
         }
         self.setup_state.record(step);
         Ok(None)
@@ -223,6 +232,18 @@
         }
     }
 
+    /// Returns the answer to a statement that can't be sent.
+    fn refuse(&self, error: &FrameError) -> Answer {
+        let mut lines = Frames::default();
+        lines.push_error(&format!("ERROR {} not run: {error}", code::MALFORMED));
+        Answer {
+            messages: lines.into_bytes(),
+            status: Some(self.status),
+            position: None,
+            verdict: Verdict::Failed,
+        }
+    }
+
     async fn run_task(&mut self, task: &Task<'_>) -> Result<Answer, UpstreamError> {
         let floor = match task.floor {
             Some(floor) if floor > Position::ZERO => {
@@ -234,7 +255,7 @@
         if let Some(setup) = task.setup {
             for step in self.setup_state.steps_to(setup) {
                 if let Some(refused) = self.run_step(&step, &floor).await? {
-                    return Ok(self.to_answer(refused));
+                    return Ok(refused);
                 }
                 opened |= matches!(step, Step::Open(_));
             }
@@ -249,7 +270,11 @@
         } else {
             ""
         };
-        self.send_statement(id, &format!("{floor}{text}")).await?;
+        let query = match query(id, &format!("{floor}{text}")) {
+            Ok(query) => query,
+            Err(error) => return Ok(self.refuse(&error)),
+        };
+        self.channel.write(&query).await?;
         let reply = self.read_reply().await?;
         if reply.error.as_deref() == Some("NOSTMT")
             && let Some(prepared) = task.setup.and_then(|setup| setup.prepared.as_ref())
@@ -293,7 +318,8 @@
             return Ok(());
         }
         self.out_of_sync = true;
-        self.send_statement(INTERNAL_ID, "ROLLBACK").await?;
+        let query = query(INTERNAL_ID, "ROLLBACK").expect("a short text");
+        self.channel.write(&query).await?;
         self.read_reply().await?;
         self.out_of_sync = false;
         Ok(())
