fix(platform): a caller's statement under the box's own id is refused

What callers see: MALFORMED for a statement without an id, or with the id '-'. Both were run.

Cause: members take statements with that id for the box's own. A write of a caller under it is one that no client sent, in a member's record.

Evidence: malformed_input::a_callers_statement_is_not_run_under_the_id_of_the_boxs_own_statements was red: both writes ran.

Cost: a comparison a statement.

--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -13,6 +13,7 @@
 use super::failure::{self, code};
 use super::line::{Channel, Frames, LineError, excerpt};
 use super::protocol::{Mode, Statement, format_position, split_word};
+use super::upstream::INTERNAL_ID;
 use crate::borders::upstream::{Begin, Opening, Prepared, Setup, Status, Values};
 use crate::decisions::position::Position;
 use crate::declarations::resource::{Database, Workspace};
@@ -257,6 +258,9 @@
     }
 
     async fn run_statement(&mut self, id: &str, text: &str) -> Result<Outcome, LineError> {
+        if id.is_empty() || id == INTERNAL_ID {
+            return Ok(Outcome::malformed("the statement has no id of its own"));
+        }
         let Some(statement) = Statement::parse(text) else {
             return Ok(Outcome::malformed("no statement of this protocol"));
         };
--- a/tests/platform/malformed_input.rs
+++ b/tests/platform/malformed_input.rs
@@ -74,6 +74,29 @@
     expect_still_serving(&mut world).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_callers_statement_is_not_run_under_the_id_of_the_boxs_own_statements() {
+    let mut world = World::start(1).await;
+    let mut client = world.client(0, STRICT, "a").await;
+    for id in ["-", ""] {
+        client
+            .send(&format!("QUERY {id} WRITE farm 1"))
+            .await
+            .unwrap();
+        let answer = client.read_answer().await.unwrap();
+        expect_that!(answer.error, some(eq("MALFORMED")));
+    }
+    let ran = world
+        .member("i-0")
+        .statements
+        .lock()
+        .expect("no panic")
+        .clone();
+    expect_that!(ran, not(contains(eq("WRITE farm 1"))));
+    expect_still_serving(&mut world).await;
+}
+
 #[gtest]
 #[tokio::test]
 async fn pipelined_statements_are_answered_in_order() {
