fix(platform): an answer that a member repeats isn't taken for that of the next statement

What callers saw: the rows and digest of another statement, their own or another caller's, as the answer to theirs; and, one behind from then on, several callers of that connection. A repeated refusal in place of a write's answer made the box run the write again, or say that a kept write had not run. A repeated row of STATUS or PAUSE was believed as the new one.

Cause: the next whole answer on a connection was taken for the answer to the statement sent last. Answers name no statement, and a member may send one twice, the second time late.

Why it works: a repetition has the text of an earlier answer on its connection. decisions/answers.rs keeps a hash of each. An answer with a new text and of the form and state that the statement asks for is its own. One whose text is known is the statement's own or a repetition; a statement of the box behind it (an empty transaction, inside a transaction a PREPARE) tells which, since members answer in order: nothing or the own answer arrives before its completion. What can't be told is unknown, and the connection is closed, as it is after any repetition; a read is tried elsewhere, a write's outcome is unknown. Completions of steps aren't asked about: an error behind one that may be a repetition is.

sessions::a_transaction_that_exceeds_its_idle_timeout_is_aborted waited for any ROLLBACK on the member; the box sends one after each command whose row is known now, so the test waits for that of the transaction's own connection after its write, which is stricter.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -1,6 +1,7 @@
 //! The decision logic, free of I/O and clocks: functions take events and the current time, and
 //! return actions.
 
+pub mod answers;
 pub mod budget;
 pub mod classify;
 pub mod confirmation;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,6 +12,7 @@
 pub mod ports;
 pub mod protocol;
 pub mod ready;
+pub mod reply;
 pub mod settings;
 pub mod store;
 pub mod table;
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -66,6 +66,11 @@
             .expect("neither too long nor with line endings");
     }
 
+    /// Appends other lines.
+    pub fn append(&mut self, mut other: Frames) {
+        self.bytes.append(&mut other.bytes);
+    }
+
     /// Returns the lines with their line endings.
     pub fn into_bytes(self) -> Bytes {
         self.bytes.into()
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -1,4 +1,7 @@
 //! Connections to members over the line protocol.
+//!
+//! Answers are matched with statements by [`History`]. Where an answer may be a repetition, a
+//! statement of the box shows whether another answer is on its way before its own.
 
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -10,12 +13,13 @@
 use slog::Logger;
 
 use super::failure::code;
-use super::line::{Channel, FrameError, Frames, LineError, excerpt};
-use super::protocol::{format_position, parse_position, split_word};
+use super::line::{Channel, FrameError, Frames, excerpt};
+use super::protocol::{format_position, split_word};
+use super::reply::{Reply, parse_ready};
 use crate::borders::upstream::{
-    Answer, Begin, ConnectError, Dialer, Keyed, Rejection, Status, Task, Upstream, UpstreamError,
-    Verdict,
+    Answer, Begin, ConnectError, Dialer, Keyed, Status, Task, Upstream, UpstreamError, Verdict,
 };
+use crate::decisions::answers::{Expected, Form, History, Match, Received};
 use crate::decisions::position::Position;
 use crate::decisions::setup::{State, Step};
 use crate::declarations::resource::Member;
@@ -84,19 +88,15 @@
     status: Status,
     /// Settings, prepared statements and transaction set up on the connection.
     setup_state: State,
+    /// The answers that arrived.
+    history: History,
+    /// Number of statements prepared by [`Connection::send_barrier`].
+    barriers: u32,
     /// Whether an answer is outstanding or was read only in part. Such a connection is never
     /// reused.
     out_of_sync: bool,
 }
 
-/// A complete answer in the protocol's format.
-struct RawReply {
-    /// Lines before the READY line, with their line endings.
-    lines: String,
-    /// Error code, if the answer is an error.
-    error: Option<String>,
-}
-
 /// Returns the message that runs a statement.
 fn query(id: &str, text: &str) -> Result<Frames, FrameError> {
     Frames::new(&format!("QUERY {id} {text}"))
@@ -117,6 +117,8 @@
             position: None,
             status: Status::Idle,
             setup_state: State::default(),
+            history: History::default(),
+            barriers: 0,
             out_of_sync: false,
         };
         let hello = Frames::new(&format!(
@@ -131,7 +133,8 @@
         let (verb, rest) = split_word(&line);
         match verb {
             "READY" => {
-                connection.read_ready(rest).map_err(|error| lost(&error))?;
+                let ready = parse_ready(rest).map_err(|error| lost(&error))?;
+                (connection.status, connection.position) = ready;
                 Ok(connection)
             }
             "ERROR" if rest.starts_with("WRONGNODE") => {
@@ -142,45 +145,113 @@
         }
     }
 
-    /// Reads the transaction state and the position from the operands of a READY line.
-    fn read_ready(&mut self, rest: &str) -> Result<(), UpstreamError> {
-        let (state, at) = split_word(rest);
-        self.status = match state {
-            "I" => Status::Idle,
-            "T" => Status::Transaction,
-            "E" => Status::Failed,
-            _ => return Err(UpstreamError::InvalidAnswer(format!("state {state:?}"))),
-        };
-        self.position = parse_position(at).or(self.position);
-        Ok(())
+    /// Reads the answer to the statement sent last.
+    async fn read_reply(&mut self, expected: Expected) -> Result<Reply, UpstreamError> {
+        let (matched, mut reply) = self.read_candidate(expected).await?;
+        if matched == Match::Ambiguous {
+            reply = match expected.form {
+                // A step that failed and one that may have failed are treated alike: the
+                // statement isn't sent.
+                Form::Completion => {
+                    self.history.record_repetition();
+                    reply
+                }
+                _ => self.settle(expected, reply).await?,
+            };
+        }
+        self.history.record_own(&reply.received());
+        self.status = reply.status;
+        self.position = reply.position.or(self.position);
+        Ok(reply)
     }
 
-    /// Reads one complete answer.
-    async fn read_reply(&mut self) -> Result<RawReply, UpstreamError> {
-        let mut reply = RawReply {
-            lines: String::new(),
-            error: None,
-        };
-        let mut ended = false;
+    /// Reads the next answer that may be that of the statement sent last.
+    async fn read_candidate(
+        &mut self,
+        expected: Expected,
+    ) -> Result<(Match, Reply), UpstreamError> {
         loop {
-            let line = self.channel.read().await?;
-            let (verb, rest) = split_word(&line);
-            match verb {
-                "READY" if ended => {
-                    self.read_ready(rest)?;
-                    return Ok(reply);
+            let reply = Reply::read(&mut self.channel).await?;
+            match self.history.match_answer(expected, &reply.received()) {
+                Match::Repeated => self.discard(&reply),
+                Match::Unknown => return Err(reply.into_unknown()),
+                matched => return Ok((matched, reply)),
+            }
+        }
+    }
+
+    fn discard(&mut self, reply: &Reply) {
+        self.history.record_repetition();
+        self.report.unexpected_input(reply.lines.as_bytes());
+    }
+
+    /// Returns the answer to the statement sent last, of which `first` may be a repetition. If it
+    /// is, the statement's own answer arrives before that of a further statement.
+    async fn settle(&mut self, expected: Expected, first: Reply) -> Result<Reply, UpstreamError> {
+        if first.status == Status::Failed {
+            return Err(first.into_unknown());
+        }
+        let may_be_of_step = first.error().is_some() && self.history.is_unsettled();
+        let mut remaining = self.send_barrier(expected.status).await?;
+        let mut own = first;
+        while let Some(next) = remaining.first().copied() {
+            let reply = Reply::read(&mut self.channel).await?;
+            match reply.received() {
+                Received { form, status, .. } if form == Form::Completion && status == next => {
+                    remaining = &remaining[1..];
+                    continue;
+                }
+                Received {
+                    form: Form::Completion | Form::Greeting,
+                    ..
+                } => {
+                    self.discard(&reply);
+                    continue;
                 }
-                "DATA" if !ended => {}
-                "COMPLETE" if !ended => ended = true,
-                "ERROR" if !ended => {
-                    ended = true;
-                    reply.error = Some(split_word(rest).0.to_owned());
+                // Either of two equal answers serves.
+                Received { text, .. } if text == own.lines && reply.error().is_none() => {
+                    self.discard(&reply);
+                    continue;
+                }
+                received => {
+                    let matched = self.history.match_answer(expected, &received);
+                    // An error may also be that of the barrier.
+                    if matched != Match::Own || reply.error().is_some() || may_be_of_step {
+                        return Err(reply.into_unknown());
+                    }
                 }
-                _ => return Err(UpstreamError::InvalidAnswer(format!("answered {line:?}"))),
             }
-            reply.lines.push_str(&line);
-            reply.lines.push_str("\r\n");
+            self.discard(&own);
+            own = reply;
         }
+        Ok(own)
+    }
+
+    /// Sends statements that change nothing, and returns the states in which they complete.
+    async fn send_barrier(&mut self, status: Status) -> Result<&'static [Status], UpstreamError> {
+        let mut barrier = Frames::default();
+        let states: &[Status] = match status {
+            Status::Idle => {
+                barrier.append(query(INTERNAL_ID, "BEGIN READ").expect("a short text"));
+                barrier.append(query(INTERNAL_ID, "ROLLBACK").expect("a short text"));
+                &[Status::Transaction, Status::Idle]
+            }
+            _ => {
+                self.barriers += 1;
+                let text = format!("PREPARE larkfall{} READ larkfall", self.barriers);
+                barrier.append(query(INTERNAL_ID, &text).expect("a short text"));
+                &[Status::Transaction]
+            }
+        };
+        self.channel.write(&barrier).await?;
+        Ok(states)
+    }
+
+    /// Sends a statement that completes without rows, and reads its answer.
+    async fn complete(&mut self, query: &Frames, status: Status) -> Result<Reply, UpstreamError> {
+        self.channel.write(query).await?;
+        let form = Form::Completion;
+        self.read_reply(Expected { form, status }).await
     }
 
     /// Runs one setup step. Returns the answer to its statement if the step failed.
@@ -206,27 +277,23 @@
             Ok(query) => query,
             Err(error) => return Ok(Some(self.refuse(&error))),
         };
-        self.channel.write(&query).await?;
-        let reply = self.read_reply().await?;
-        if reply.error.is_some() {
+        let status = match step {
+            Step::Open(_) => Status::Transaction,
+            _ => self.status,
+        };
+        let reply = self.complete(&query, status).await?;
+        if reply.error().is_some() {
             return Ok(Some(self.to_answer(reply)));
         }
         self.setup_state.record(step);
         Ok(None)
     }
 
-    fn to_answer(&self, reply: RawReply) -> Answer {
-        let verdict = match reply.error.as_deref() {
-            None => Verdict::Done,
-            Some("READONLY") => Verdict::Rejection(Rejection::NotPrimary),
-            Some("LAGGING") => Verdict::Rejection(Rejection::Lagging),
-            Some("RETRY" | "OVERLOAD") => Verdict::Rejection(Rejection::Busy),
-            Some("NOSTMT") => Verdict::Rejection(Rejection::NotPrepared),
-            Some(_) => Verdict::Failed,
-        };
+    fn to_answer(&self, reply: Reply) -> Answer {
+        let verdict = reply.verdict();
         Answer {
             messages: Bytes::from(reply.lines),
-            status: Some(self.status),
+            status: Some(reply.status),
             position: self.position,
             verdict,
         }
@@ -275,8 +342,16 @@
             Err(error) => return Ok(self.refuse(&error)),
         };
         self.channel.write(&query).await?;
-        let reply = self.read_reply().await?;
-        if reply.error.as_deref() == Some("NOSTMT")
+        let form = match id {
+            INTERNAL_ID => Form::Rows,
+            _ => Form::Digest,
+        };
+        let status = match text {
+            "COMMIT" => Status::Idle,
+            _ => self.status,
+        };
+        let reply = self.read_reply(Expected { form, status }).await?;
+        if reply.error() == Some("NOSTMT")
             && let Some(prepared) = task.setup.and_then(|setup| setup.prepared.as_ref())
         {
             self.setup_state.forget_prepared(prepared);
@@ -285,15 +360,6 @@
     }
 }
 
-impl From<LineError> for UpstreamError {
-    fn from(error: LineError) -> Self {
-        match error {
-            LineError::Io(_) | LineError::Closed => UpstreamError::Lost(error.to_string()),
-            _ => UpstreamError::InvalidAnswer(error.to_string()),
-        }
-    }
-}
-
 #[async_trait(?Send)]
 impl Upstream for Connection {
     async fn run(&mut self, task: &Task<'_>) -> Result<Answer, UpstreamError> {
@@ -310,8 +376,8 @@
     }
 
     async fn roll_back(&mut self) -> Result<(), UpstreamError> {
-        if self.out_of_sync {
-            let why = "an answer is still out".to_owned();
+        if self.out_of_sync || !self.history.is_reliable() {
+            let why = "closed instead of rolled back".to_owned();
             return Err(UpstreamError::Lost(why));
         }
         if self.status == Status::Idle {
@@ -319,8 +385,7 @@
         }
         self.out_of_sync = true;
         let query = query(INTERNAL_ID, "ROLLBACK").expect("a short text");
-        self.channel.write(&query).await?;
-        self.read_reply().await?;
+        self.complete(&query, Status::Idle).await?;
         self.out_of_sync = false;
         Ok(())
     }
@@ -330,7 +395,8 @@
     }
 
     fn is_reusable(&mut self) -> bool {
-        if self.out_of_sync || self.status != Status::Idle {
+        let reliable = !self.out_of_sync && self.history.is_reliable();
+        if !reliable || self.status != Status::Idle {
             return false;
         }
         let quiet = self.channel.is_quiet();
--- a/tests/platform/sessions.rs
+++ b/tests/platform/sessions.rs
@@ -143,13 +143,14 @@
         client.run(text).await.unwrap();
     }
     // The box rolls back the member's connection when the idle timeout expires.
+    let member = world.member("i-0");
     let rolled_back = || {
-        let statements = world.members[0]
-            .2
-            .statements
-            .lock()
-            .expect("no panic under the lock");
-        statements.iter().any(|text| text == "ROLLBACK")
+        let sent = member.sent();
+        let write = sent.iter().position(|answer| answer.id == "a-2");
+        let write = write.expect("the write was answered");
+        sent[write..].iter().any(|answer| {
+            answer.kind == Kind::Rollback && answer.connection == sent[write].connection
+        })
     };
     while !rolled_back() {
         tokio::time::sleep(Duration::from_millis(20)).await;
