fix(store): a repeated response answers no other call to the store

What callers see: nothing was seen of it in a record. A store that sends a response twice, the second time late, made a box take it for the answer to its next call on the kept connection: a claim of a duty or a record of a primary counts as written although the store refused it, a full read of a table yields no rows (the answer to a transaction has a version and no rows) or another table's rows, and a poll yields another table's rows.

Cause: all calls to the store shared one pool of connections. hyper closes a kept connection on which something arrives before the next request is written, but a response that arrives after that is the next response by HTTP's framing, and the store's answers name neither their call nor their table.

Evidence: a_transaction_is_not_committed_by_the_response_to_an_earlier_one, a_full_read_is_not_answered_by_the_response_to_an_earlier_call and a_poll_is_not_answered_by_the_response_to_another_tables_poll were red, each with a response that arrives after the next request, and pass now. The other tests of the new file passed before: a response repeated earlier, calls given up, bodies of wrong length, both framings at once, LF alone, and several requests in one segment.

Why it works: transactions and full reads each have a connection that is closed after its answer, so no earlier answer can be on it. The long polls of a table share one, on which an earlier answer holds only rows of that table which the box already knows. What remains: a repeated answer to a poll counts as a confirmation although it is older by as much as it is late.

Cost: a connection to the store for each transaction and each page of a full read.

--- a/src/http.rs
+++ b/src/http.rs
@@ -77,9 +77,14 @@
 }
 
 /// An HTTP client that pools connections to any number of servers.
+///
+/// A response that a server repeats while its connection is idle closes the connection. One that is
+/// repeated after the next request was sent can't be told from that request's own response. Calls
+/// whose responses must not be confused have separate pools, or none.
 #[derive(Clone)]
 pub struct Client {
     inner: Legacy<HttpConnector, Full<Bytes>>,
+    connector: HttpConnector,
 }
 
 /// A request with its timeout.
@@ -137,11 +142,27 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
         connector.set_local_address(Some(from));
+        Self::with_idle_connections(connector, usize::MAX)
+    }
+
+    /// Returns a client like this one with a pool of its own.
+    pub fn separate(&self) -> Self {
+        Self::with_idle_connections(self.connector.clone(), usize::MAX)
+    }
+
+    /// Returns a client like this one that opens a connection for each call.
+    pub fn unpooled(&self) -> Self {
+        Self::with_idle_connections(self.connector.clone(), 0)
+    }
+
+    /// Creates a client that keeps at most this many idle connections to a server.
+    fn with_idle_connections(connector: HttpConnector, count: usize) -> Self {
         let inner = Legacy::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
-        Self { inner }
+            .pool_max_idle_per_host(count)
+            .build(connector.clone());
+        Self { inner, connector }
     }
 
     pub async fn post(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,11 @@
 //! Client of the platform's metadata store: reads rows, waits for changes, runs transactions.
+//!
+//! An answer names neither its call nor its table, and the answer to a transaction reads like that
+//! of an empty table. Full reads and transactions therefore have a connection of their own each. The
+//! long polls of a table share one, on which a repeated answer holds nothing but known rows.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base64::Engine;
@@ -158,7 +163,10 @@
 /// Client of the store at one address.
 #[derive(Clone)]
 pub struct Store {
+    /// Makes full reads and transactions.
     client: Client,
+    /// Clients that make the long polls, by table.
+    polls: Arc<Mutex<BTreeMap<Box<str>, Client>>>,
     address: Arc<str>,
     /// Newest era seen in an answer; `None` before the first.
     era: watch::Sender<Option<u64>>,
@@ -167,12 +175,24 @@
 impl Store {
     pub fn new(client: Client, address: Arc<str>) -> Self {
         Self {
-            client,
+            client: client.unpooled(),
+            polls: Arc::default(),
             address,
             era: watch::channel(None).0,
         }
     }
 
+    /// Returns the client that makes a table's long polls.
+    fn poll_client(&self, table: &str) -> Client {
+        let mut polls = self.polls.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = polls.get(table).cloned();
+        known.unwrap_or_else(|| {
+            let client = self.client.separate();
+            polls.insert(table.into(), client.clone());
+            client
+        })
+    }
+
     /// Returns a receiver of the newest era seen in an answer; `None` before the first.
     pub fn era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
@@ -196,7 +216,7 @@
         let from = last.map(|row| format!("&from={}", next_key_encoded(&row.key)));
         let from = from.unwrap_or_default();
         let path = format!("/v1/rows-get?table={table}&part={from}");
-        self.fetch_rows(&path, CALL_TIMEOUT).await
+        self.fetch_rows(&self.client, &path, CALL_TIMEOUT).await
     }
 
     /// Long poll: returns the rows that changed after a revision as soon as there are any, or
@@ -210,7 +230,9 @@
         let ms = wait.as_millis();
         let number = after.number();
         let path = format!("/v1/rows-feed?table={table}&after={number}&wait_ms={ms}");
-        let rows = self.fetch_rows(&path, wait + LONG_POLL_MARGIN).await?;
+        let client = self.poll_client(table);
+        let timeout = wait + LONG_POLL_MARGIN;
+        let rows = self.fetch_rows(&client, &path, timeout).await?;
         rows.check_era(after)?;
         Ok(rows)
     }
@@ -253,17 +275,22 @@
             headers: vec![("content-type", "application/json".to_owned())],
             ..Call::post(&self.address, "/v1/rows-tx", body, CALL_TIMEOUT)
         };
-        let (answer, era) = self.call(call).await?;
+        let (answer, era) = self.call(&self.client, call).await?;
         let committed: Committed = decode(&answer.body)?;
         Ok(Revision::new(era, committed.version))
     }
 
-    async fn fetch_rows(&self, path: &str, timeout: Duration) -> Result<Rows, StoreError> {
+    async fn fetch_rows(
+        &self,
+        client: &Client,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Rows, StoreError> {
         let call = Call {
             stall_timeout: Some(STALL_TIMEOUT),
             ..Call::get(&self.address, path, timeout)
         };
-        let (answer, era) = self.call(call).await?;
+        let (answer, era) = self.call(client, call).await?;
         let rows = Rows::parse(&answer.body, era)?;
         Ok(Rows {
             arrived: Some(answer.arrived),
@@ -272,9 +299,8 @@
     }
 
     /// Makes a call. Returns a successful answer and its era.
-    async fn call(&self, call: Call<'_>) -> Result<(Answer, u64), StoreError> {
-        let answer = self
-            .client
+    async fn call(&self, client: &Client, call: Call<'_>) -> Result<(Answer, u64), StoreError> {
+        let answer = client
             .send(call)
             .await
             .map_err(|error| store_error(error, 0))?;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod domain_restart;
 mod framing;
 mod group;
+mod http_framing;
 mod member;
 mod member_entries;
 mod proxy;
