--- a/tests/unit/events.rs
+++ b/tests/unit/events.rs
@@ -76,3 +76,20 @@
     }
     expect_that!(text, contains_substring("resource/group/p/g"));
 }
+
+/// Guards against a name that splits a log line, or adds a field to it.
+#[gtest]
+fn a_value_with_line_ends_and_quotes_stays_within_its_field() {
+    let lines = Lines::default();
+    let drain = Mutex::new(slog_json::Json::default(lines.clone())).fuse();
+    let log = slog::Logger::root(drain, slog::o!());
+    let hostile = "a\r\nb\n{\"event\":1}\"\0\u{85}\u{2028}\\\u{fffd}";
+    larkfall::events::emit(&log, &larkfall::events::INVALID_ROW, &[("row", &hostile)]);
+    let text = lines.0.lock().expect("no panic under the lock").clone();
+    let text = String::from_utf8(text).expect("JSON is text");
+    expect_that!(text.matches(['\n', '\r', '\0']).count(), eq(1));
+    expect_that!(text, ends_with("\n"));
+    let line: serde_json::Value = serde_json::from_str(&text).expect("one JSON object");
+    expect_that!(line["row"].as_str(), some(eq(hostile)));
+    expect_that!(line["event"].as_u64(), some(eq(204)));
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -13,6 +13,8 @@
 mod lease;
 mod leaving;
 mod limits;
+mod metrics;
+mod names;
 mod orders;
 mod owners;
 mod partition;
