standin: members repeat answers and send messages that nobody asked for

Faults of a member: a part of the previous answer before each answer, the last answer again while the connection is idle, and the messages that a server may always send. Without these faults its answers are as before; the tests of repeated answers need them.

--- a/src/postgres/channel.rs
+++ b/src/postgres/channel.rs
@@ -134,6 +134,11 @@
         self.output.len()
     }
 
+    /// Removes the queued output and returns it.
+    pub fn take_queued(&mut self) -> BytesMut {
+        self.output.split()
+    }
+
     pub async fn flush(&mut self) -> Result<(), ChannelError> {
         if self.output.is_empty() {
             return Ok(());
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -22,6 +22,24 @@
     pub drop_answers: bool,
     /// Requests are refused without delay.
     pub refuse: bool,
+    /// Part of the previous answer that is sent again before each answer to a statement.
+    pub repeat: Option<Repeat>,
+    /// Time after which each answer to a statement is sent again, unless another statement
+    /// arrives first.
+    pub repeat_idle_ms: Option<u64>,
+    /// Notices, parameters and notifications are sent before and after each answer to a
+    /// statement.
+    pub unasked: bool,
+}
+
+/// The part of an answer that a member repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Repeat {
+    Whole,
+    /// The completion of the last command.
+    Complete,
+    /// The announcement that the member is ready.
+    Ready,
 }
 
 /// The current faults of a stand-in. Servers call [`Gate::enter`] before they handle a request
--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -12,13 +12,16 @@
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
 use pgwire::messages::extendedquery::{Bind, BindComplete, CloseComplete, ParseComplete};
-use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, TransactionStatus};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, NoticeResponse, NotificationResponse, TransactionStatus,
+};
 use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey};
 use rusqlite::types::Value;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::OwnedMutexGuard;
 
 use super::engine::{Answer, Column, Engine, Kind, Prepared, QueryError};
+use super::faults::Repeat;
 use super::member::{Cell, Change, Member};
 use super::value;
 use crate::decisions::position::Position;
@@ -102,6 +105,8 @@
     skipping: bool,
     /// The applied position that was last reported to the client.
     reported: Position,
+    /// The last answer to a statement, which faults may repeat.
+    last_answer: BytesMut,
 }
 
 impl Session {
@@ -117,6 +122,7 @@
             failed: false,
             skipping: false,
             reported: Position::ZERO,
+            last_answer: BytesMut::new(),
         };
         if !session.start_up().await? {
             return Ok(());
@@ -148,13 +154,18 @@
         }
         let key = BackendKeyData::new(1, SecretKey::I32(1));
         self.channel.queue_backend(&Back::BackendKeyData(key))?;
-        self.send_ready().await?;
+        self.queue_ready()?;
+        self.member.gate.leave(self.peer).await;
+        self.channel.flush().await?;
         Ok(true)
     }
 
     async fn serve(&mut self) -> Result<(), ChannelError> {
         loop {
             let is_batch_start = !self.channel.has_input();
+            if is_batch_start {
+                self.repeat_while_idle().await?;
+            }
             let message = self.channel.read_frontend().await?;
             if is_batch_start {
                 self.member.gate.enter(self.peer).await;
@@ -182,9 +193,49 @@
 
     async fn send_answers(&mut self) -> Result<(), ChannelError> {
         self.member.gate.leave(self.peer).await;
+        let answer = self.channel.take_queued();
+        let faults = self.member.gate.get();
+        if let Some(part) = faults.repeat {
+            let repeated = repeated_part(&self.last_answer, part);
+            self.channel.queue_bytes(repeated);
+        }
+        if faults.unasked {
+            self.queue_unasked()?;
+        }
+        self.channel.queue_bytes(&answer);
+        if faults.unasked {
+            self.queue_unasked()?;
+        }
+        self.last_answer = answer;
+        self.channel.flush().await
+    }
+
+    /// Sends the last answer again if no input arrives within the time that the faults set.
+    async fn repeat_while_idle(&mut self) -> Result<(), ChannelError> {
+        let Some(ms) = self.member.gate.get().repeat_idle_ms else {
+            return Ok(());
+        };
+        let input = tokio::time::timeout(Duration::from_millis(ms), self.channel.fill()).await;
+        if let Ok(filled) = input {
+            return filled;
+        }
+        self.channel.queue_bytes(&self.last_answer);
         self.channel.flush().await
     }
 
+    /// Queues the messages that a server may send at any time.
+    fn queue_unasked(&mut self) -> Result<(), ChannelError> {
+        let fields = [(b'S', "NOTICE"), (b'C', "00000"), (b'M', "unasked")];
+        let fields = fields.map(|(kind, text)| (kind, text.to_owned()));
+        let notice = NoticeResponse::new(fields.to_vec());
+        self.channel.queue_backend(&Back::NoticeResponse(notice))?;
+        let parameter = response::parameter_status("application_name", "unasked");
+        self.channel.queue_backend(&parameter)?;
+        let notification = NotificationResponse::new(1, "unasked".to_owned(), String::new());
+        self.channel
+            .queue_backend(&Back::NotificationResponse(notification))
+    }
+
     fn queue_error(&mut self, error: &QueryError) -> Result<(), ChannelError> {
         if self.explicit {
             self.failed = true;
@@ -208,6 +259,11 @@
     }
 
     async fn send_ready(&mut self) -> Result<(), ChannelError> {
+        self.queue_ready()?;
+        self.send_answers().await
+    }
+
+    fn queue_ready(&mut self) -> Result<(), ChannelError> {
         let position = self.member.state().applied_position();
         if position != self.reported {
             self.reported = position;
@@ -221,8 +277,7 @@
             (true, true) => TransactionStatus::Error,
         };
         self.channel
-            .queue_backend(&response::ready_for_query(status))?;
-        self.send_answers().await
+            .queue_backend(&response::ready_for_query(status))
     }
 
     fn end_transaction(&mut self, commit: bool) -> Result<(), QueryError> {
@@ -444,6 +499,26 @@
     }
 }
 
+/// Returns the messages of an answer that are repeated.
+fn repeated_part(answer: &[u8], part: Repeat) -> &[u8] {
+    let kind = match part {
+        Repeat::Whole => return answer,
+        Repeat::Complete => b'C',
+        Repeat::Ready => b'Z',
+    };
+    let mut found: &[u8] = &[];
+    let mut rest = answer;
+    while let [first, a, b, c, d, ..] = *rest {
+        let length = 1 + u32::from_be_bytes([a, b, c, d]) as usize;
+        let (message, tail) = rest.split_at(length.min(rest.len()));
+        if first == kind {
+            found = message;
+        }
+        rest = tail;
+    }
+    found
+}
+
 fn format_at(formats: &[i16], i: usize) -> i16 {
     match formats {
         [] => 0,
