--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -7,4 +7,5 @@
 mod many;
 #[path = "../../examples/support/processes.rs"]
 mod processes;
+mod repeated_answers;
 mod support;
