fix(postgres): cut messages off by their length, and refuse those that their fields don't fill

What callers saw: a statement behind a NUL in a Query, or in the body of a Sync, was run as a message of its own; bytes that are no UTF-8 were written as U+FFFD; a short Parse, Bind, Describe or Execute ended the session by a panic of the decoder; lengths under 4 were taken as they came. A member's messages were cut in the same way.

Cause: pgwire's decoder checks that a message's length is in the buffer, and then reads the fields from the whole buffer, wherever they lead.

Why this works: a message is split off the input by its length before it is decoded, and its fields are walked once without decoding: they must end where the message ends, and a caller's text, which is encoded again, must be UTF-8. Anything else is a protocol error (08P01) that ends the connection. The same holds for the start-up message, whose length must be 8 to 10,000.

Cost: one walk over each message; a caller with another encoding than UTF-8 is refused where its text was altered before.

--- a/src/postgres.rs
+++ b/src/postgres.rs
@@ -5,6 +5,7 @@
 pub mod connection;
 pub mod entry;
 pub mod failure;
+mod frame;
 pub mod ledger;
 pub mod relay;
 pub mod response;
--- a/src/postgres/channel.rs
+++ b/src/postgres/channel.rs
@@ -1,6 +1,7 @@
 //! Buffered exchange of PostgreSQL messages over a byte stream, for either end of a connection.
 
 use std::io;
+use std::ops::RangeInclusive;
 
 use bytes::BytesMut;
 use pgwire::error::PgWireError;
@@ -10,6 +11,10 @@
 };
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use super::frame::{self, FrameError, Sender};
+
+/// Lengths that an opening message may have.
+const OPENING_BYTES: RangeInclusive<i32> = 8..=10_000;
 const INITIAL_BUFFER_BYTES: usize = 8 * 1024;
 /// Amount of queued output above which a sender flushes.
 pub const FLUSH_THRESHOLD_BYTES: usize = 64 * 1024;
@@ -26,11 +31,23 @@
     #[error("the other side closed the connection")]
     Closed,
     #[error("malformed message: {0}")]
-    Malformed(#[from] PgWireError),
+    Malformed(String),
     #[error("unexpected message: {0}")]
     Unexpected(String),
 }
 
+impl From<PgWireError> for ChannelError {
+    fn from(error: PgWireError) -> Self {
+        Self::Malformed(error.to_string())
+    }
+}
+
+impl From<FrameError> for ChannelError {
+    fn from(error: FrameError) -> Self {
+        Self::Malformed(error.to_string())
+    }
+}
+
 /// The first message of a connection, after encryption was negotiated.
 pub enum Opening {
     Startup(Startup),
@@ -88,23 +105,98 @@
     /// Reads the next message of a caller.
     pub async fn read_frontend(&mut self) -> Result<PgWireFrontendMessage, ChannelError> {
         loop {
-            if let Some(message) = PgWireFrontendMessage::decode(&mut self.input, &self.context)? {
+            if let Some(message) = self.decode_frontend()? {
                 return Ok(message);
             }
             self.fill().await?;
         }
     }
 
+    fn decode_frontend(&mut self) -> Result<Option<PgWireFrontendMessage>, ChannelError> {
+        if self.context.awaiting_frontend_ssl || self.context.awaiting_frontend_startup {
+            return self.decode_opening();
+        }
+        let Some(mut message) = self.take_message(Sender::Caller)? else {
+            // The decoder refuses an unknown kind or an excessive length before the message is
+            // complete.
+            return Ok(PgWireFrontendMessage::decode(
+                &mut self.input,
+                &self.context,
+            )?);
+        };
+        Ok(PgWireFrontendMessage::decode(&mut message, &self.context)?)
+    }
+
+    /// Decodes a message of the opening, which has no kind.
+    fn decode_opening(&mut self) -> Result<Option<PgWireFrontendMessage>, ChannelError> {
+        let Some((length, _)) = self.input.split_first_chunk::<4>() else {
+            return Ok(None);
+        };
+        let length = i32::from_be_bytes(*length);
+        if !OPENING_BYTES.contains(&length) {
+            let what = format!("an opening message of length {length}");
+            return Err(ChannelError::Malformed(what));
+        }
+        // The decoder looks for a request for encryption without taking other messages.
+        if self.context.awaiting_frontend_ssl {
+            let input = &mut self.input;
+            return Ok(PgWireFrontendMessage::decode(input, &self.context)?);
+        }
+        if self.input.len() < length as usize {
+            return Ok(None);
+        }
+        let mut message = self.input.split_to(length as usize);
+        let decoded = PgWireFrontendMessage::decode(&mut message, &self.context)?;
+        if !message.is_empty() {
+            let what = "the fields of the opening message don't end where it ends";
+            return Err(ChannelError::Malformed(what.to_owned()));
+        }
+        Ok(decoded)
+    }
+
     /// Reads the next message of a member.
     pub async fn read_backend(&mut self) -> Result<PgWireBackendMessage, ChannelError> {
+        self.read_backend_into(&mut BytesMut::new()).await
+    }
+
+    /// Reads the next message of a member, and appends its bytes to `copy` as they came.
+    pub async fn read_backend_into(
+        &mut self,
+        copy: &mut BytesMut,
+    ) -> Result<PgWireBackendMessage, ChannelError> {
         loop {
-            if let Some(message) = PgWireBackendMessage::decode(&mut self.input, &self.context)? {
+            if let Some(message) = self.decode_backend(copy)? {
                 return Ok(message);
             }
             self.fill().await?;
         }
     }
 
+    /// Decodes the next message of a member from the input, if it is complete.
+    pub fn decode_backend(
+        &mut self,
+        copy: &mut BytesMut,
+    ) -> Result<Option<PgWireBackendMessage>, ChannelError> {
+        let Some(mut message) = self.take_message(Sender::Member)? else {
+            return Ok(PgWireBackendMessage::decode(
+                &mut self.input,
+                &self.context,
+            )?);
+        };
+        copy.extend_from_slice(&message);
+        Ok(PgWireBackendMessage::decode(&mut message, &self.context)?)
+    }
+
+    /// Cuts the first message off the input, if it is complete.
+    fn take_message(&mut self, sender: Sender) -> Result<Option<BytesMut>, ChannelError> {
+        let Some(length) = frame::length(&self.input)? else {
+            return Ok(None);
+        };
+        let message = self.input.split_to(length);
+        frame::check(&message, sender)?;
+        Ok(Some(message))
+    }
+
     /// Reads more input into the buffer; fails once the other side has closed. Cancel-safe.
     pub async fn fill(&mut self) -> Result<(), ChannelError> {
         match self.stream.read_buf(&mut self.input).await? {
