fix(postgres): an answer consists of the messages that its steps ask for

What callers saw: whatever a member sent was passed on as part of the next answer, and any ReadyForQuery ended it. After a repeated ReadyForQuery a caller got an empty answer, and a refused write was reported as done; notifications came with answers of sessions that listen to nothing. A connection was given up for a notice or a parameter that came while it was idle.

Cause: collect_answer dropped a pending step where a message happened to complete it, and passed on all others.

Why this works: the parts of an answer are a queue, and a message is accepted only where the part in front awaits it; ReadyForQuery only once nothing is awaited, and with a transaction state that a command's tag or an error in the answer explains. Anything else is an invalid answer: the connection is given up, a read is tried again, a write's outcome is unknown. A fatal error is a lost connection, and after an error before a Flush only the Sync is sent. Notices, parameters and notifications are taken at any time, also while idle; only notices reach the caller. What is passed on are the bytes as the member sent them.

Cost: none measured; an answer is copied once, as it was encoded once before.

--- a/src/postgres/connection.rs
+++ b/src/postgres/connection.rs
@@ -11,11 +11,12 @@
 use pgwire::messages::PgWireBackendMessage as Back;
 use pgwire::messages::PgWireFrontendMessage as Front;
 use pgwire::messages::simplequery::Query;
-use pgwire::messages::startup::{Authentication, Startup};
+use pgwire::messages::startup::{Authentication, ParameterStatus, Startup};
 use tokio::net::TcpSocket;
 
 use super::channel::{Channel, ChannelError};
 use super::steps::{Close, Expect, Step, Steps};
+use super::transaction::Transaction;
 use super::{ledger, relay, response};
 use crate::borders::upstream::{
     Answer, ConnectError, Dialer, Keyed, Task, Upstream, UpstreamError,
@@ -56,6 +57,9 @@
     pub prepared: HashSet<Arc<str>>,
     /// Position that the member last reported on the connection.
     pub position: Option<Position>,
+    pub transaction: Transaction,
+    /// Whether the member skips messages up to the next Sync, after an error.
+    pub skipping: bool,
 }
 
 impl Connection {
@@ -68,6 +72,8 @@
             channel,
             prepared: HashSet::new(),
             position: None,
+            transaction: Transaction::default(),
+            skipping: false,
         };
         loop {
             let message = connection.channel.read_backend().await;
@@ -100,6 +106,28 @@
         };
         relay::run(self, &[step], Close::Query).await
     }
+
+    /// Handles messages that a server may send at any time; returns whether nothing else came.
+    fn take_unasked(&mut self) -> bool {
+        loop {
+            match self.channel.decode_backend(&mut BytesMut::new()) {
+                Ok(Some(Back::ParameterStatus(parameter))) => self.record_parameter(&parameter),
+                Ok(Some(Back::NoticeResponse(_) | Back::NotificationResponse(_))) => {}
+                Ok(Some(_)) | Err(_) => return false,
+                Ok(None) => match self.channel.fill().now_or_never() {
+                    None => return !self.channel.has_input(),
+                    Some(Ok(())) => {}
+                    Some(Err(_)) => return false,
+                },
+            }
+        }
+    }
+
+    fn record_parameter(&mut self, parameter: &ParameterStatus) {
+        if parameter.name == response::POSITION_PARAMETER {
+            self.position = parameter.value.parse().ok().or(self.position);
+        }
+    }
 }
 
 /// Connects to an address and sends the start-up message.
@@ -159,6 +187,6 @@
 
     fn is_reusable(&mut self) -> bool {
         let under_limit = self.prepared.len() <= MAX_PREPARED_STATEMENTS;
-        under_limit && !self.channel.has_input() && self.channel.fill().now_or_never().is_none()
+        under_limit && !self.skipping && self.transaction.is_idle() && self.take_unasked()
     }
 }
--- a/src/postgres/relay.rs
+++ b/src/postgres/relay.rs
@@ -1,17 +1,15 @@
 //! Runs one exchange on a member's connection and collects the whole answer.
 
-use std::collections::VecDeque;
-
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::PgWireBackendMessage as Back;
 use pgwire::messages::PgWireFrontendMessage as Front;
 use pgwire::messages::extendedquery::{Flush, Parse, ParseComplete, Sync};
-use pgwire::messages::response::TransactionStatus;
 
 use super::channel::ChannelError;
 use super::connection::Connection;
+use super::pending::{Accepted, Pending};
 use super::response;
-use super::steps::{Close, Expect, Statement, Step};
+use super::steps::{Close, Statement, Step};
 use crate::borders::upstream::{self, Rejection, Status, Verdict};
 use crate::decisions::position::Position;
 
@@ -28,6 +26,8 @@
     pub position: Option<Position>,
     /// SQLSTATE of the first error.
     pub error: Option<String>,
+    /// Tag of the last command.
+    pub tag: Option<String>,
 }
 
 impl Answer {
@@ -49,18 +49,6 @@
     }
 }
 
-/// One part of the answer, in the order of the steps.
-enum Pending {
-    Message(Expect),
-    /// The confirmation of a Parse, passed on to the caller if `visible`.
-    Parse {
-        statement: Statement,
-        visible: bool,
-    },
-    /// An answer of the box itself, added once all earlier answers are complete.
-    Local(Bytes),
-}
-
 /// Sends the steps and collects the answer.
 pub async fn run(
     connection: &mut Connection,
@@ -68,7 +56,7 @@
     close: Close,
 ) -> Result<Answer, ChannelError> {
     let pending = send_steps(connection, steps, close).await?;
-    collect_answer(connection, pending, close).await
+    collect_answer(connection, pending).await
 }
 
 /// Sends the steps; returns the answers to await. All messages are buffered until the final
@@ -77,82 +65,101 @@
     connection: &mut Connection,
     steps: &[Step],
     close: Close,
-) -> Result<VecDeque<Pending>, ChannelError> {
-    let mut pending = VecDeque::new();
-    for step in steps {
-        match step {
-            Step::Ensure(statement) => {
-                if !connection.prepared.contains(&statement.name) {
-                    queue_parse(connection, statement, false, &mut pending)?;
-                }
-            }
-            Step::Parse(statement) if connection.prepared.contains(&statement.name) => {
-                pending.push_back(Pending::Local(encode_backend(&Back::ParseComplete(
-                    ParseComplete::new(),
-                ))?));
-            }
-            Step::Parse(statement) => queue_parse(connection, statement, true, &mut pending)?,
-            Step::Send { bytes, expect } => {
-                connection.channel.queue_bytes(bytes);
-                pending.push_back(Pending::Message(*expect));
-            }
-            Step::Answer(bytes) => pending.push_back(Pending::Local(bytes.clone())),
+) -> Result<Pending, ChannelError> {
+    // After an error the member skips all messages up to a Sync.
+    if std::mem::take(&mut connection.skipping) {
+        if close != Close::Sync || !steps.is_empty() {
+            let what = "an exchange before the Sync after an error";
+            return Err(ChannelError::Unexpected(what.to_owned()));
         }
+        queue_close(connection, close)?;
+        connection.channel.flush().await?;
+        return Ok(Pending::skipped(close));
     }
-    match close {
-        Close::Query => {}
-        Close::Sync => connection
-            .channel
-            .queue_frontend(&Front::Sync(Sync::new()))?,
-        Close::Flush => connection
-            .channel
-            .queue_frontend(&Front::Flush(Flush::new()))?,
+    let mut pending = Pending::new(close);
+    for step in steps {
+        queue_step(connection, step, &mut pending)?;
     }
+    queue_close(connection, close)?;
     connection.channel.flush().await?;
     Ok(pending)
 }
 
-fn queue_parse(
+fn queue_step(
     connection: &mut Connection,
-    statement: &Statement,
-    visible: bool,
-    pending: &mut VecDeque<Pending>,
+    step: &Step,
+    pending: &mut Pending,
 ) -> Result<(), ChannelError> {
+    match step {
+        Step::Ensure(statement) => {
+            if !connection.prepared.contains(&statement.name) {
+                queue_parse(connection, statement)?;
+                pending.push_parse(statement.clone(), false);
+            }
+        }
+        Step::Parse(statement) if connection.prepared.contains(&statement.name) => {
+            let complete = Back::ParseComplete(ParseComplete::new());
+            pending.push_local(encode_backend(&complete)?);
+        }
+        Step::Parse(statement) => {
+            queue_parse(connection, statement)?;
+            pending.push_parse(statement.clone(), true);
+        }
+        Step::Send { bytes, expect } => {
+            connection.channel.queue_bytes(bytes);
+            pending.push(*expect);
+        }
+        Step::Answer(bytes) => pending.push_local(bytes.clone()),
+    }
+    Ok(())
+}
+
+fn queue_parse(connection: &mut Connection, statement: &Statement) -> Result<(), ChannelError> {
     let parse = Parse::new(
         Some(statement.name.to_string()),
         statement.sql.to_string(),
         statement.types.clone(),
     );
-    connection.channel.queue_frontend(&Front::Parse(parse))?;
-    let statement = statement.clone();
-    pending.push_back(Pending::Parse { statement, visible });
-    Ok(())
+    connection.channel.queue_frontend(&Front::Parse(parse))
+}
+
+fn queue_close(connection: &mut Connection, close: Close) -> Result<(), ChannelError> {
+    let message = match close {
+        Close::Query => return Ok(()),
+        Close::Sync => Front::Sync(Sync::new()),
+        Close::Flush => Front::Flush(Flush::new()),
+    };
+    connection.channel.queue_frontend(&message)
 }
 
+/// Collects the answer. Every message must be awaited by a step, or be of a kind that a server
+/// may send at any time.
 async fn collect_answer(
     connection: &mut Connection,
-    mut pending: VecDeque<Pending>,
-    close: Close,
+    mut pending: Pending,
 ) -> Result<Answer, ChannelError> {
     let mut answer = Answer {
         messages: BytesMut::new(),
         status: None,
         position: None,
         error: None,
+        tag: None,
     };
     loop {
-        append_local(&mut pending, &mut answer);
-        if close == Close::Flush && (pending.is_empty() || answer.error.is_some()) {
+        pending.take_local(&mut answer.messages);
+        if pending.is_flushed() {
+            connection.skipping = answer.error.is_some();
             return Ok(answer);
         }
-        let message = connection.channel.read_backend().await?;
-        match &message {
+        let start = answer.messages.len();
+        let channel = &mut connection.channel;
+        let message = channel.read_backend_into(&mut answer.messages).await?;
+        let visible = match &message {
             Back::ReadyForQuery(ready) => {
-                answer.status = Some(match ready.status {
-                    TransactionStatus::Idle => Status::Idle,
-                    TransactionStatus::Transaction => Status::Transaction,
-                    TransactionStatus::Error => Status::Failed,
-                });
+                pending.accept_end(&message)?;
+                let status = connection.transaction.end_answer(ready.status)?;
+                answer.status = Some(status);
+                answer.messages.truncate(start);
                 return Ok(answer);
             }
             Back::ParameterStatus(parameter) => {
@@ -160,59 +167,50 @@
                     answer.position = parameter.value.parse().ok();
                     connection.position = answer.position.or(connection.position);
                 }
-                continue;
+                false
             }
+            // No session listens on a connection that others use too.
+            Back::NotificationResponse(_) => false,
+            Back::NoticeResponse(_) => true,
             Back::ErrorResponse(error) => {
-                let code = response::sqlstate(error).to_owned();
-                answer.error.get_or_insert(code);
-                pending.clear();
-            }
-            Back::ParseComplete(_) => {
-                if let Some(Pending::Parse { statement, visible }) = pending.pop_front() {
-                    connection.prepared.insert(statement.name);
-                    if !visible {
-                        continue;
-                    }
+                pending.accept_error(&message)?;
+                if response::is_fatal(error) {
+                    return Err(ChannelError::Closed);
                 }
+                answer.error = Some(response::sqlstate(error).to_owned());
+                connection.transaction.record_error();
+                true
             }
-            Back::CopyInResponse(_) | Back::CopyOutResponse(_) | Back::CopyBothResponse(_) => {
-                return Err(ChannelError::Unexpected("COPY".to_owned()));
-            }
-            other if completes(other, pending.front()) => {
-                pending.pop_front();
-            }
-            _ => {}
+            other => accept_message(connection, &mut pending, other, &mut answer.tag)?,
+        };
+        if !visible {
+            answer.messages.truncate(start);
         }
-        message.encode(&mut answer.messages)?;
         if answer.messages.len() > MAX_ANSWER_BYTES {
             return Err(ChannelError::Unexpected("answer over 256 MiB".to_owned()));
         }
     }
 }
 
-/// Moves the box's own answers from the front of the queue into the answer.
-fn append_local(pending: &mut VecDeque<Pending>, answer: &mut Answer) {
-    while let Some(Pending::Local(bytes)) = pending.front() {
-        answer.messages.extend_from_slice(bytes);
-        pending.pop_front();
-    }
-}
-
-/// Whether the message completes the answer at the front of the queue.
-fn completes(message: &Back, front: Option<&Pending>) -> bool {
-    let Some(Pending::Message(expect)) = front else {
-        return false;
-    };
-    match expect {
-        Expect::Bind => matches!(message, Back::BindComplete(_)),
-        Expect::Describe => matches!(message, Back::RowDescription(_) | Back::NoData(_)),
-        Expect::Execute => matches!(
-            message,
-            Back::CommandComplete(_) | Back::EmptyQueryResponse(_) | Back::PortalSuspended(_)
-        ),
-        Expect::Close => matches!(message, Back::CloseComplete(_)),
-        Expect::Parse | Expect::Whole => false,
+/// Accepts a message that a step awaits; returns whether the caller gets it.
+fn accept_message(
+    connection: &mut Connection,
+    pending: &mut Pending,
+    message: &Back,
+    tag: &mut Option<String>,
+) -> Result<bool, ChannelError> {
+    let accepted = pending.accept(message)?;
+    if let Back::CommandComplete(complete) = message {
+        connection.transaction.record_tag(&complete.tag);
+        *tag = Some(complete.tag.clone());
     }
+    Ok(match accepted {
+        Accepted::Visible => true,
+        Accepted::Prepared { statement, visible } => {
+            connection.prepared.insert(statement.name);
+            visible
+        }
+    })
 }
 
 /// Encodes a server's message.
--- a/src/postgres/response.rs
+++ b/src/postgres/response.rs
@@ -75,6 +75,13 @@
     code.map_or("", |(_, value)| value)
 }
 
+/// Whether the server closes the connection after the error.
+pub fn is_fatal(error: &ErrorResponse) -> bool {
+    let severity = error.fields.iter().find(|(kind, _)| *kind == b'V');
+    let severity = severity.or_else(|| error.fields.iter().find(|(kind, _)| *kind == b'S'));
+    severity.is_some_and(|(_, value)| ["FATAL", "PANIC"].contains(&value.as_str()))
+}
+
 pub fn parameter_status(name: &str, value: impl Into<String>) -> Back {
     Back::ParameterStatus(ParameterStatus::new(name.to_owned(), value.into()))
 }
