fix(postgres): an exchange starts with a mark that an earlier answer doesn't bear

What callers saw: a member repeated an answer after the next statement was sent, and the caller got it as its own: 99 for SELECT 100, alone, as a prepared statement and in a transaction, and from then on each answer one behind.

Cause: the order and kind of messages can't tell two answers of the same form apart, and PostgreSQL's answers carry no id.

Why this works: each exchange starts with one to eight Close messages for a prepared statement that never exists, in the same flush. They have no effect, not in a failed transaction either, and a member confirms each. The number changes with each exchange so that the confirmations in front of any two of eight successive answers differ, with the caller's own Close messages counted in. An earlier answer, or a part of one, doesn't start like that; the connection is given up.

Cost: 4.5 messages of 10 bytes on average to the member and as many of 5 back, in the same segments. An answer repeated exactly a multiple of eight exchanges late isn't told apart.

--- a/src/postgres/connection.rs
+++ b/src/postgres/connection.rs
@@ -57,6 +57,8 @@
     pub prepared: HashSet<Arc<str>>,
     /// Position that the member last reported on the connection.
     pub position: Option<Position>,
+    /// Number of exchanges that were sent.
+    pub exchanges: u64,
     pub transaction: Transaction,
     /// Whether the member skips messages up to the next Sync, after an error.
     pub skipping: bool,
@@ -72,6 +74,7 @@
             channel,
             prepared: HashSet::new(),
             position: None,
+            exchanges: 0,
             transaction: Transaction::default(),
             skipping: false,
         };
--- a/src/postgres/pending.rs
+++ b/src/postgres/pending.rs
@@ -1,4 +1,9 @@
 //! The messages that an answer must consist of, in the order of the steps that ask for them.
+//!
+//! PostgreSQL's answers carry no id, and members sometimes send an answer twice. Each exchange
+//! therefore starts with messages that have no effect, in a number that differs from that of the
+//! exchanges before ([`Mark`]); the answer must start with as many confirmations, and go on with
+//! the messages that the steps ask for. An answer to an earlier exchange does neither.
 
 use std::collections::VecDeque;
 
@@ -8,8 +13,34 @@
 use super::channel::ChannelError;
 use super::steps::{Close, Expect, Statement};
 
+/// The number of messages without effect that an exchange starts with.
+#[derive(Clone, Copy, Debug)]
+pub struct Mark(usize);
+
+impl Mark {
+    /// Number of successive exchanges with different marks.
+    const CYCLE: u64 = 8;
+    /// Closes a prepared statement that is never prepared, as the names of all others go on after
+    /// this one's.
+    const MESSAGE: &[u8] = b"C\0\0\0\x09Slf_\0";
+
+    /// Returns the mark of an exchange whose own answer starts with `closes` confirmations of the
+    /// same kind, which look like the mark's.
+    fn new(exchange: u64, closes: usize) -> Self {
+        let cycle = Self::CYCLE;
+        let count = (exchange % cycle + cycle - closes as u64 % cycle) % cycle;
+        Self(1 + count as usize)
+    }
+
+    pub fn messages(self) -> Vec<u8> {
+        Self::MESSAGE.repeat(self.0)
+    }
+}
+
 /// One part of the answer.
 enum Part {
+    /// The confirmation of a message of the mark.
+    Mark,
     /// The confirmation of a Parse, passed on to the caller if `visible`.
     Parse {
         statement: Statement,
@@ -36,6 +67,7 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum Accepted {
     Visible,
+    Hidden,
     /// A statement is prepared.
     Prepared {
         statement: Statement,
@@ -69,6 +101,18 @@
         }
     }
 
+    /// Puts the mark of an exchange before all other parts.
+    pub fn mark(&mut self, exchange: u64) -> Mark {
+        let own = |part: &&Part| !matches!(part, Part::Local(_));
+        let close = |part: &&Part| matches!(part, Part::Message(Expect::Close));
+        let closes = self.parts.iter().filter(own).take_while(close).count();
+        let mark = Mark::new(exchange, closes);
+        for _ in 0..mark.0 {
+            self.parts.push_front(Part::Mark);
+        }
+        mark
+    }
+
     pub fn push_parse(&mut self, statement: Statement, visible: bool) {
         self.parts.push_back(Part::Parse { statement, visible });
     }
@@ -94,9 +138,15 @@
         self.close == Close::Flush && (self.parts.is_empty() || self.failed)
     }
 
+    /// Whether the answer itself has begun, after the confirmations of the mark.
+    pub fn has_begun(&self) -> bool {
+        !matches!(self.parts.front(), Some(Part::Mark))
+    }
+
     /// Accepts a message that only an awaited part may bring; any other is unexpected.
     pub fn accept(&mut self, message: &Back) -> Result<Accepted, ChannelError> {
         let accepted = match (self.parts.front(), message) {
+            (Some(Part::Mark), Back::CloseComplete(_)) => self.pop(Accepted::Hidden),
             (Some(Part::Parse { .. }), Back::ParseComplete(_)) => self.pop_parse(),
             (Some(Part::Message(expect)), message) => self.accept_part(*expect, message),
             _ => None,
@@ -106,7 +156,7 @@
 
     /// Accepts an error, after which the member skips the rest of the exchange.
     pub fn accept_error(&mut self, error: &Back) -> Result<(), ChannelError> {
-        if self.failed {
+        if self.failed || !self.has_begun() {
             return Err(unexpected(error));
         }
         self.failed = true;
--- a/src/postgres/relay.rs
+++ b/src/postgres/relay.rs
@@ -81,6 +81,11 @@
         queue_step(connection, step, &mut pending)?;
     }
     queue_close(connection, close)?;
+    connection.exchanges += 1;
+    let mark = pending.mark(connection.exchanges);
+    let messages = connection.channel.take_queued();
+    connection.channel.queue_bytes(&mark.messages());
+    connection.channel.queue_bytes(&messages);
     connection.channel.flush().await?;
     Ok(pending)
 }
@@ -171,7 +176,7 @@
             }
             // No session listens on a connection that others use too.
             Back::NotificationResponse(_) => false,
-            Back::NoticeResponse(_) => true,
+            Back::NoticeResponse(_) => pending.has_begun(),
             Back::ErrorResponse(error) => {
                 pending.accept_error(&message)?;
                 if response::is_fatal(error) {
@@ -206,6 +211,7 @@
     }
     Ok(match accepted {
         Accepted::Visible => true,
+        Accepted::Hidden => false,
         Accepted::Prepared { statement, visible } => {
             connection.prepared.insert(statement.name);
             visible
