fix(postgres): the box's own commands must end with their own tag

What callers could see: a write with a key is acknowledged where the member rolled it back. COMMIT in a failed transaction reports no error, only the tag ROLLBACK, and the answer to the UPDATE that records the key's answer wasn't looked at.

Cause: the ledger took the absence of an error, with a position, for a commit, and a rollback before a connection's return to the pool took any answer.

Why this works: BEGIN, INSERT, UPDATE, COMMIT and ROLLBACK of the box itself must complete with their tag and number of rows; else the connection is given up and the request is unresolved, to be settled by its key.

--- a/src/postgres/connection.rs
+++ b/src/postgres/connection.rs
@@ -110,6 +110,13 @@
         relay::run(self, &[step], Close::Query).await
     }
 
+    /// Runs a statement of the proxy itself that must complete with the tag.
+    pub async fn command(&mut self, sql: &str, tag: &str) -> Result<relay::Answer, ChannelError> {
+        let answer = self.query(sql).await?;
+        answer.expect_tag(tag)?;
+        Ok(answer)
+    }
+
     /// Handles messages that a server may send at any time; returns whether nothing else came.
     fn take_unasked(&mut self) -> bool {
         loop {
@@ -180,7 +187,7 @@
     }
 
     async fn roll_back(&mut self) -> Result<(), UpstreamError> {
-        self.query("ROLLBACK").await?;
+        self.command("ROLLBACK", "ROLLBACK").await?;
         Ok(())
     }
 
--- a/src/postgres/ledger.rs
+++ b/src/postgres/ledger.rs
@@ -27,25 +27,26 @@
         "INSERT INTO larkfall_ledger (key, answer) VALUES ({}, '')",
         quoted(key)
     );
-    connection.query("BEGIN").await?;
+    connection.command("BEGIN", "BEGIN").await?;
     let mut inserted = connection.query(&insert).await?;
     if inserted.error.as_deref() == Some(UNDEFINED_TABLE) {
-        connection.query("ROLLBACK").await?;
+        connection.command("ROLLBACK", "ROLLBACK").await?;
         connection.query(CREATE).await?;
-        connection.query("BEGIN").await?;
+        connection.command("BEGIN", "BEGIN").await?;
         inserted = connection.query(&insert).await?;
     }
     if let Some(code) = &inserted.error {
         let key_exists = code == UNIQUE_VIOLATION;
-        let position = connection.query("ROLLBACK").await?.position;
+        let position = connection.command("ROLLBACK", "ROLLBACK").await?.position;
         return match key_exists {
             true => recorded_answer(connection, key, position).await,
             false => Ok(Keyed::Unresolved),
         };
     }
+    inserted.expect_tag("INSERT 0 1")?;
     let answer = relay::run(connection, &request.steps, request.close).await?;
     if answer.error.is_some() {
-        connection.query("ROLLBACK").await?;
+        connection.command("ROLLBACK", "ROLLBACK").await?;
         return Ok(Keyed::Failed(idle_answer(
             answer.messages.freeze(),
             Verdict::Failed,
@@ -57,10 +58,11 @@
         to_hex(&answer.messages),
         quoted(key)
     );
-    connection.query(&record).await?;
-    let end = connection.query("COMMIT").await?;
-    match (end.error, end.position) {
-        (None, Some(position)) => {
+    connection.command(&record, "UPDATE 1").await?;
+    // COMMIT reports no error where it rolls back a failed transaction, but another tag.
+    let end = connection.command("COMMIT", "COMMIT").await?;
+    match end.position {
+        Some(position) => {
             let messages = answer.messages.freeze();
             Ok(Keyed::Ran(idle_answer(
                 messages,
@@ -68,7 +70,7 @@
                 Some(position),
             )))
         }
-        _ => Ok(Keyed::Unresolved),
+        None => Ok(Keyed::Unresolved),
     }
 }
 
@@ -105,7 +107,7 @@
 /// Makes the member report its position, by an update that changes nothing.
 async fn latest_position(connection: &mut Connection) -> Result<Option<Position>, ChannelError> {
     let update = "UPDATE larkfall_ledger SET answer = answer WHERE key = ''";
-    Ok(connection.query(update).await?.position)
+    Ok(connection.command(update, "UPDATE 0").await?.position)
 }
 
 /// Builds the answer of a finished transaction.
--- a/src/postgres/relay.rs
+++ b/src/postgres/relay.rs
@@ -31,6 +31,18 @@
 }
 
 impl Answer {
+    /// Fails unless the answer is that of a command that completed with the tag.
+    pub fn expect_tag(&self, tag: &str) -> Result<(), ChannelError> {
+        if self.error.is_none() && self.tag.as_deref() == Some(tag) {
+            return Ok(());
+        }
+        let found = self.error.as_deref().or(self.tag.as_deref());
+        let found = found.unwrap_or("nothing");
+        Err(ChannelError::Unexpected(format!(
+            "{found} in answer to a command that ends with {tag}"
+        )))
+    }
+
     /// Converts the answer for the core. A read-only error outside of a transaction means
     /// that nothing ran.
     pub fn into_upstream(self) -> upstream::Answer {
