fix(platform): a barrier whose answer is still to come doesn't hide a refused step

What callers would see: a statement that ran with another session's values, after two answers had been repeated in two exchanges and a SET had been refused.

Cause: a repetition that takes the place of a barrier's answer leaves the barrier's own over. It may arrive after the connection has gone back to the pool, and shift the next exchange, where one more repetition shifts it beyond its barrier. After a refused step in a transaction, the answers behind it were left over alike.

A rollback and a command's barrier, each with one repetition, were enough, if members refuse SET.

Why it works: the history counts barriers since the last answer that can't be a repetition, and as many more stand behind the next steps; above a few, the connection is closed. A connection on which a step failed runs nothing more. An error behind a barrier that is refused with an equal one is believed: one of the two is the statement's, whichever it is.

Steps that are sent together save their round trips.

--- a/src/decisions/answers.rs
+++ b/src/decisions/answers.rs
@@ -21,6 +21,10 @@
 /// [`History`].
 pub const MAX_ANSWERS: usize = 512;
 
+/// Number of barriers without another answer behind them after which a connection is replaced,
+/// which bounds the barriers behind the next steps.
+const MAX_LAG: usize = 8;
+
 /// The form of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -72,9 +76,8 @@
     has_completion: bool,
     has_error: bool,
     has_repetition: bool,
-    /// Whether the last answer was a completion before which a repetition may have arrived. The
-    /// error of a barrier may still arrive then.
-    may_lag: bool,
+    /// Number of barriers whose own answers may still arrive, since a repetition took their place.
+    lag: usize,
 }
 
 impl History {
@@ -85,7 +88,7 @@
         match received.form {
             Form::Greeting => Match::Repeated,
             Form::Error if self.has_error => Match::Unknown,
-            Form::Error if self.may_lag && expected.form != Form::Completion => Match::Ambiguous,
+            Form::Error if self.lag > 0 && expected.form != Form::Completion => Match::Ambiguous,
             Form::Error => Match::Own,
             Form::Completion if fits => Match::Own,
             Form::Digest | Form::Rows if fits && is_known => Match::Ambiguous,
@@ -97,30 +100,43 @@
 
     /// Records an answer that was matched with its statement.
     pub fn record(&mut self, received: &Received<'_>) {
-        let completes = received.form == Form::Completion;
-        self.may_lag = completes && self.has_completion;
-        self.has_completion |= completes;
+        self.has_completion |= received.form == Form::Completion;
         self.has_error |= received.form == Form::Error;
         let hash = hash(received.text);
-        if !self.texts.contains(&hash) {
-            self.texts.push(hash);
+        if self.texts.contains(&hash) {
+            return;
+        }
+        self.texts.push(hash);
+        if matches!(received.form, Form::Digest | Form::Rows) {
+            // Everything before this answer has arrived.
+            self.lag = 0;
         }
     }
 
+    /// Records that a barrier has completed.
+    pub fn record_barrier(&mut self) {
+        self.lag += 1;
+    }
+
     /// Records that the member has repeated an answer.
     pub fn record_repetition(&mut self) {
         self.has_repetition = true;
     }
 
-    /// Whether this many steps need a barrier behind them. The completion of each may be a
-    /// repetition of an earlier one, while the step itself was refused.
-    pub fn needs_barrier(&self, steps: usize) -> bool {
-        steps > 1 || steps == 1 && self.has_completion
+    /// Returns how many barriers are needed behind this many steps. The completion of each step may
+    /// be a repetition, or the late answer to an earlier barrier, while the step itself was refused.
+    pub fn barriers_behind(&self, steps: usize) -> usize {
+        match steps {
+            0 => 0,
+            1 if !self.has_completion => 0,
+            _ => 1 + self.lag,
+        }
     }
 
     /// Whether the connection may serve further sessions.
     pub fn is_reliable(&self) -> bool {
-        !self.has_error && !self.has_repetition && self.texts.len() < MAX_ANSWERS
+        let is_bounded = self.texts.len() < MAX_ANSWERS && self.lag <= MAX_LAG;
+        is_bounded && !self.has_error && !self.has_repetition
     }
 }
 
--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -90,6 +90,8 @@
     setup_state: State,
     /// The answers that arrived.
     history: History,
+    /// Whether the statements of a later task would run in another state than they expect.
+    is_abandoned: bool,
     /// Whether an answer is outstanding or was read only in part. Such a connection is never
     /// reused.
     out_of_sync: bool,
@@ -137,6 +139,7 @@
             status: Status::Idle,
             setup_state: State::default(),
             history: History::default(),
+            is_abandoned: false,
             out_of_sync: false,
         };
         let hello = Frames::new(&format!(
@@ -165,11 +168,15 @@
 
     /// Reads the answer to the statement sent last.
     async fn read_reply(&mut self, expected: Expected) -> Result<Reply, UpstreamError> {
-        let (matched, mut reply) = self.read_candidate(expected).await?;
+        let (matched, first) = self.read_candidate(expected).await?;
+        let reply = match matched {
+            Match::Ambiguous => self.settle(expected, first).await?,
+            _ => first,
+        };
+        self.history.record(&reply.received());
         if matched == Match::Ambiguous {
-            reply = self.settle(expected, reply).await?;
+            self.history.record_barrier();
         }
-        self.history.record(&reply.received());
         self.status = reply.status;
         self.position = reply.position.or(self.position);
         Ok(reply)
@@ -209,6 +216,10 @@
                 let received = reply.received();
                 let is_own = self.history.match_answer(expected, &received) == Match::Own;
                 match received.form {
+                    // One of two equal errors is the statement's, the other a barrier's.
+                    Form::Error if own.is_none() && received.text == first.lines => {
+                        return Ok(first);
+                    }
                     Form::Error => return Err(reply.into_unknown()),
                     _ if is_own && own.is_none() => own = Some(reply),
                     _ if received.text == first.lines => self.discard(&reply),
@@ -244,7 +255,10 @@
                 &[Status::Transaction, Status::Idle],
             ),
             Status::Transaction => (&[BARRIER], &[Status::Transaction]),
-            Status::Failed => (&["ROLLBACK"], &[Status::Idle]),
+            Status::Failed => {
+                self.is_abandoned = true;
+                (&["ROLLBACK"], &[Status::Idle])
+            }
         };
         let mut barrier = Frames::default();
         for text in texts {
@@ -261,20 +275,23 @@
         mut queries: Frames,
         mut states: Vec<Status>,
     ) -> Result<Option<Reply>, UpstreamError> {
-        if let Some(last) = states.last().copied()
-            && self.history.needs_barrier(states.len())
-        {
+        let barriers = self.history.barriers_behind(states.len());
+        for _ in 0..barriers {
             queries.append(query(INTERNAL_ID, BARRIER).expect("a short text"));
-            states.push(last);
+            states.extend(states.last().copied());
         }
         self.channel.write(&queries).await?;
         let form = Form::Completion;
         for status in states {
             let reply = self.read_reply(Expected { form, status }).await?;
             if reply.error().is_some() {
+                self.is_abandoned = true;
                 return Ok(Some(reply));
             }
         }
+        if barriers > 0 {
+            self.history.record_barrier();
+        }
         Ok(None)
     }
 
@@ -376,6 +393,10 @@
 #[async_trait(?Send)]
 impl Upstream for Connection {
     async fn run(&mut self, task: &Task<'_>) -> Result<Answer, UpstreamError> {
+        if self.is_abandoned {
+            let why = "setup steps or the transaction failed".to_owned();
+            return Err(UpstreamError::Lost(why));
+        }
         // Stays set if this future is dropped before the answer is complete.
         self.out_of_sync = true;
         let answer = self.run_task(task).await?;
--- a/tests/unit/answers.rs
+++ b/tests/unit/answers.rs
@@ -83,13 +83,14 @@
 }
 
 #[gtest]
-fn an_error_behind_steps_may_be_that_of_their_barrier() {
-    let behind_one = history(&[COMPLETION]);
-    expect_that!(behind_one.match_answer(READ, &ERROR), eq(Match::Own));
-    let behind_two = history(&[COMPLETION, COMPLETION]);
-    expect_that!(behind_two.match_answer(READ, &ERROR), eq(Match::Ambiguous));
-    let behind_a_read = history(&[COMPLETION, COMPLETION, digest("7.1")]);
-    expect_that!(behind_a_read.match_answer(READ, &ERROR), eq(Match::Own));
+fn an_error_behind_a_barrier_may_be_that_of_the_barrier() {
+    let mut history = history(&[COMPLETION, COMPLETION]);
+    expect_that!(history.match_answer(READ, &ERROR), eq(Match::Own));
+    history.record_barrier();
+    expect_that!(history.match_answer(READ, &ERROR), eq(Match::Ambiguous));
+    expect_that!(history.match_answer(BEGIN, &ERROR), eq(Match::Own));
+    history.record(&digest("7.1"));
+    expect_that!(history.match_answer(READ, &ERROR), eq(Match::Own));
 }
 
 #[gtest]
@@ -101,12 +102,26 @@
 #[gtest]
 fn steps_whose_completions_may_be_repeated_need_a_barrier() {
     let fresh = History::default();
-    expect_that!(fresh.needs_barrier(0), eq(false));
-    expect_that!(fresh.needs_barrier(1), eq(false));
-    expect_that!(fresh.needs_barrier(2), eq(true));
+    expect_that!(fresh.barriers_behind(0), eq(0));
+    expect_that!(fresh.barriers_behind(1), eq(0));
+    expect_that!(fresh.barriers_behind(2), eq(1));
     let used = history(&[COMPLETION]);
-    expect_that!(used.needs_barrier(0), eq(false));
-    expect_that!(used.needs_barrier(1), eq(true));
+    expect_that!(used.barriers_behind(0), eq(0));
+    expect_that!(used.barriers_behind(1), eq(1));
+}
+
+#[gtest]
+fn a_late_answer_to_a_barrier_does_not_hide_a_refused_step() {
+    let mut history = history(&[COMPLETION]);
+    history.record_barrier();
+    expect_that!(history.barriers_behind(1), eq(2));
+    history.record_barrier();
+    expect_that!(history.barriers_behind(1), eq(3));
+    history.record(&digest("7.1"));
+    expect_that!(history.barriers_behind(1), eq(1));
+    history.record_barrier();
+    history.record(&digest("7.1"));
+    expect_that!(history.barriers_behind(1), eq(2));
 }
 
 #[gtest]
