fix(platform): a connection that is given up after a refused step doesn't count as lost

What callers see: nothing. A pinned connection on which a step was refused runs nothing more; its next statement counted as a lost connection, which is evidence against the member, though the box itself gave the connection up.

Found by reading; no test was red.

--- a/src/platform/upstream.rs
+++ b/src/platform/upstream.rs
@@ -394,8 +394,8 @@
 impl Upstream for Connection {
     async fn run(&mut self, task: &Task<'_>) -> Result<Answer, UpstreamError> {
         if self.is_abandoned {
-            let why = "setup steps or the transaction failed".to_owned();
-            return Err(UpstreamError::Lost(why));
+            let why = "not sent: setup steps or the transaction failed before".to_owned();
+            return Err(UpstreamError::InvalidAnswer(why));
         }
         // Stays set if this future is dropped before the answer is complete.
         self.out_of_sync = true;
