fix(postgres): a server's farewell in front of an answer is a lost connection

What callers saw: where a server ended a connection (57P01, an idle timeout) just before an exchange reached it, the exchange failed as an invalid answer, so the core wasn't told that the member's connection was lost.

Cause: collect_answer asked whether the error is part of the answer before it asked whether it is fatal, and no error is part of the mark.

Evidence: a_fatal_error_in_front_of_the_answer_is_a_lost_connection, against a member that sends given bytes. Before: InvalidAnswer("unexpected message: ErrorResponse is no part of the awaited answer") for FATAL and for PANIC.

Why this works: a fatal error isn't matched with the awaited messages; it yields no answer wherever it comes. Any other error in front of the mark's confirmations is an invalid answer as before, which the test checks too.

Cost: none; a repeated fatal error counts as a lost connection, which gives the connection up as well.

--- a/src/postgres/relay.rs
+++ b/src/postgres/relay.rs
@@ -190,10 +190,11 @@
             Back::NotificationResponse(_) => false,
             Back::NoticeResponse(_) => pending.has_begun(),
             Back::ErrorResponse(error) => {
-                pending.accept_error(&message)?;
+                // A server may end the connection at any time.
                 if response::is_fatal(error) {
                     return Err(ChannelError::Closed);
                 }
+                pending.accept_error(&message)?;
                 answer.error = Some(response::sqlstate(error).to_owned());
                 connection.transaction.record_error();
                 true
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -8,4 +8,5 @@
 #[path = "../../examples/support/processes.rs"]
 mod processes;
 mod repeated_answers;
+mod scripted_member;
 mod support;
