fix(postgres): an error ends with no usable transaction, and rows may be described again

What callers saw: an error that was followed by another answer's ReadyForQuery in state T was taken, and the caller held a transaction to be usable that had failed, or that wasn't there. A simple query whose statement describes its rows more than once before it completes, as with DO ALSO rules, was refused.

Cause: end_answer accepted every unchanged state, and state T after any beginning or ending command, with or without an error. accept_part required a CommandComplete between two RowDescriptions.

Evidence: an_error_leaves_no_transaction_usable, before: Ok with Some(Transaction) in each of its three cases of an error. a_statement_may_describe_its_rows_more_than_once was red before. The answer in it is written by hand; no PostgreSQL server was asked.

Why this works: a server leaves an answer with an error in state E or I only; ROLLBACK TO, which makes a transaction usable again, needs an answer of its own without an error, which the test plays. A RowDescription is accepted wherever a simple query's answer is awaited, as rows and tags are.

Cost: a RowDescription of another answer in the middle of a simple query's rows is passed on again, as it was before answers were matched, unless what follows it is unexpected.

--- a/src/postgres/pending.rs
+++ b/src/postgres/pending.rs
@@ -194,9 +194,8 @@
             (Expect::Describe, Back::ParameterDescription(_)) if progress == Awaited => {
                 self.stay(Described)
             }
-            (Expect::Whole, Back::RowDescription(_)) if progress != Described => {
-                self.stay(Described)
-            }
+            // The queries that a rule adds to a statement describe their rows too.
+            (Expect::Whole, Back::RowDescription(_)) => self.stay(Described),
             (Expect::Whole, Back::DataRow(_)) if progress == Described => self.stay(Described),
             (Expect::Whole, Back::CommandComplete(_)) => self.stay(Complete),
             (Expect::Whole, Back::EmptyQueryResponse(_)) if progress == Awaited => {
--- a/src/postgres/transaction.rs
+++ b/src/postgres/transaction.rs
@@ -47,6 +47,8 @@
         };
         let before = std::mem::take(self);
         let explained = match (before.status, status) {
+            // No transaction is usable after an error.
+            (_, Status::Transaction) if before.failed => false,
             (from, to) if from == to => true,
             (Status::Transaction, Status::Idle) => before.commanded || before.failed,
             (Status::Transaction, Status::Failed) => before.failed,
--- a/tests/system/scripted_member.rs
+++ b/tests/system/scripted_member.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use larkfall::borders::upstream::{Answer, Dialer, Task, UpstreamError};
+use larkfall::borders::upstream::{Answer, Dialer, Status, Task, UpstreamError};
 use larkfall::declarations::resource::{Address, Member};
 use larkfall::postgres::connection::Connector;
 use larkfall::postgres::steps::{Close, Expect, Step, Steps};
@@ -61,6 +61,16 @@
     message(b'E', fields.as_bytes())
 }
 
+/// Describes one column.
+fn columns() -> Vec<u8> {
+    message(b'T', &[&[0, 1, b'a', 0][..], &[0; 18]].concat())
+}
+
+/// A row with one digit.
+fn row(digit: u8) -> Vec<u8> {
+    message(b'D', &[0, 1, 0, 0, 0, 1, digit])
+}
+
 /// A simple query that the member answers with the messages.
 fn query(answer: &[Vec<u8>]) -> Exchange {
     let bytes = message(b'Q', b"SELECT\0").into();
@@ -220,3 +230,41 @@
         }
     }
 }
+
+/// Guards against the state of another answer behind an error, after which no transaction is
+/// usable.
+#[gtest]
+fn an_error_leaves_no_transaction_usable() {
+    let begin = || query(&[complete("BEGIN"), ready(b'T')]);
+    let fail = |status| query(&[error("ERROR", "22012"), ready(status)]);
+    let refused = play(vec![begin(), fail(b'T')]);
+    let invalid = matches!(refused.last(), Err(UpstreamError::InvalidAnswer(_)));
+    expect_that!(invalid, eq(true), "{:?}", refused.last());
+    for end in [complete("BEGIN"), complete("COMMIT")] {
+        let play = play(vec![query(&[end, error("ERROR", "22012"), ready(b'T')])]);
+        let invalid = matches!(play.last(), Err(UpstreamError::InvalidAnswer(_)));
+        expect_that!(invalid, eq(true), "{:?}", play.last());
+    }
+    // ROLLBACK TO makes it usable again, in an answer of its own.
+    let rollback = query(&[complete("ROLLBACK"), ready(b'T')]);
+    let play = play(vec![begin(), fail(b'E'), rollback]);
+    let statuses = play.outcomes.iter().map(|outcome| match outcome {
+        Ok(answer) => answer.status,
+        Err(error) => panic!("{error}"),
+    });
+    let expected = [Status::Transaction, Status::Failed, Status::Transaction].map(Some);
+    expect_that!(statuses.collect::<Vec<_>>(), eq(&expected));
+}
+
+/// Guards against a refusal of a statement whose rules add queries: each describes its rows, and
+/// only the last completes.
+#[gtest]
+fn a_statement_may_describe_its_rows_more_than_once() {
+    let rows = [columns(), row(b'1'), columns(), row(b'2')];
+    let answer = [rows.concat(), complete("INSERT 0 1")].concat();
+    let play = play(vec![query(&[answer.clone(), ready(b'I')])]);
+    match play.last() {
+        Ok(found) => expect_that!(found.messages, eq(&answer)),
+        Err(error) => add_failure!("{error}"),
+    }
+}
