fix(postgres): an exchange prepares a statement once

What callers saw: against a server that refuses a second Parse under the same name (42P05), as PostgreSQL does, a new statement that was parsed and then described or bound in one exchange failed.

Cause: queue_step looked only at the statements that the connection had prepared before the exchange, so Step::Parse and the Step::Ensure behind it each sent a Parse. The stand-in overwrote the earlier statement and hid this.

Evidence: an_exchange_prepares_a_statement_once, before: the member got PPBS or PBPS for PBS in all four cases. With the stand-in's refusal alone, tokio_postgres_runs_prepared_statements_with_binary_values and a_repeated_answer_is_not_the_answer_to_the_next_prepared_statement failed at their first prepare with 42P05.

Why this works: a step asks the awaited parts too, and a caller's second Parse is confirmed by the box, behind the answers to the steps before it. If the first one fails, the rest of the exchange is dropped with it. The stand-in refuses a name that is in use, other than the unnamed one.

Cost: a walk over the awaited parts for each statement that the connection hasn't prepared; not measured.

--- a/src/postgres/pending.rs
+++ b/src/postgres/pending.rs
@@ -117,6 +117,13 @@
         self.parts.push_back(Part::Parse { statement, visible });
     }
 
+    /// Whether the exchange prepares the statement of this name already.
+    pub fn prepares(&self, name: &str) -> bool {
+        let parse =
+            |part: &Part| matches!(part, Part::Parse { statement, .. } if &*statement.name == name);
+        self.parts.iter().any(parse)
+    }
+
     pub fn push(&mut self, expect: Expect) {
         self.parts.push_back(Part::Message(expect));
     }
--- a/src/postgres/relay.rs
+++ b/src/postgres/relay.rs
@@ -107,14 +107,18 @@
     step: &Step,
     pending: &mut Pending,
 ) -> Result<(), ChannelError> {
+    // A server refuses a second Parse under the same name.
+    let is_prepared = |statement: &Statement, pending: &Pending| {
+        connection.prepared.contains(&statement.name) || pending.prepares(&statement.name)
+    };
     match step {
         Step::Ensure(statement) => {
-            if !connection.prepared.contains(&statement.name) {
+            if !is_prepared(statement, pending) {
                 queue_parse(connection, statement)?;
                 pending.push_parse(statement.clone(), false);
             }
         }
-        Step::Parse(statement) if connection.prepared.contains(&statement.name) => {
+        Step::Parse(statement) if is_prepared(statement, pending) => {
             let complete = Back::ParseComplete(ParseComplete::new());
             pending.push_local(encode_backend(&complete)?);
         }
--- a/src/standin/session.rs
+++ b/src/standin/session.rs
@@ -318,8 +318,13 @@
                     .state()
                     .engine
                     .prepare(&parse.query, &parse.type_oids)?;
-                self.statements
-                    .insert(parse.name.unwrap_or_default(), prepared);
+                let name = parse.name.unwrap_or_default();
+                // Only the unnamed statement is replaced.
+                if !name.is_empty() && self.statements.contains_key(&name) {
+                    let message = format!("prepared statement {name:?} already exists");
+                    return Err(QueryError::new("42P05", message));
+                }
+                self.statements.insert(name, prepared);
                 self.queue(&Back::ParseComplete(ParseComplete::new()))
             }
             Front::Bind(bind) => self.bind(bind),
--- a/tests/system/scripted_member.rs
+++ b/tests/system/scripted_member.rs
@@ -7,7 +7,7 @@
 use larkfall::borders::upstream::{Answer, Dialer, Status, Task, UpstreamError};
 use larkfall::declarations::resource::{Address, Member};
 use larkfall::postgres::connection::Connector;
-use larkfall::postgres::steps::{Close, Expect, Step, Steps};
+use larkfall::postgres::steps::{Close, Expect, Statement, Step, Steps};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -268,3 +268,43 @@
         Err(error) => add_failure!("{error}"),
     }
 }
+
+/// Guards against a statement that is prepared twice, which a server refuses.
+#[gtest]
+fn an_exchange_prepares_a_statement_once() {
+    let statement = || Statement {
+        name: "lf_1".into(),
+        sql: "INSERT".into(),
+        types: Vec::new(),
+    };
+    let parse = || Step::Parse(statement());
+    let ensure = || Step::Ensure(statement());
+    let bind = || Step::Send {
+        bytes: message(b'B', b"\0lf_1\0\0\0\0\0\0\0").into(),
+        expect: Expect::Bind,
+    };
+    // The caller gets one confirmation of each of its own Parses.
+    let cases = [
+        (vec![parse(), ensure(), bind()], vec![b'1', b'2']),
+        (vec![parse(), parse(), bind()], vec![b'1', b'1', b'2']),
+        (vec![ensure(), bind(), ensure()], vec![b'2']),
+        (vec![ensure(), parse(), bind()], vec![b'1', b'2']),
+    ];
+    for (steps, expected) in cases {
+        let close = Close::Sync;
+        let answer = [message(b'1', b""), message(b'2', b""), ready(b'I')].concat();
+        let steps = Steps { steps, close };
+        let early = Vec::new();
+        let play = play(vec![Exchange {
+            steps,
+            early,
+            answer,
+        }]);
+        expect_that!(play.received, elements_are![eq("PBS")]);
+        let expected: Vec<u8> = expected.iter().flat_map(|k| message(*k, b"")).collect();
+        match play.last() {
+            Ok(found) => expect_that!(found.messages, eq(&expected)),
+            Err(error) => add_failure!("{error}"),
+        }
+    }
+}
