test(answers): scripted exchanges in which a member repeats its answers

A member follows a script, in which answers are repeated, late or missing.

- Three tests of a commands' barrier (refused SET, BEGIN and floor) expect one barrier more behind the step.
They differed in nothing else, and assert what they did.
- Two tests asserted that a connection isn't reusable while the answer to a barrier is to come.
That isn't the design any more: it may go back, and the next exchange's barriers cover the late answer.
Instead, they go on with what a review showed as a fault: the next session's SET is refused behind the late answer and a repetition, after a rollback's barrier and after a command's.
The statement must not be sent.
They are renamed (..._is_not_hidden_by_the_late_answer_to_a_rollbacks_barrier, ..._to_a_commands_barrier).
A read before the second transaction lets send the same messages up to the SET.
- New: after a step was refused in a transaction, nothing more is sent on the connection.

--- a/tests/unit/answers.rs
+++ b/tests/unit/answers.rs
@@ -4,6 +4,7 @@
 //! --nocapture` plays a range of seeds.
 
 mod member;
+mod scripted;
 mod world;
 
 use googletest::prelude::*;
