--- a/tests/unit/answers/scripted.rs
+++ b/tests/unit/answers/scripted.rs
@@ -431,8 +431,8 @@
         .expect_not_sent("b WRITE k v", with_zone("u"), None, Rejection::Busy)
         .await;
     let answer = member.run("b WRITE k v", Some(with_zone("u")), None).await;
-    let lost = matches!(answer, Err(UpstreamError::Lost(_)));
-    expect_that!(lost, eq(true), "got {answer:?}");
+    let given_up = matches!(answer, Err(UpstreamError::InvalidAnswer(_)));
+    expect_that!(given_up, eq(true), "got {answer:?}");
     expect_that!(member.connection.is_reusable(), eq(false));
     let sent = ["t1 BEGIN", "a READ k", "- SET tz u", BARRIER];
     expect_that!(member.received().await, eq(&sent));
