test(system): an answer that comes again any number of exchanges late

Red: of 1 to 32 exchanges late, the earlier answer is taken for the own one at 8, 16, 24 and 32, since a mark has eight values; at the others it is an invalid answer. The member sends the earlier exchange's whole answer, with its confirmations, in front of the own one.

--- a/tests/system/scripted_member.rs
+++ b/tests/system/scripted_member.rs
@@ -87,6 +87,12 @@
 
 /// Runs the exchanges on one connection, up to the first that fails.
 fn play(exchanges: Vec<Exchange>) -> Play {
+    play_repeating(exchanges, usize::MAX)
+}
+
+/// Runs the exchanges against a member that sends the whole answer of `late` exchanges ago, with
+/// its confirmations, in front of each answer.
+fn play_repeating(exchanges: Vec<Exchange>, late: usize) -> Play {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -98,7 +104,7 @@
             .into_iter()
             .map(|exchange| (exchange.steps, (exchange.early, exchange.answer)))
             .unzip();
-        let member = tokio::task::spawn_local(serve(listener, script));
+        let member = tokio::task::spawn_local(serve(listener, script, late));
         let run = run(address, tasks);
         let outcomes = tokio::time::timeout(TIMEOUT, run).await;
         Play {
@@ -143,7 +149,7 @@
 }
 
 /// Answers each exchange of one connection; returns the kinds of the messages received.
-async fn serve(listener: TcpListener, script: Vec<(Vec<u8>, Vec<u8>)>) -> Vec<String> {
+async fn serve(listener: TcpListener, script: Vec<(Vec<u8>, Vec<u8>)>, late: usize) -> Vec<String> {
     let (mut stream, _) = listener.accept().await.expect("accepts");
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.expect("reads");
@@ -151,7 +157,7 @@
     stream.read_exact(&mut startup).await.expect("reads");
     let welcome = [message(b'R', &[0; 4]), ready(b'I')].concat();
     stream.write_all(&welcome).await.expect("writes");
-    let mut received = Vec::new();
+    let (mut received, mut sent) = (Vec::new(), Vec::new());
     for (early, answer) in script {
         let Some((marks, kinds)) = read_exchange(&mut stream).await else {
             break;
@@ -159,7 +165,10 @@
         received.push(kinds);
         let confirmations = message(b'3', b"").repeat(marks);
         let bytes = [early, confirmations, answer].concat();
-        if stream.write_all(&bytes).await.is_err() {
+        let repeated: Option<&Vec<u8>> = sent.len().checked_sub(late).map(|i| &sent[i]);
+        let written = [repeated.cloned().unwrap_or_default(), bytes.clone()].concat();
+        sent.push(bytes);
+        if stream.write_all(&written).await.is_err() {
             break;
         }
     }
@@ -308,3 +317,18 @@
         }
     }
 }
+
+/// Guards against an answer that comes again so many exchanges later that their marks are alike.
+#[gtest]
+fn an_answer_to_any_earlier_exchange_is_not_the_answer() {
+    let answer = |digit| [columns(), row(digit), complete("SELECT 1")].concat();
+    for late in 1..=32 {
+        let earlier = (0..late).map(|_| query(&[answer(b'1'), ready(b'I')]));
+        let own = query(&[answer(b'2'), ready(b'I')]);
+        let play = play_repeating(earlier.chain([own]).collect(), late);
+        expect_that!(play.outcomes.len(), eq(late + 1));
+        if let Ok(found) = play.last() {
+            expect_that!(found.messages, eq(&answer(b'2')), "{late} exchanges late");
+        }
+    }
+}
